--- /dev/null
+++ b/manifest/manifest.go
@@ -0,0 +1,148 @@
+// Package manifest models the operators' manifest: the whole truth about
+// database groups, their instances, the accepted callers and the staleness that
+// reads may have.
+//
+// # Format
+//
+// A manifest is a TOML document with kebab-case names:
+//
+//	[[domains]]
+//	name = "lautoka-shed"
+//	region = "viti-west"
+//
+//	[[callers]]
+//	name = "demo"
+//	scram-secret = "SCRAM-SHA-256$4096:c2FsdA==$c3RvcmVk:c2VydmVy"
+//	groups = ["pulp-ledger-1"]
+//
+//	[[groups]]
+//	name = "pulp-ledger-1"   # Also the database name that callers connect to.
+//	homes = 2
+//	max-staleness = "0s"     # Zero: every read sees the writes of its session.
+//
+//	[[groups.instances]]
+//	name = "pulp-ledger-1-a"
+//	domain = "lautoka-shed"
+//	address = "127.0.0.1:5511"
+//	slots = 3
+//	connections = 20
+package manifest
+
+import (
+	"time"
+
+	"tarragonshed.example/unit"
+)
+
+// Manifest is one accepted or proposed manifest.
+type Manifest struct {
+	// Version is zero until the manifest is accepted. It is not part of the
+	// document.
+	Version unit.ManifestVersion `toml:"-"`
+	Domains []Domain             `toml:"domains"`
+	Callers []Caller             `toml:"callers"`
+	Groups  []Group              `toml:"groups"`
+}
+
+// Domain is a failure domain.
+type Domain struct {
+	Name   unit.DomainName `toml:"name"`
+	Region unit.RegionName `toml:"region"`
+}
+
+// Caller is an account that callers authenticate as.
+type Caller struct {
+	Name unit.CallerName `toml:"name"`
+	// SCRAMSecret is a SCRAM-SHA-256 verifier in PostgreSQL's format.
+	SCRAMSecret string `toml:"scram-secret"`
+	// Groups lists the groups that the caller may use. Empty means all.
+	Groups []unit.GroupName `toml:"groups"`
+}
+
+// Group is a database group.
+type Group struct {
+	Name unit.GroupName `toml:"name"`
+	// Homes is the number of daemons that hold connections to each instance.
+	Homes int `toml:"homes"`
+	// MaxStaleness is the age of data that reads outside of a transaction
+	// accept when they do not state one. Zero asks for read-your-writes.
+	MaxStaleness Duration   `toml:"max-staleness"`
+	Instances    []Instance `toml:"instances"`
+}
+
+// Instance is one database instance of a group.
+type Instance struct {
+	Name   unit.InstanceName `toml:"name"`
+	Domain unit.DomainName   `toml:"domain"`
+	// Address is the host:port of the instance.
+	Address string `toml:"address"`
+	// Slots is the number of statements that the instance runs at once.
+	Slots int `toml:"slots"`
+	// Connections is the number of connections that the instance accepts.
+	Connections int `toml:"connections"`
+	// Leaving tells that the instance is to receive no new work.
+	Leaving bool `toml:"leaving"`
+}
+
+// Duration is a time.Duration that TOML documents write as "1.5s".
+type Duration time.Duration
+
+// UnmarshalText parses the format of [time.ParseDuration].
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText formats d as [time.Duration.String] does.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Group returns the group with the name.
+func (m *Manifest) Group(name unit.GroupName) (Group, bool) {
+	for _, g := range m.Groups {
+		if g.Name == name {
+			return g, true
+		}
+	}
+	return Group{}, false
+}
+
+// Caller returns the caller with the name.
+func (m *Manifest) Caller(name unit.CallerName) (Caller, bool) {
+	for _, c := range m.Callers {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return Caller{}, false
+}
+
+// Instance returns the instance with the name and the group that it belongs to.
+func (m *Manifest) Instance(name unit.InstanceName) (Instance, Group, bool) {
+	for _, g := range m.Groups {
+		for _, i := range g.Instances {
+			if i.Name == name {
+				return i, g, true
+			}
+		}
+	}
+	return Instance{}, Group{}, false
+}
+
+// May reports whether the caller may use the group.
+func (c Caller) May(group unit.GroupName) bool {
+	if len(c.Groups) == 0 {
+		return true
+	}
+	for _, g := range c.Groups {
+		if g == group {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,75 @@
+// Package member models the daemons of a deployment as one daemon sees them.
+//
+// # Usage
+//
+// A [View] is an immutable snapshot. Whoever places work on daemons takes one
+// snapshot, decides with it, and takes the next one for the next decision:
+//
+//	for _, d := range view.In("lautoka-shed") {
+//		if d.State == member.Live {
+//			candidates = append(candidates, d.ID)
+//		}
+//	}
+package member
+
+import "tarragonshed.example/unit"
+
+// State is the state of a daemon.
+type State string
+
+// The states of a daemon.
+const (
+	Live    State = "live"
+	Suspect State = "suspect"
+	// Leaving is never withdrawn for an incarnation.
+	Leaving State = "leaving"
+	Dead    State = "dead"
+)
+
+// Daemon is one daemon with the addresses at which the others reach it.
+type Daemon struct {
+	ID          unit.DaemonID
+	Incarnation unit.Incarnation
+	Domain      unit.DomainName
+	State       State
+	// PeerAddress is the host:port of its connect-go endpoint.
+	PeerAddress string
+	// OperatorAddress is the host:port of its operator API.
+	OperatorAddress string
+	// CallerAddress is the host:port at which callers reach it.
+	CallerAddress string
+	// Manifest is the manifest version that it last said to have in force.
+	Manifest unit.ManifestVersion
+}
+
+// Usable reports whether new work may be given to the daemon.
+func (d Daemon) Usable() bool {
+	return d.State == Live || d.State == Suspect
+}
+
+// View is an immutable snapshot of the daemons, ordered by id.
+type View struct {
+	Self    unit.DaemonID
+	Daemons []Daemon
+}
+
+// Find returns the daemon with the id.
+func (v View) Find(id unit.DaemonID) (Daemon, bool) {
+	for _, d := range v.Daemons {
+		if d.ID == id {
+			return d, true
+		}
+	}
+	return Daemon{}, false
+}
+
+// In returns the daemons of a failure domain that may be given new work.
+func (v View) In(domain unit.DomainName) []Daemon {
+	var found []Daemon
+	for _, d := range v.Daemons {
+		if d.Domain == domain && d.Usable() {
+			found = append(found, d)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/result/codes.go
@@ -0,0 +1,95 @@
+package result
+
+// Codes of the caller's protocol. None of them reaches an instance.
+const (
+	MalformedStartup     Code = 1001
+	AuthenticationFailed Code = 1002
+	UnknownDatabase      Code = 1003
+	StatementTooLarge    Code = 1004
+	CopyNotCarried       Code = 1005
+	ProtocolViolation    Code = 1006
+	TooManyCallers       Code = 1007
+	NotCarried           Code = 1008
+	MalformedOption      Code = 1009
+	EncryptionRequired   Code = 1010
+)
+
+// Codes of requests that did not run.
+const (
+	Overloaded           Code = 2001
+	NoPrimary            Code = 2002
+	NoReplica            Code = 2003
+	ShuttingDown         Code = 2004
+	InstanceLeaving      Code = 2005
+	NoManifest           Code = 2006
+	DeadlinePassed       Code = 2007
+	NotPrimary           Code = 2008
+	InstanceBehind       Code = 2009
+	InstanceUnreachable  Code = 2010
+	HomeUnreachable      Code = 2011
+	ConnectionsExhausted Code = 2012
+	CancelledUnsent      Code = 2013
+	NoMajority           Code = 2014
+	RequestCancelled     Code = 2015
+)
+
+// Codes of requests whose outcome is unknown.
+const (
+	ConnectionLost   Code = 3001
+	Unconfirmed      Code = 3002
+	HomeLost         Code = 3003
+	PushUnconfirmed  Code = 3004
+	KeyUndetermined  Code = 3005
+	TransactionEnded Code = 3006
+)
+
+// Codes of requests that ran.
+const (
+	AnswerCut Code = 4001
+)
+
+var entries = index([]Entry{
+	{MalformedStartup, "malformed-startup", NotRun, "08P01", "The startup packet could not be read."},
+	{AuthenticationFailed, "authentication-failed", NotRun, "28P01", "The caller is unknown or the password is wrong."},
+	{UnknownDatabase, "unknown-database", NotRun, "3D000", "No group of the manifest has the name of the database, or the caller may not use it."},
+	{StatementTooLarge, "statement-too-large", NotRun, "54000", "A message or a pipelined batch is larger than the settings allow."},
+	{CopyNotCarried, "copy-not-carried", NotRun, "0A000", "COPY and the replication protocol are not carried."},
+	{ProtocolViolation, "protocol-violation", NotRun, "08P01", "A message is malformed or not allowed in the session's state."},
+	{TooManyCallers, "too-many-callers", NotRun, "53300", "The daemon has as many caller connections as its settings allow."},
+	{NotCarried, "not-carried", NotRun, "0A000", "The statement needs a connection of its own, which transaction pooling does not give."},
+	{MalformedOption, "malformed-option", NotRun, "22023", "A startup option, SET value or statement mark of tarragonshed could not be read."},
+	{EncryptionRequired, "encryption-required", NotRun, "28000", "The settings accept callers over TLS only."},
+
+	{Overloaded, "overloaded", NotRun, "53400", "The expected wait for a slot passes the deadline, or the queue is full."},
+	{NoPrimary, "no-primary", NotRun, "57P03", "No primary could be reached before the deadline."},
+	{NoReplica, "no-replica", NotRun, "57P03", "No instance could serve the read at the position or staleness asked for before the deadline."},
+	{ShuttingDown, "shutting-down", NotRun, "57P01", "The daemon is shutting down and takes no new work."},
+	{InstanceLeaving, "instance-leaving", NotRun, "57P01", "The instance is leaving and takes no new work."},
+	{NoManifest, "no-manifest", NotRun, "57P03", "The daemon has no manifest in force yet."},
+	{DeadlinePassed, "deadline-passed", NotRun, "57014", "The deadline passed before the statement was sent."},
+	{NotPrimary, "not-primary", NotRun, "25006", "The instance is not the primary of its group."},
+	{InstanceBehind, "instance-behind", NotRun, "57P03", "The instance has not applied the position that the read has to see."},
+	{InstanceUnreachable, "instance-unreachable", NotRun, "08001", "No connection to the instance could be opened."},
+	{HomeUnreachable, "home-unreachable", NotRun, "08001", "No daemon that holds connections to the instance could be reached."},
+	{ConnectionsExhausted, "connections-exhausted", NotRun, "53300", "The instance accepts no further connection."},
+	{CancelledUnsent, "cancelled-unsent", NotRun, "57014", "The caller cancelled the statement before it was sent."},
+	{NoMajority, "no-majority", NotRun, "57P03", "A majority of the group's instances could not be asked for the position that the read has to see."},
+	{RequestCancelled, "request-cancelled", NotRun, "57014", "The request key was claimed as cancelled, so the request can't run any more."},
+
+	{ConnectionLost, "connection-lost", Unknown, "08007", "The connection to the instance was lost after the statement was sent."},
+	{Unconfirmed, "unconfirmed", Unknown, "40003", "The write was committed on a primary but a majority did not confirm it before the deadline."},
+	{HomeLost, "home-lost", Unknown, "08007", "The daemon that ran the statement was lost before it answered."},
+	{PushUnconfirmed, "push-unconfirmed", Unknown, "", "The platform did not answer whether the manifest was accepted; ask again with the push id."},
+	{KeyUndetermined, "key-undetermined", Unknown, "40003", "The request key could not be looked up before the deadline; repeat the request with the same key."},
+	{TransactionEnded, "transaction-ended", Unknown, "25P02", "The connection that held the open transaction was lost; the transaction was not committed unless COMMIT had been sent."},
+
+	{AnswerCut, "answer-cut", Ran, "08006", "The statement took effect but its answer could not be delivered whole."},
+})
+
+func index(list []Entry) map[Code]Entry {
+	indexed := make(map[Code]Entry, len(list))
+	for _, entry := range list {
+		indexed[entry.Code] = entry
+	}
+	return indexed
+}
