--- /dev/null
+++ b/tarragonshed/entry/entry.go
@@ -0,0 +1,266 @@
+// Package entry ends the connections of callers. It speaks the PostgreSQL
+// protocol with them, keeps their sessions, and carries their requests over
+// lanes to the homes of the instances that it chooses.
+//
+// # Sessions
+//
+// A session is a goroutine. It collects the caller's messages up to Sync, or one
+// Query, into a batch, tells from the text of the statements what the batch
+// needs, and runs it. Statements that concern the session, such as SET, are
+// answered here.
+//
+// # Transaction pooling
+//
+// A lane is kept by a session only from BEGIN to the end of the transaction.
+// Prepared statements therefore travel under names derived from their text, and
+// each batch lists the ones that it refers to, so that the home can prepare them on the
+// connection that serves the batch. SET within a transaction is sent as SET
+// LOCAL and, once the transaction is committed, kept in the session. What needs a
+// connection of its own is refused with [result.NotCarried].
+//
+// # Sending again
+//
+// A request that was not run is sent again until its deadline. A read outside of
+// a transaction is also sent again when its answer was lost before a part of it
+// reached the caller. Everything else that is lost is answered with an "outcome
+// unknown" code. A transaction whose lane is lost leaves the session in the failed
+// transaction state, so that what the caller sends next, up to ROLLBACK, does not
+// run outside of the transaction.
+//
+// # Usage
+//
+//	e := entry.New(listener, holder, carrier, entry.WithDomain("lautoka-shed"))
+//	...
+//	e.Shutdown(ctx) // Ends sessions between transactions.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"tarragonshed.example/recorder"
+	"tarragonshed.example/tarragonshed/carrier"
+	"tarragonshed.example/tarragonshed/entry/authenticator"
+	"tarragonshed.example/tarragonshed/holder"
+	"tarragonshed.example/unit"
+)
+
+// acceptDelay is the pause after a failed accept.
+const acceptDelay = 10 * time.Millisecond
+
+// Entry serves the callers of one listener.
+type Entry struct {
+	listener      net.Listener
+	holder        *holder.Holder
+	carrier       carrier.Carrier
+	logger        *log.Logger
+	recorder      *recorder.Recorder
+	metrics       *figures
+	domain        unit.DomainName
+	limits        Limits
+	tls           *tls.Config
+	tlsRequired   bool
+	authenticator *authenticator.Authenticator
+
+	ctx      context.Context
+	stop     context.CancelFunc
+	draining atomic.Bool
+	callers  atomic.Int64
+	running  sync.WaitGroup
+
+	groupsMu sync.RWMutex
+	groups   map[unit.GroupName]*group
+
+	sessionsMu sync.Mutex
+	sessions   map[unit.SessionID]*session
+	conns      map[net.Conn]struct{}
+	lastID     unit.SessionID
+}
+
+// New starts to serve callers of the listener.
+func New(listener net.Listener, holder *holder.Holder, carrier carrier.Carrier, options ...Option) *Entry {
+	e := &Entry{
+		listener:      listener,
+		holder:        holder,
+		carrier:       carrier,
+		logger:        discardLogger(),
+		limits:        Limits{}.withDefaults(),
+		authenticator: authenticator.New(),
+		groups:        make(map[unit.GroupName]*group),
+		sessions:      make(map[unit.SessionID]*session),
+		conns:         make(map[net.Conn]struct{}),
+	}
+	for _, option := range options {
+		option(e)
+	}
+	if e.metrics == nil {
+		e.metrics = newFigures(nil)
+	}
+	e.ctx, e.stop = context.WithCancel(context.Background())
+	e.running.Go(e.accept)
+	return e
+}
+
+// Shutdown accepts no new callers, ends each session with the standard shutdown
+// error when it is between transactions, and returns when all have ended. If the
+// context is done first, it closes the rest and returns the context's error.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.draining.Store(true)
+	e.listener.Close()
+	for _, s := range e.list() {
+		s.interrupt()
+	}
+	done := make(chan struct{})
+	go func() {
+		e.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		e.stop()
+		return nil
+	case <-ctx.Done():
+		e.Close()
+		return ctx.Err()
+	}
+}
+
+// Close ends all sessions at once and returns when they have ended.
+func (e *Entry) Close() {
+	e.draining.Store(true)
+	e.listener.Close()
+	e.stop()
+	e.sessionsMu.Lock()
+	for conn := range e.conns {
+		conn.Close()
+	}
+	e.sessionsMu.Unlock()
+	for _, s := range e.list() {
+		s.sever()
+	}
+	e.running.Wait()
+}
+
+// Callers returns the number of caller connections.
+func (e *Entry) Callers() int {
+	return int(e.callers.Load())
+}
+
+func (e *Entry) accept() {
+	for {
+		conn, err := e.listener.Accept()
+		if errors.Is(err, net.ErrClosed) || e.draining.Load() {
+			if conn != nil {
+				conn.Close()
+			}
+			return
+		}
+		if err != nil {
+			e.logger.Warn("accepting a caller failed", "err", err)
+			time.Sleep(acceptDelay)
+			continue
+		}
+		e.running.Go(func() { e.serve(conn) })
+	}
+}
+
+func (e *Entry) serve(conn net.Conn) {
+	defer conn.Close()
+	e.callers.Add(1)
+	defer e.callers.Add(-1)
+	if !e.watch(conn) {
+		return
+	}
+	defer e.unwatch(conn)
+	e.keepAlive(conn)
+	s, err := e.startup(conn)
+	if err != nil {
+		e.logger.Debug("a caller did not get in", "remote", conn.RemoteAddr(), "err", err)
+		return
+	}
+	if s == nil {
+		return
+	}
+	defer e.remove(s)
+	s.serve()
+}
+
+func (e *Entry) keepAlive(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	tcp.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     e.limits.Keepalive,
+		Interval: e.limits.Keepalive,
+	})
+}
+
+func (e *Entry) watch(conn net.Conn) bool {
+	e.sessionsMu.Lock()
+	defer e.sessionsMu.Unlock()
+	if e.ctx.Err() != nil {
+		return false
+	}
+	e.conns[conn] = struct{}{}
+	return true
+}
+
+func (e *Entry) unwatch(conn net.Conn) {
+	e.sessionsMu.Lock()
+	defer e.sessionsMu.Unlock()
+	delete(e.conns, conn)
+}
+
+func (e *Entry) add(s *session) {
+	e.sessionsMu.Lock()
+	defer e.sessionsMu.Unlock()
+	e.lastID++
+	s.id = e.lastID
+	e.sessions[s.id] = s
+}
+
+func (e *Entry) remove(s *session) {
+	e.sessionsMu.Lock()
+	defer e.sessionsMu.Unlock()
+	delete(e.sessions, s.id)
+}
+
+func (e *Entry) list() []*session {
+	e.sessionsMu.Lock()
+	defer e.sessionsMu.Unlock()
+	list := make([]*session, 0, len(e.sessions))
+	for _, s := range e.sessions {
+		list = append(list, s)
+	}
+	return list
+}
+
+func (e *Entry) session(id unit.SessionID) *session {
+	e.sessionsMu.Lock()
+	defer e.sessionsMu.Unlock()
+	return e.sessions[id]
+}
+
+func (e *Entry) group(name unit.GroupName) *group {
+	e.groupsMu.RLock()
+	g := e.groups[name]
+	e.groupsMu.RUnlock()
+	if g != nil {
+		return g
+	}
+	e.groupsMu.Lock()
+	defer e.groupsMu.Unlock()
+	if e.groups[name] == nil {
+		e.groups[name] = newGroup(e, name)
+	}
+	return e.groups[name]
+}
--- /dev/null
+++ b/tarragonshed/entry/runner.go
@@ -0,0 +1,419 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"tarragonshed.example/instance"
+	"tarragonshed.example/result"
+	"tarragonshed.example/retrier"
+	"tarragonshed.example/router"
+	"tarragonshed.example/tarragonshed/carrier"
+	"tarragonshed.example/unit"
+	"tarragonshed.example/wire/peer"
+)
+
+const (
+	// cancelGrace is how long an instance may take to end a statement that is
+	// cancelled at its deadline.
+	cancelGrace = 5 * time.Second
+	// promptRetries is the number of retries without a delay.
+	promptRetries = 2
+)
+
+// execute runs a batch and queues the end of its answer.
+func (s *session) execute(b *batch) {
+	if b.fault != nil {
+		s.refuse(b, plan{}, b.fault)
+		return
+	}
+	if s.lost() {
+		s.answerLocally(b)
+		return
+	}
+	p, err := s.plan(b)
+	switch {
+	case err != nil:
+		s.refuse(b, p, err)
+	case p.local:
+		s.answerLocally(b)
+	default:
+		s.run(b, p)
+	}
+}
+
+// refuse answers a batch with an error. What was open before, or would have been
+// open after it, is a failed transaction from now on.
+func (s *session) refuse(b *batch, p plan, err error) {
+	s.entry.metrics.refused(result.CodeOf(err))
+	b.settleDefinitions(0)
+	s.pendingSettings = nil
+	inside := s.status != statusIdle
+	s.unpin()
+	s.queue(errorResponse(err, severityError))
+	if (inside && !p.ends) || p.begins {
+		s.queueReady(statusFailed)
+		return
+	}
+	s.queueReady(statusIdle)
+}
+
+// run is the execution of one batch by instances.
+type run struct {
+	*session
+	batch    *batch
+	plan     plan
+	ctx      context.Context
+	deadline time.Time
+	failed   map[unit.InstanceName]time.Time
+	// last is why the latest attempt failed.
+	last error
+}
+
+func (s *session) run(b *batch, p plan) {
+	started := time.Now()
+	r := &run{session: s, batch: b, plan: p, deadline: started.Add(s.entry.limits.StatementTimeout)}
+	ctx, cancelCause := context.WithCancelCause(s.entry.ctx)
+	defer cancelCause(nil)
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	r.ctx = ctx
+	s.setCancel(cancelCause)
+	defer s.setCancel(nil)
+	if s.pinned != nil {
+		r.goOn()
+		return
+	}
+	s.group.countRequest()
+	primary, ok := r.begin()
+	if ok {
+		s.entry.metrics.served(r.plan, primary, time.Since(started))
+	}
+}
+
+// begin runs a batch outside of a transaction, on as many instances as needed.
+func (r *run) begin() (primary, ok bool) {
+	for attempt := 0; ; attempt++ {
+		use, err := r.choose()
+		if err != nil {
+			r.refuse(r.batch, r.plan, err)
+			return false, false
+		}
+		out := r.attempt(use)
+		if out.err == nil {
+			return use.Primary, true
+		}
+		r.last = out.err
+		if !r.again(use, out, attempt) {
+			r.refuse(r.batch, r.plan, out.final())
+			return false, false
+		}
+		r.ready = r.ready[:0]
+		r.entry.metrics.retries.Inc(1)
+	}
+}
+
+// choose waits for an instance that can serve the batch.
+func (r *run) choose() (router.Use, error) {
+	request := router.Request{
+		Write:        !r.plan.read,
+		MaxStaleness: r.plan.staleness,
+		WaitLimit:    r.entry.limits.ReplicaWait,
+	}
+	if r.plan.read {
+		floor, err := r.floor()
+		if err != nil {
+			return router.Use{}, err
+		}
+		request.Floor = floor
+	}
+	effect, _ := r.group.choose(request, r.failed)
+	if use, ok := effect.(router.Use); ok {
+		return use, r.late()
+	}
+	defer r.group.seek()()
+	for {
+		effect, news := r.group.choose(request, r.failed)
+		if use, ok := effect.(router.Use); ok {
+			return use, r.late()
+		}
+		select {
+		case <-news:
+		case <-r.ctx.Done():
+			return router.Use{}, r.late()
+		}
+	}
+}
+
+// floor returns the position that a read must see.
+func (r *run) floor() (unit.Position, error) {
+	floor, ok := r.tracker.Floor(r.plan.staleness)
+	if ok {
+		return floor, nil
+	}
+	index, err := r.group.index(r.ctx)
+	if err != nil {
+		if late := r.late(); result.CodeOf(late) == result.CancelledUnsent {
+			return index, late
+		}
+		return index, err
+	}
+	r.tracker.Root(index)
+	return r.tracker.Position(), nil
+}
+
+// late returns why the batch can't be sent any more, or nil.
+func (r *run) late() error {
+	switch {
+	case r.ctx.Err() == nil:
+		return nil
+	case errors.Is(context.Cause(r.ctx), errCancelled):
+		return result.New(result.CancelledUnsent, "cancelled before it was sent")
+	case r.entry.ctx.Err() != nil:
+		return result.New(result.ShuttingDown, "the daemon is shutting down")
+	case r.last != nil && result.OutcomeOf(r.last) == result.NotRun:
+		return r.last
+	case r.plan.read:
+		return result.New(result.NoReplica, "no instance of group %s could serve the read in time", r.database)
+	}
+	return result.New(result.NoPrimary, "no primary of group %s was found in time", r.database)
+}
+
+// attempt runs the batch on an instance.
+func (r *run) attempt(use router.Use) outcome {
+	lane, err := r.entry.carrier.Open(r.ctx, use.Instance)
+	if err != nil {
+		if result.OutcomeOf(err) != result.NotRun {
+			err = result.New(result.HomeUnreachable, "%v", err)
+		}
+		return outcome{err: err, broken: true}
+	}
+	r.group.begin(use.Instance)
+	r.setLane(lane)
+	sent := time.Now()
+	out := r.exchange(lane, use)
+	if out.report != nil {
+		r.group.note(reportOf(out.report), sent)
+	}
+	if out.err == nil && r.wrongInstance(use, out) {
+		out.err = result.New(result.NotPrimary, "instance %s does not accept writes", use.Instance)
+		out.settled = nil
+	}
+	r.conclude(lane, use, out)
+	return out
+}
+
+// exchange sends the batch and passes the answer on.
+func (r *run) exchange(lane carrier.Lane, use router.Use) outcome {
+	open := &peer.CarryRequest{Kind: &peer.CarryRequest_Open{Open: r.open(use)}}
+	if err := r.transmit(lane, open); err != nil {
+		return outcome{err: result.New(result.HomeUnreachable, "%v", err), broken: true}
+	}
+	return r.send(lane)
+}
+
+func (r *run) send(lane carrier.Lane) outcome {
+	defer r.watch(lane)()
+	request := &peer.CarryRequest{Kind: &peer.CarryRequest_Batch{Batch: &peer.Batch{
+		Messages:   r.batch.messages,
+		Statements: r.batch.used,
+		Last:       true,
+	}}}
+	if err := r.transmit(lane, request); err != nil {
+		return outcome{err: result.New(result.HomeLost, "%v", err), broken: true}
+	}
+	return r.relay(lane)
+}
+
+// watch cancels what runs on the lane at the deadline.
+func (r *run) watch(lane carrier.Lane) (end func()) {
+	cancel := time.AfterFunc(time.Until(r.deadline), func() {
+		r.transmit(lane, &peer.CarryRequest{Kind: &peer.CarryRequest_Cancel{Cancel: &peer.Cancel{}}})
+	})
+	abandon := time.AfterFunc(time.Until(r.deadline)+cancelGrace, lane.Close)
+	return func() {
+		cancel.Stop()
+		abandon.Stop()
+	}
+}
+
+func (r *run) open(use router.Use) *peer.Open {
+	r.requests++
+	open := &peer.Open{
+		Group:               string(r.database),
+		Instance:            string(use.Instance),
+		Class:               peer.Class_CLASS_WRITE,
+		Priority:            peer.Priority_PRIORITY_WRITE,
+		TimeoutMicroseconds: microseconds(time.Until(r.deadline)),
+		Caller:              string(r.caller),
+		RequestId:           fmt.Sprintf("%d-%d", r.id, r.requests),
+		Settings:            r.options.settings,
+		RequestKey:          string(r.plan.key),
+	}
+	if !r.plan.read {
+		return open
+	}
+	floor := r.tracker.Position()
+	open.Class = peer.Class_CLASS_READ
+	open.Priority = peer.Priority_PRIORITY_PRIMARY_READ
+	open.RequestKey = ""
+	open.Floor = &peer.Position{Term: uint64(floor.Term), Index: uint64(floor.Index)}
+	open.FloorWaitMicroseconds = microseconds(min(use.Wait, time.Until(r.deadline)))
+	if r.plan.staleness > 0 {
+		open.Priority = peer.Priority_PRIORITY_STALE_READ
+		open.MaxStalenessMicroseconds = microseconds(r.plan.staleness)
+	}
+	return open
+}
+
+func microseconds(d time.Duration) uint64 {
+	return uint64(max(d, 0) / time.Microsecond)
+}
+
+// wrongInstance reports whether the batch did not run because the instance does
+// not write, though another one may.
+func (r *run) wrongInstance(use router.Use, out outcome) bool {
+	if !out.readOnly || out.begun || out.settled.TransactionStatus != statusIdle {
+		return false
+	}
+	if r.plan.read && !r.plan.begins {
+		// The statement calls a function that writes.
+		r.plan.read = false
+		return true
+	}
+	writable := out.report != nil && out.report.Role == string(instance.Primary) && !out.report.Quiesced
+	return !use.Primary || !writable
+}
+
+// conclude gives the lane back, or keeps it for the open transaction.
+func (r *run) conclude(lane carrier.Lane, use router.Use, out outcome) {
+	switch {
+	case out.settled != nil && out.settled.TransactionStatus != statusIdle:
+		r.pinned = &pin{instance: use.Instance, lane: lane, primary: use.Primary, read: r.plan.read}
+	case out.broken:
+		r.setLane(nil)
+		lane.Close()
+		r.group.end(use.Instance)
+	default:
+		r.setLane(nil)
+		r.group.end(use.Instance)
+		r.entry.carrier.Release(use.Instance, lane)
+	}
+	if out.settled != nil {
+		r.complete(out)
+	}
+}
+
+// complete ends the answer to a batch that was settled.
+func (r *run) complete(out outcome) {
+	r.batch.settleDefinitions(out.confirmed)
+	if p := out.settled.Position; p != nil {
+		r.tracker.Raise(unit.Position{Term: unit.Term(p.Term), Index: unit.Index(p.Index)})
+	}
+	if !out.failed {
+		r.pendingSettings = append(r.pendingSettings, r.plan.settings...)
+	}
+	status := byte(out.settled.TransactionStatus)
+	if status == statusIdle {
+		if !out.failed && !out.rolledBack {
+			r.keepSettings()
+		}
+		r.pendingSettings = nil
+		if !r.plan.read && r.plan.key == r.options.key {
+			r.options.key = ""
+		}
+	}
+	r.queueReady(status)
+}
+
+// keepSettings takes over the settings of a committed transaction.
+func (r *run) keepSettings() {
+	for _, change := range r.pendingSettings {
+		if err := r.set(change); err != nil {
+			r.entry.logger.Debug("a setting was not kept", "caller", r.caller, "err", err)
+		}
+	}
+}
+
+// again reports whether the batch is to be sent again, and waits before it is.
+func (r *run) again(use router.Use, out outcome, attempt int) bool {
+	code := result.CodeOf(out.err)
+	if r.broken || r.ctx.Err() != nil || !retrier.Repeatable(code.Entry().Outcome, r.plan.read, out.begun) {
+		return false
+	}
+	switch code {
+	case result.NotPrimary, result.NoPrimary, result.InstanceBehind, result.InstanceUnreachable,
+		result.HomeUnreachable, result.InstanceLeaving, result.ShuttingDown:
+		// The instance did no work for it.
+	case result.ConnectionsExhausted, result.HomeLost, result.ConnectionLost:
+		if !r.group.takeRetry() {
+			return false
+		}
+	case result.Overloaded, result.NoReplica:
+		if !r.plan.read || !r.group.takeRetry() {
+			return false
+		}
+	default:
+		return false
+	}
+	if r.failed == nil {
+		r.failed = make(map[unit.InstanceName]time.Time)
+	}
+	r.failed[use.Instance] = time.Now()
+	if attempt >= promptRetries {
+		return r.pause(retrier.Backoff{}.Delay(attempt-promptRetries, rand.Float64()))
+	}
+	return true
+}
+
+func (r *run) pause(delay time.Duration) bool {
+	select {
+	case <-time.After(delay):
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
+
+// final returns the error for the caller. A refusal does not say that nothing
+// ran once a part of the answer is out.
+func (out outcome) final() error {
+	if out.begun && result.OutcomeOf(out.err) == result.NotRun {
+		return result.New(result.ConnectionLost, "%v", out.err)
+	}
+	return out.err
+}
+
+// goOn runs a batch of an open transaction.
+func (r *run) goOn() {
+	out := r.send(r.pinned.lane)
+	if out.err == nil {
+		r.finishPinned(out)
+		return
+	}
+	if !out.begun {
+		r.ready = r.ready[:0]
+	}
+	err := out.final()
+	if !r.plan.ends && result.OutcomeOf(err) == result.Unknown {
+		err = result.New(result.TransactionEnded, "%v", out.err)
+	}
+	r.refuse(r.batch, r.plan, err)
+}
+
+func (r *run) finishPinned(out outcome) {
+	if out.settled.TransactionStatus == statusIdle {
+		p := r.pinned
+		r.setLane(nil)
+		r.pinned = nil
+		r.group.end(p.instance)
+		r.entry.carrier.Release(p.instance, p.lane)
+	}
+	if out.report != nil {
+		r.group.note(reportOf(out.report), time.Time{})
+	}
+	r.complete(out)
+}
