--- /dev/null
+++ b/limiter/limiter.go
@@ -0,0 +1,290 @@
+// Package limiter admits statements to an instance.
+//
+// # Slots and connections
+//
+// An instance runs as many statements at once as it has slots. Each of its homes
+// has a part of them, see [Part], and admits no more statements than that. A
+// statement that begins a transaction also needs one of the home's connections,
+// which its transaction keeps.
+//
+// # Queue
+//
+// What can't be admitted waits in a bounded queue. A statement is refused at once
+// when the queue is full or when the expected wait passes its deadline: the
+// number of statements ahead of it, times the mean time that a statement takes,
+// over the slots. Statements of open transactions go first, because they hold
+// connections and locks; then writes, reads that need the primary, and reads that
+// accept old data. Within a priority, callers take turns.
+//
+// # Usage
+//
+//	l := limiter.New(limiter.Limits{Slots: 2, Connections: 7, Queue: 200})
+//	for _, effect := range l.Step(limiter.Request{ID: 1, Caller: "demo", Priority: limiter.Write, Now: now, Deadline: deadline}) {
+//		switch effect := effect.(type) {
+//		case limiter.Admit:
+//			run(effect.ID)
+//		case limiter.Refuse:
+//			refuse(effect.ID, effect.Err)
+//		}
+//	}
+//	...
+//	effects := l.Step(limiter.Finished{Now: later, Took: took})
+//	effects = append(effects, l.Step(limiter.TransactionEnded{Now: later})...)
+package limiter
+
+import (
+	"time"
+
+	"tarragonshed.example/result"
+	"tarragonshed.example/unit"
+)
+
+// ID names one request for admission.
+type ID uint64
+
+// Priority orders requests that wait. A lower value goes first.
+type Priority int
+
+// The priorities.
+const (
+	// OpenTransaction is a statement of a transaction that has a connection.
+	OpenTransaction Priority = iota
+	// Write begins a transaction that may write.
+	Write
+	// PrimaryRead is a read that needs the primary.
+	PrimaryRead
+	// StaleRead is a read that any instance may serve.
+	StaleRead
+
+	priorities
+)
+
+// meanWeight is the weight of the latest statement in the mean time that
+// statements take, as a divisor.
+const meanWeight = 16
+
+// Limits are the bounds of one home of an instance.
+type Limits struct {
+	// Slots is the number of statements that run at once.
+	Slots int
+	// Connections is the number of transactions that are open at once.
+	Connections int
+	// Queue is the number of requests that wait.
+	Queue int
+}
+
+// Part returns a home's part of n slots: the home with the given rank, from
+// zero, of the given number of homes. The parts of all homes sum up to n.
+func Part(n, homes, rank int) int {
+	if homes <= 0 || rank < 0 || rank >= homes {
+		return 0
+	}
+	part := n / homes
+	if rank < n%homes {
+		part++
+	}
+	return part
+}
+
+// Event is what happened: [Request], [Withdraw], [Finished],
+// [TransactionEnded], [Resize] or [Expire].
+type Event interface{ event() }
+
+// Request asks for admission.
+type Request struct {
+	ID       ID
+	Caller   unit.CallerName
+	Priority Priority
+	Now      time.Time
+	// Deadline is when the request is to be admitted at the latest.
+	Deadline time.Time
+}
+
+// Withdraw takes a waiting request back.
+type Withdraw struct{ ID ID }
+
+// Finished tells that an admitted statement gave its slot back.
+type Finished struct {
+	Now  time.Time
+	Took time.Duration
+}
+
+// TransactionEnded tells that a transaction gave its connection back.
+type TransactionEnded struct{ Now time.Time }
+
+// Resize changes the limits.
+type Resize struct {
+	Limits
+	Now time.Time
+}
+
+// Expire refuses requests whose deadline is not after Now.
+type Expire struct{ Now time.Time }
+
+func (Request) event()          {}
+func (Withdraw) event()         {}
+func (Finished) event()         {}
+func (TransactionEnded) event() {}
+func (Resize) event()           {}
+func (Expire) event()           {}
+
+// Effect is what has to be done: [Admit] or [Refuse].
+type Effect interface{ effect() }
+
+// Admit lets a request run. It holds a slot until [Finished], and unless it is
+// of an open transaction a connection until [TransactionEnded].
+type Admit struct{ ID ID }
+
+// Refuse ends a request, which did not run.
+type Refuse struct {
+	ID  ID
+	Err *result.Error
+}
+
+func (Admit) effect()  {}
+func (Refuse) effect() {}
+
+// Limiter admits statements to one instance on behalf of one home.
+type Limiter struct {
+	limits  Limits
+	running int
+	open    int
+	mean    time.Duration
+	queued  int
+	queues  [priorities]queue
+}
+
+// New returns a Limiter.
+func New(limits Limits) *Limiter { return &Limiter{limits: limits} }
+
+// Running returns the number of slots in use.
+func (l *Limiter) Running() int { return l.running }
+
+// Open returns the number of connections in use.
+func (l *Limiter) Open() int { return l.open }
+
+// Queued returns the number of waiting requests.
+func (l *Limiter) Queued() int { return l.queued }
+
+// Mean returns the mean time that statements take.
+func (l *Limiter) Mean() time.Duration { return l.mean }
+
+// Wait returns the expected wait of a new request of the priority.
+func (l *Limiter) Wait(p Priority) time.Duration {
+	if l.admissible(p) && l.ahead(p) == 0 {
+		return 0
+	}
+	return l.mean * time.Duration(l.ahead(p)+1) / time.Duration(max(1, l.limits.Slots))
+}
+
+// Step takes an event in and returns what has to be done, in order.
+func (l *Limiter) Step(event Event) []Effect {
+	switch event := event.(type) {
+	case Request:
+		return l.request(event)
+	case Withdraw:
+		l.withdraw(event.ID)
+	case Finished:
+		l.running--
+		l.learn(event.Took)
+		return l.admit(event.Now)
+	case TransactionEnded:
+		l.open--
+		return l.admit(event.Now)
+	case Resize:
+		l.limits = event.Limits
+		return l.admit(event.Now)
+	case Expire:
+		return l.expire(event.Now)
+	}
+	return nil
+}
+
+func (l *Limiter) request(r Request) []Effect {
+	if l.admissible(r.Priority) && l.ahead(r.Priority) == 0 {
+		l.take(r)
+		return []Effect{Admit{ID: r.ID}}
+	}
+	if l.queued >= l.limits.Queue {
+		return []Effect{Refuse{ID: r.ID, Err: result.New(result.Overloaded, "%d statements wait already", l.queued)}}
+	}
+	if wait := l.Wait(r.Priority); r.Now.Add(wait).After(r.Deadline) {
+		return []Effect{Refuse{ID: r.ID, Err: result.New(result.Overloaded, "a wait of %v is expected", wait)}}
+	}
+	l.queued++
+	l.queues[r.Priority].push(r)
+	return nil
+}
+
+// admit admits as many waiting requests as there is room for.
+func (l *Limiter) admit(now time.Time) []Effect {
+	var effects []Effect
+	for p := range priorities {
+		for l.admissible(p) && l.queues[p].size > 0 {
+			r := l.queues[p].pop()
+			l.queued--
+			if !r.Deadline.After(now) {
+				effects = append(effects, passed(r))
+				continue
+			}
+			l.take(r)
+			effects = append(effects, Admit{ID: r.ID})
+		}
+	}
+	return effects
+}
+
+func (l *Limiter) take(r Request) {
+	l.running++
+	if r.Priority != OpenTransaction {
+		l.open++
+	}
+}
+
+func (l *Limiter) admissible(p Priority) bool {
+	if l.running >= l.limits.Slots {
+		return false
+	}
+	return p == OpenTransaction || l.open < l.limits.Connections
+}
+
+// ahead counts the requests that go before a new one of the priority.
+func (l *Limiter) ahead(p Priority) int {
+	n := 0
+	for q := Priority(0); q <= p; q++ {
+		n += l.queues[q].size
+	}
+	return n
+}
+
+func (l *Limiter) learn(took time.Duration) {
+	if l.mean == 0 {
+		l.mean = took
+		return
+	}
+	l.mean += (took - l.mean) / meanWeight
+}
+
+func (l *Limiter) withdraw(id ID) {
+	for p := range priorities {
+		if l.queues[p].remove(func(r Request) bool { return r.ID == id }) != nil {
+			l.queued--
+			return
+		}
+	}
+}
+
+func (l *Limiter) expire(now time.Time) []Effect {
+	var effects []Effect
+	for p := range priorities {
+		for _, r := range l.queues[p].remove(func(r Request) bool { return !r.Deadline.After(now) }) {
+			l.queued--
+			effects = append(effects, passed(r))
+		}
+	}
+	return effects
+}
+
+func passed(r Request) Refuse {
+	return Refuse{ID: r.ID, Err: result.New(result.DeadlinePassed, "no slot became free in time")}
+}
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,150 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"tarragonshed.example/limiter"
+	"tarragonshed.example/unit"
+)
+
+var start = time.Unix(1000, 0)
+
+func request(id limiter.ID, caller unit.CallerName, p limiter.Priority) limiter.Request {
+	return limiter.Request{ID: id, Caller: caller, Priority: p, Now: start, Deadline: start.Add(time.Second)}
+}
+
+func expect(t *testing.T, l *limiter.Limiter, event limiter.Event, want ...string) {
+	t.Helper()
+	is := is.New(t)
+	got := []string{}
+	for _, effect := range l.Step(event) {
+		switch effect := effect.(type) {
+		case limiter.Admit:
+			got = append(got, fmt.Sprint("admit ", effect.ID))
+		case limiter.Refuse:
+			got = append(got, fmt.Sprint("refuse ", effect.ID, " ", effect.Err.Code.Entry().Name))
+		}
+	}
+	is.Equal(got, append([]string{}, want...))
+}
+
+func finished(took time.Duration) limiter.Event {
+	return limiter.Finished{Now: start, Took: took}
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("by priority", func(t *testing.T) {
+		l := limiter.New(limiter.Limits{Slots: 1, Connections: 9, Queue: 9})
+		expect(t, l, request(1, "x", limiter.StaleRead), "admit 1")
+		expect(t, l, request(2, "x", limiter.StaleRead))
+		expect(t, l, request(3, "x", limiter.Write))
+		expect(t, l, request(4, "x", limiter.OpenTransaction))
+		expect(t, l, finished(0), "admit 4")
+		expect(t, l, finished(0), "admit 3")
+		expect(t, l, finished(0), "admit 2")
+	})
+	t.Run("callers take turns", func(t *testing.T) {
+		l := limiter.New(limiter.Limits{Slots: 1, Connections: 9, Queue: 9})
+		expect(t, l, request(1, "x", limiter.Write), "admit 1")
+		expect(t, l, request(2, "x", limiter.Write))
+		expect(t, l, request(3, "x", limiter.Write))
+		expect(t, l, request(4, "y", limiter.Write))
+		expect(t, l, finished(0), "admit 2")
+		expect(t, l, finished(0), "admit 4")
+		expect(t, l, finished(0), "admit 3")
+	})
+	t.Run("only open transactions pass when connections are used up", func(t *testing.T) {
+		l := limiter.New(limiter.Limits{Slots: 2, Connections: 1, Queue: 9})
+		expect(t, l, request(1, "x", limiter.Write), "admit 1")
+		expect(t, l, request(2, "x", limiter.Write))
+		expect(t, l, finished(0))
+		expect(t, l, request(3, "x", limiter.OpenTransaction), "admit 3")
+		expect(t, l, limiter.TransactionEnded{Now: start}, "admit 2")
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	t.Run("a full queue", func(t *testing.T) {
+		l := limiter.New(limiter.Limits{Slots: 1, Connections: 9, Queue: 1})
+		expect(t, l, request(1, "x", limiter.Write), "admit 1")
+		expect(t, l, request(2, "x", limiter.Write))
+		expect(t, l, request(3, "x", limiter.Write), "refuse 3 overloaded")
+	})
+	t.Run("a wait past the deadline", func(t *testing.T) {
+		l := limiter.New(limiter.Limits{Slots: 1, Connections: 9, Queue: 9})
+		expect(t, l, request(1, "x", limiter.Write), "admit 1")
+		expect(t, l, finished(600*time.Millisecond))
+		expect(t, l, request(2, "x", limiter.Write), "admit 2")
+		expect(t, l, request(3, "x", limiter.Write))
+		expect(t, l, request(4, "x", limiter.Write), "refuse 4 overloaded")
+		expect(t, l, limiter.Expire{Now: start.Add(time.Second)}, "refuse 3 deadline-passed")
+	})
+}
+
+func TestParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, homes := rapid.IntRange(0, 40).Draw(t, "n"), rapid.IntRange(1, 8).Draw(t, "homes")
+		sum := 0
+		for rank := range homes {
+			sum += limiter.Part(n, homes, rank)
+		}
+		if sum != n {
+			t.Fatalf("parts of %d over %d homes sum up to %d", n, homes, sum)
+		}
+	})
+}
+
+// TestLimitsHold makes random moves: never more statements or transactions than
+// the limits, nothing lost from the queue, no free slot while one waits.
+func TestLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := limiter.Limits{Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Connections: rapid.IntRange(1, 6).Draw(t, "connections"), Queue: 8}
+		l := limiter.New(limits)
+		running, open, waiting := 0, 0, make(map[limiter.ID]limiter.Priority)
+		apply := func(effects []limiter.Effect) {
+			for _, effect := range effects {
+				switch effect := effect.(type) {
+				case limiter.Admit:
+					running++
+					if waiting[effect.ID] != limiter.OpenTransaction {
+						open++
+					}
+					delete(waiting, effect.ID)
+				case limiter.Refuse:
+					delete(waiting, effect.ID)
+				}
+			}
+		}
+		for id := limiter.ID(1); id < 60; id++ {
+			switch move := rapid.IntRange(0, 3).Draw(t, "move"); {
+			case move <= 1:
+				p := limiter.Priority(rapid.IntRange(0, 3).Draw(t, "priority"))
+				waiting[id] = p
+				apply(l.Step(limiter.Request{ID: id, Caller: "x", Priority: p, Now: start, Deadline: start.Add(time.Minute)}))
+			case move == 2 && running > 0:
+				running--
+				apply(l.Step(limiter.Finished{Now: start, Took: time.Millisecond}))
+			case move == 3 && open > 0:
+				open--
+				apply(l.Step(limiter.TransactionEnded{Now: start}))
+			}
+			if running > limits.Slots || open > limits.Connections || len(waiting) != l.Queued() {
+				t.Fatalf("%d run, %d open, %d wait", running, open, len(waiting))
+			}
+			if running < limits.Slots && open < limits.Connections && len(waiting) > 0 {
+				t.Fatalf("%d wait beside a free slot", len(waiting))
+			}
+		}
+	})
+}
+
+func ExampleLimiter() {
+	l := limiter.New(limiter.Limits{Slots: 1, Connections: 2, Queue: 10})
+	fmt.Println(len(l.Step(request(1, "demo", limiter.Write))), len(l.Step(request(2, "demo", limiter.Write))))
+	// Output: 1 0
+}
