manifest: parse and check documents as a whole

Every problem is reported at once with its code (5xxx) and line; unknown keys are refused and sizes bounded. Instances of which one failure takes a majority are a warning, because deployments with local groups are allowed.

--- /dev/null
+++ b/manifest/parser.go
@@ -0,0 +1,278 @@
+package manifest
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"errors"
+	"net"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/BurntSushi/toml"
+
+	"tarragonshed.example/result"
+	"tarragonshed.example/unit"
+)
+
+// Bounds of a manifest.
+const (
+	MaxDocumentBytes    = 4 << 20
+	MaxDomains          = 256
+	MaxCallers          = 10_000
+	MaxGroups           = 4096
+	MaxInstances        = 9
+	MaxNameBytes        = 63
+	MaxSlots            = 1024
+	MaxConnections      = 10_000
+	MaxHomes            = 16
+	MaxStalenessAllowed = 24 * time.Hour
+	// DefaultHomes is the number of homes of a group that does not state one.
+	DefaultHomes = 2
+)
+
+// Bounds of the iteration count of a SCRAM verifier.
+const (
+	minIterations = 4096
+	maxIterations = 10_000_000
+	sha256Bytes   = 32
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
+
+// Parse reads a document and checks it as a whole. It returns all problems at once,
+// ordered by line. The manifest is nil if one of them is not a warning.
+func Parse(document []byte) (*Manifest, Problems) {
+	if len(document) > MaxDocumentBytes {
+		c := collector{}
+		c.add(result.ManifestTooLarge, "", "%d bytes are more than %d", len(document), MaxDocumentBytes)
+		return nil, c.problems
+	}
+	if !utf8.Valid(document) {
+		c := collector{}
+		c.add(result.ManifestSyntax, "", "the document is not valid UTF-8")
+		return nil, c.problems
+	}
+	root := make(map[string]any)
+	if _, err := toml.Decode(string(document), &root); err != nil {
+		return nil, Problems{syntaxProblem(err)}
+	}
+	c := &collector{lines: indexLines(string(document))}
+	m := read(newReader(c, "", root))
+	problems := c.sorted()
+	if problems.Refused() {
+		return nil, problems
+	}
+	return m, problems
+}
+
+// Encode returns the document of a manifest. Equal manifests have equal documents.
+func Encode(m *Manifest) ([]byte, error) {
+	var buffer bytes.Buffer
+	if err := toml.NewEncoder(&buffer).Encode(m); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// Digest returns the name under which a document is stored: its SHA-256 in hex.
+func Digest(document []byte) string {
+	sum := sha256.Sum256(document)
+	return hex.EncodeToString(sum[:])
+}
+
+func syntaxProblem(err error) Problem {
+	problem := Problem{Code: result.ManifestSyntax, Detail: err.Error()}
+	var parse toml.ParseError
+	if errors.As(err, &parse) {
+		problem.Line = parse.Position.Line
+		problem.Path = parse.LastKey
+		problem.Detail = parse.Message
+		if problem.Detail == "" {
+			problem.Detail = parse.Error()
+		}
+	}
+	return problem
+}
+
+// checker holds the names that have been read so far.
+type checker struct {
+	domains   map[unit.DomainName]bool
+	groups    map[unit.GroupName]bool
+	names     map[string]string
+	addresses map[string]string
+}
+
+func read(root *reader) *Manifest {
+	m := &Manifest{}
+	k := &checker{
+		domains: make(map[unit.DomainName]bool), groups: make(map[unit.GroupName]bool),
+		names: make(map[string]string), addresses: make(map[string]string),
+	}
+	for _, r := range root.tables("domains", MaxDomains, true) {
+		m.Domains = append(m.Domains, k.domain(r))
+	}
+	for _, r := range root.tables("groups", MaxGroups, false) {
+		m.Groups = append(m.Groups, k.group(r))
+	}
+	for _, r := range root.tables("callers", MaxCallers, false) {
+		m.Callers = append(m.Callers, k.caller(r))
+	}
+	root.finish()
+	return m
+}
+
+func (k *checker) domain(r *reader) Domain {
+	d := Domain{
+		Name:   unit.DomainName(k.name(r, "domain")),
+		Region: unit.RegionName(r.text("region", true)),
+	}
+	k.domains[d.Name] = true
+	r.finish()
+	return d
+}
+
+func (k *checker) caller(r *reader) Caller {
+	c := Caller{
+		Name:        unit.CallerName(k.name(r, "caller")),
+		SCRAMSecret: r.text("scram-secret", true),
+	}
+	if c.SCRAMSecret != "" {
+		if problem := secretProblem(c.SCRAMSecret); problem != "" {
+			r.add(result.ManifestSecret, join(r.path, "scram-secret"), "%s", problem)
+		}
+	}
+	seen := make(map[string]bool)
+	names, paths := r.texts("groups", MaxGroups)
+	for i, name := range names {
+		if seen[name] {
+			r.add(result.ManifestDuplicate, paths[i], "group %q stands twice", name)
+		}
+		seen[name] = true
+		if !k.groups[unit.GroupName(name)] {
+			r.add(result.ManifestUnknownName, paths[i], "there is no group %q", name)
+		}
+		c.Groups = append(c.Groups, unit.GroupName(name))
+	}
+	r.finish()
+	return c
+}
+
+func (k *checker) group(r *reader) Group {
+	g := Group{
+		Name:         unit.GroupName(k.name(r, "group")),
+		Homes:        r.integer("homes", 1, MaxHomes, DefaultHomes, false),
+		MaxStaleness: r.duration("max-staleness", MaxStalenessAllowed),
+	}
+	k.groups[g.Name] = true
+	for _, inner := range r.tables("instances", MaxInstances, true) {
+		g.Instances = append(g.Instances, k.instance(inner))
+	}
+	k.spread(r, g)
+	r.finish()
+	return g
+}
+
+func (k *checker) instance(r *reader) Instance {
+	i := Instance{
+		Name:        unit.InstanceName(k.name(r, "instance")),
+		Domain:      unit.DomainName(r.text("domain", true)),
+		Address:     r.text("address", true),
+		Slots:       r.integer("slots", 1, MaxSlots, 0, true),
+		Connections: r.integer("connections", 1, MaxConnections, 0, true),
+		Leaving:     r.boolean("leaving"),
+	}
+	if i.Domain != "" && !k.domains[i.Domain] {
+		r.add(result.ManifestUnknownName, join(r.path, "domain"), "there is no failure domain %q", i.Domain)
+	}
+	if i.Slots > 0 && i.Connections > 0 && i.Connections < i.Slots {
+		r.add(result.ManifestRange, join(r.path, "connections"), "%d connections are fewer than %d slots", i.Connections, i.Slots)
+	}
+	k.address(r, i.Address)
+	r.finish()
+	return i
+}
+
+func (k *checker) address(r *reader, address string) {
+	if address == "" {
+		return
+	}
+	path := join(r.path, "address")
+	host, port, err := net.SplitHostPort(address)
+	number, portErr := strconv.Atoi(port)
+	if err != nil || portErr != nil || host == "" || number < 1 || number > 65535 {
+		r.add(result.ManifestAddress, path, "%q is not of the form host:port", address)
+		return
+	}
+	if first, ok := k.addresses[address]; ok {
+		r.add(result.ManifestDuplicate, path, "%s has the address %s too", first, address)
+		return
+	}
+	k.addresses[address] = r.path
+}
+
+// name reads a name that is unique among those of its kind.
+func (k *checker) name(r *reader, kind string) string {
+	name := r.text("name", true)
+	if name == "" {
+		return ""
+	}
+	path := join(r.path, "name")
+	if len(name) > MaxNameBytes || !namePattern.MatchString(name) {
+		r.add(result.ManifestName, path, "%.80q is not a kebab-case name of at most %d bytes", name, MaxNameBytes)
+	}
+	if first, ok := k.names[kind+" "+name]; ok {
+		r.add(result.ManifestDuplicate, path, "%s %q stands twice, first as %s", kind, name, first)
+		return name
+	}
+	k.names[kind+" "+name] = r.path
+	return name
+}
+
+// spread warns of groups that one failure can deprive of a majority.
+func (k *checker) spread(r *reader, g Group) {
+	counts := make(map[unit.DomainName]int)
+	staying := 0
+	for _, i := range g.Instances {
+		counts[i.Domain]++
+		if !i.Leaving {
+			staying++
+		}
+	}
+	majority := len(g.Instances)/2 + 1
+	for domain, n := range counts {
+		if n >= majority {
+			r.add(result.ManifestSpread, r.path, "%d of %d instances are in failure domain %q; without it the group has no majority", n, len(g.Instances), domain)
+		}
+	}
+	if len(g.Instances) > 0 && staying < majority {
+		r.add(result.ManifestSpread, r.path, "only %d of %d instances stay, which is no majority", staying, len(g.Instances))
+	}
+}
+
+// secretProblem tells what is wrong with a verifier of the form
+// "SCRAM-SHA-256$iterations:salt$stored-key:server-key".
+func secretProblem(secret string) string {
+	parts := strings.Split(secret, "$")
+	if len(parts) != 3 || parts[0] != "SCRAM-SHA-256" {
+		return "the secret is not of the form SCRAM-SHA-256$iterations:salt$stored-key:server-key"
+	}
+	iterations, salt, _ := strings.Cut(parts[1], ":")
+	if n, err := strconv.Atoi(iterations); err != nil || n < minIterations || n > maxIterations {
+		return "the iteration count is not from " + strconv.Itoa(minIterations) + " to " + strconv.Itoa(maxIterations)
+	}
+	if decoded, err := base64.StdEncoding.DecodeString(salt); err != nil || len(decoded) == 0 {
+		return "the salt is not base64"
+	}
+	stored, server, _ := strings.Cut(parts[2], ":")
+	for _, key := range []string{stored, server} {
+		if decoded, err := base64.StdEncoding.DecodeString(key); err != nil || len(decoded) != sha256Bytes {
+			return "a key is not the base64 of 32 bytes"
+		}
+	}
+	return ""
+}
--- a/result/codes.go
+++ b/result/codes.go
@@ -48,6 +48,27 @@
 	AnswerCut Code = 4001
 )
 
+// Codes of manifests and of their acceptance. Nothing is accepted with any of them.
+const (
+	ManifestTooLarge    Code = 5001
+	ManifestSyntax      Code = 5002
+	ManifestUnknownKey  Code = 5003
+	ManifestWrongType   Code = 5004
+	ManifestMissing     Code = 5005
+	ManifestName        Code = 5006
+	ManifestDuplicate   Code = 5007
+	ManifestUnknownName Code = 5008
+	ManifestRange       Code = 5009
+	ManifestAddress     Code = 5010
+	ManifestSecret      Code = 5011
+	ManifestDuration    Code = 5012
+	ManifestSpread      Code = 5013
+	ManifestInvalid     Code = 5014
+	PushConflict        Code = 5101
+	StoreUnavailable    Code = 5102
+	PushReused          Code = 5103
+)
+
 var entries = index([]Entry{
 	{MalformedStartup, "malformed-startup", NotRun, "08P01", "The startup packet could not be read."},
 	{AuthenticationFailed, "authentication-failed", NotRun, "28P01", "The caller is unknown or the password is wrong."},
@@ -83,6 +104,24 @@
 	{KeyUndetermined, "key-undetermined", Unknown, "40003", "The request key could not be looked up before the deadline; repeat the request with the same key."},
 	{TransactionEnded, "transaction-ended", Unknown, "25P02", "The connection that held the open transaction was lost; the transaction was not committed unless COMMIT had been sent."},
 
+	{ManifestTooLarge, "manifest-too-large", NotRun, "", "The manifest, or a list in it, is larger than allowed."},
+	{ManifestSyntax, "manifest-syntax", NotRun, "", "The manifest is not a TOML document."},
+	{ManifestUnknownKey, "manifest-unknown-key", NotRun, "", "A key of the manifest is not in the schema."},
+	{ManifestWrongType, "manifest-wrong-type", NotRun, "", "A value of the manifest has another type than the schema asks for."},
+	{ManifestMissing, "manifest-missing", NotRun, "", "A required key of the manifest is missing or empty."},
+	{ManifestName, "manifest-name", NotRun, "", "A name is not in kebab case or is too long."},
+	{ManifestDuplicate, "manifest-duplicate", NotRun, "", "A name or an address stands twice in the manifest."},
+	{ManifestUnknownName, "manifest-unknown-name", NotRun, "", "A reference names a failure domain or a group that the manifest does not have."},
+	{ManifestRange, "manifest-range", NotRun, "", "A number of the manifest is out of its range."},
+	{ManifestAddress, "manifest-address", NotRun, "", "An address is not of the form host:port."},
+	{ManifestSecret, "manifest-secret", NotRun, "", "A secret is not a SCRAM-SHA-256 verifier."},
+	{ManifestDuration, "manifest-duration", NotRun, "", "A duration could not be read or is out of its range."},
+	{ManifestSpread, "manifest-spread", NotRun, "", "Warning: a single failure can take a majority of a group's instances."},
+	{ManifestInvalid, "manifest-invalid", NotRun, "", "The pushed manifest has problems; they are listed with their lines."},
+	{PushConflict, "push-conflict", NotRun, "", "The push is based on another version than the accepted one."},
+	{StoreUnavailable, "store-unavailable", NotRun, "", "The platform's store did not answer; the manifest is not accepted."},
+	{PushReused, "push-reused", NotRun, "", "The push id was used for another manifest."},
+
 	{AnswerCut, "answer-cut", Ran, "08006", "The statement took effect but its answer could not be delivered whole."},
 })
 
