--- a/result/codes.go
+++ b/result/codes.go
@@ -65,8 +65,8 @@
 	ManifestSpread      Code = 5013
 	ManifestInvalid     Code = 5014
 	PushConflict        Code = 5101
-	StoreUnavailable    Code = 5102
-	PushReused          Code = 5103
+	StoreUnavailable    Code = 6001
+	PushReused          Code = 5102
 )
 
 var entries = index([]Entry{
