--- /dev/null
+++ b/pooler/pooler.go
@@ -0,0 +1,398 @@
+// Package pooler decides about the connections that one home holds to one
+// instance.
+//
+// # Share
+//
+// An instance accepts a limited number of connections. [Share] gives each of its
+// homes a share such that one more home than there should be stays within the
+// limit, because daemons with differing views may take themselves for homes at
+// the same time. [Reserve] connections are left for control connections. When
+// the instance says all the same that it has too many connections, the pool
+// doesn't grow for [ExhaustedPause].
+//
+// # Opening
+//
+// A new connection is costly to the instance. At most Opening are opened at a
+// time, and no more than Rate a second after a burst, so that a failover does not
+// flood the new primary. Warm connections are kept open and idle.
+//
+// # Giving
+//
+// The connection used last is given first. One that has been idle for longer than
+// [QuietSpell] is checked before it is given.
+//
+// # Silent connections
+//
+// A connection that owes an answer for long is a suspect. A fresh connection then
+// asks the instance. If the instance answers and knows of nothing that runs on
+// the suspect, the suspect is closed, and so are idle connections that have not
+// been heard of since before the suspect was: what lost track of the suspect may
+// have lost track of them. If the statement still runs, nothing is closed.
+//
+// # Usage
+//
+//	p := pooler.New(pooler.Limits{Share: 7, Warm: 2, Opening: 3, Rate: 50})
+//	for _, effect := range p.Step(pooler.Take{Ticket: 1, Now: now}) {
+//		switch effect := effect.(type) {
+//		case pooler.Open:
+//			go open() // Then pooler.Opened or pooler.OpenFailed.
+//		case pooler.Give:
+//			use(effect.Ticket, effect.Conn) // Then pooler.Returned or pooler.Gone.
+//		case pooler.Close:
+//			conns[effect.Conn].Close()
+//		}
+//	}
+package pooler
+
+import (
+	"time"
+
+	"tarragonshed.example/result"
+)
+
+// Reserve is the number of an instance's connections that are left for control
+// connections of homes and watchers.
+const Reserve = 6
+
+// ExhaustedPause is how long the pool doesn't grow after the instance refused a
+// connection because it had too many.
+const ExhaustedPause = 500 * time.Millisecond
+
+// QuietSpell is the idle time after which a connection is checked before use.
+const QuietSpell = 5 * time.Second
+
+// Share returns how many of an instance's connections each of its homes may
+// open.
+func Share(connections, homes int) int {
+	return max(1, (connections-Reserve)/(max(1, homes)+1))
+}
+
+// Conn names one connection.
+type Conn uint64
+
+// Ticket names one request for a connection.
+type Ticket uint64
+
+// Limits are the bounds of a pool.
+type Limits struct {
+	// Share is the number of connections, those being opened included.
+	Share int
+	// Warm is the number of idle connections that are kept ready.
+	Warm int
+	// Opening is the number of connections that are opened at a time.
+	Opening int
+	// Rate is the number of connections that are opened a second, after a
+	// burst of Share.
+	Rate int
+}
+
+// Event is what happened: [Take], [Withdraw], [Opened], [OpenFailed],
+// [Returned], [Gone], [Resize], [Tick], [Suspect] or [Probed].
+type Event interface{ event() }
+
+// Take asks for a connection.
+type Take struct {
+	Ticket Ticket
+	Now    time.Time
+}
+
+// Withdraw takes a request for a connection back.
+type Withdraw struct{ Ticket Ticket }
+
+// Opened tells that an [Open] succeeded.
+type Opened struct {
+	Conn Conn
+	Now  time.Time
+}
+
+// OpenFailed tells that an [Open] failed.
+type OpenFailed struct {
+	Now time.Time
+	// Exhausted tells that the instance has too many connections.
+	Exhausted bool
+	Err       *result.Error
+}
+
+// Returned tells that a connection is idle again, with no answer owed.
+type Returned struct {
+	Conn Conn
+	Now  time.Time
+}
+
+// Gone tells that a connection is closed.
+type Gone struct {
+	Conn Conn
+	Now  time.Time
+}
+
+// Resize changes the limits.
+type Resize struct {
+	Limits
+	Now time.Time
+}
+
+// Tick lets time pass.
+type Tick struct{ Now time.Time }
+
+// Suspect tells that a connection owes an answer for long. Heard is when it
+// was heard of last.
+type Suspect struct {
+	Conn  Conn
+	Heard time.Time
+}
+
+// Probed tells what a fresh connection said about a suspect.
+type Probed struct {
+	Conn  Conn
+	Heard time.Time
+	// Answered tells that the instance answered the fresh connection.
+	Answered bool
+	// Runs tells that the instance knows of a statement that runs on the
+	// suspect.
+	Runs bool
+}
+
+func (Take) event()       {}
+func (Withdraw) event()   {}
+func (Opened) event()     {}
+func (OpenFailed) event() {}
+func (Returned) event()   {}
+func (Gone) event()       {}
+func (Resize) event()     {}
+func (Tick) event()       {}
+func (Suspect) event()    {}
+func (Probed) event()     {}
+
+// Effect is what has to be done: [Give], [Fail], [Open], [Close] or [Probe].
+type Effect interface{ effect() }
+
+// Give answers a [Take].
+type Give struct {
+	Ticket Ticket
+	Conn   Conn
+	// Check asks for a round trip on the connection before it is used.
+	Check bool
+}
+
+// Fail answers a [Take] that can't be given a connection.
+type Fail struct {
+	Ticket Ticket
+	Err    *result.Error
+}
+
+// Open opens a connection.
+type Open struct{}
+
+// Close closes a connection. No [Gone] is due for it.
+type Close struct{ Conn Conn }
+
+// Probe asks the instance about a suspect, by a fresh connection.
+type Probe struct {
+	Conn  Conn
+	Heard time.Time
+}
+
+func (Give) effect()  {}
+func (Fail) effect()  {}
+func (Open) effect()  {}
+func (Close) effect() {}
+func (Probe) effect() {}
+
+type idle struct {
+	conn  Conn
+	since time.Time
+}
+
+// Pooler holds the state of one pool.
+type Pooler struct {
+	limits  Limits
+	idle    []idle // The one used last is at the end.
+	used    map[Conn]bool
+	opening int
+	waiting []Ticket
+	probing map[Conn]bool
+
+	tokens      float64
+	refilled    time.Time
+	pausedUntil time.Time
+}
+
+// New returns a Pooler without connections.
+func New(limits Limits) *Pooler {
+	return &Pooler{limits: limits, used: make(map[Conn]bool), probing: make(map[Conn]bool), tokens: float64(limits.Share)}
+}
+
+// Size returns the number of connections, those being opened included.
+func (p *Pooler) Size() int { return len(p.idle) + len(p.used) + p.opening }
+
+// Idle returns the number of idle connections.
+func (p *Pooler) Idle() int { return len(p.idle) }
+
+// Waiting returns the number of requests that wait.
+func (p *Pooler) Waiting() int { return len(p.waiting) }
+
+// Step takes an event in and returns what has to be done, in order.
+func (p *Pooler) Step(event Event) []Effect {
+	switch event := event.(type) {
+	case Take:
+		return p.take(event)
+	case Withdraw:
+		p.withdraw(event.Ticket)
+	case Opened:
+		p.opening--
+		return p.put(event.Conn, event.Now)
+	case OpenFailed:
+		return p.openFailed(event)
+	case Returned:
+		if !p.used[event.Conn] {
+			return nil // Closed meanwhile.
+		}
+		delete(p.used, event.Conn)
+		return p.put(event.Conn, event.Now)
+	case Gone:
+		p.forget(event.Conn)
+		return p.grow(event.Now)
+	case Resize:
+		p.limits = event.Limits
+		return append(p.shrink(), p.grow(event.Now)...)
+	case Tick:
+		return p.grow(event.Now)
+	case Suspect:
+		return p.suspect(event)
+	case Probed:
+		return p.probed(event)
+	}
+	return nil
+}
+
+func (p *Pooler) take(t Take) []Effect {
+	if n := len(p.idle); n > 0 {
+		last := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.used[last.conn] = true
+		give := Give{Ticket: t.Ticket, Conn: last.conn, Check: t.Now.Sub(last.since) > QuietSpell}
+		if len(p.idle) >= p.limits.Warm {
+			return []Effect{give}
+		}
+		return append([]Effect{give}, p.grow(t.Now)...)
+	}
+	p.waiting = append(p.waiting, t.Ticket)
+	return p.grow(t.Now)
+}
+
+func (p *Pooler) withdraw(t Ticket) {
+	for i, w := range p.waiting {
+		if w == t {
+			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// put gives a connection to the first that waits, or keeps it.
+func (p *Pooler) put(c Conn, now time.Time) []Effect {
+	if p.Size()+1 > p.limits.Share {
+		return []Effect{Close{Conn: c}}
+	}
+	if len(p.waiting) > 0 {
+		t := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		p.used[c] = true
+		return append([]Effect{Give{Ticket: t, Conn: c}}, p.grow(now)...)
+	}
+	p.idle = append(p.idle, idle{conn: c, since: now})
+	return nil
+}
+
+func (p *Pooler) openFailed(e OpenFailed) []Effect {
+	p.opening--
+	if e.Exhausted {
+		p.pausedUntil = e.Now.Add(ExhaustedPause)
+		if len(p.used)+p.opening > 0 {
+			return nil // One of those will come back.
+		}
+	}
+	var effects []Effect
+	for _, t := range p.waiting {
+		effects = append(effects, Fail{Ticket: t, Err: e.Err})
+	}
+	p.waiting = nil
+	return effects
+}
+
+// grow opens connections for those that wait and to keep warm ones.
+func (p *Pooler) grow(now time.Time) []Effect {
+	p.refill(now)
+	var effects []Effect
+	for p.wanted() > 0 && p.mayOpen(now) {
+		p.opening++
+		p.tokens--
+		effects = append(effects, Open{})
+	}
+	return effects
+}
+
+func (p *Pooler) wanted() int {
+	return len(p.waiting) + max(0, p.limits.Warm-len(p.idle)) - p.opening
+}
+
+func (p *Pooler) mayOpen(now time.Time) bool {
+	return p.Size() < p.limits.Share && p.opening < p.limits.Opening && p.tokens >= 1 && !now.Before(p.pausedUntil)
+}
+
+func (p *Pooler) refill(now time.Time) {
+	if !p.refilled.IsZero() {
+		p.tokens += now.Sub(p.refilled).Seconds() * float64(p.limits.Rate)
+	}
+	p.refilled = now
+	p.tokens = min(p.tokens, float64(p.limits.Share))
+}
+
+// shrink closes idle connections beyond the share. Those in use are closed when
+// they are returned.
+func (p *Pooler) shrink() []Effect {
+	var effects []Effect
+	for len(p.idle) > 0 && p.Size() > p.limits.Share {
+		effects = append(effects, Close{Conn: p.idle[0].conn})
+		p.idle = p.idle[1:]
+	}
+	return effects
+}
+
+func (p *Pooler) suspect(s Suspect) []Effect {
+	if p.probing[s.Conn] || !p.used[s.Conn] {
+		return nil
+	}
+	p.probing[s.Conn] = true
+	return []Effect{Probe(s)}
+}
+
+func (p *Pooler) probed(e Probed) []Effect {
+	delete(p.probing, e.Conn)
+	if !e.Answered || e.Runs || !p.used[e.Conn] {
+		return nil
+	}
+	delete(p.used, e.Conn)
+	effects := []Effect{Close{Conn: e.Conn}}
+	var kept []idle
+	for _, i := range p.idle {
+		if i.since.After(e.Heard) {
+			kept = append(kept, i)
+			continue
+		}
+		effects = append(effects, Close{Conn: i.conn})
+	}
+	p.idle = kept
+	return effects
+}
+
+func (p *Pooler) forget(c Conn) {
+	delete(p.used, c)
+	delete(p.probing, c)
+	for i := range p.idle {
+		if p.idle[i].conn == c {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return
+		}
+	}
+}
