--- a/placer/placer.go
+++ b/placer/placer.go
@@ -40,6 +40,12 @@
 	relayKind   = "relay"
 )
 
+// HomeCount returns the number of homes that an instance of the group has: no
+// more than it has slots, so that each home has at least one.
+func HomeCount(group manifest.Group, instance manifest.Instance) int {
+	return max(1, min(group.Homes, instance.Slots))
+}
+
 // Homes returns the first n usable daemons for the instance, best first.
 func Homes(view member.View, instance manifest.Instance, n int) []member.Daemon {
 	candidates := view.In(instance.Domain)
