--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,39 @@
+package retrier
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"tarragonshed.example/result"
+)
+
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	var b Budget
+	taken := 0
+	for range 10_000 {
+		b.Request()
+		for b.Take() { // A retry storm.
+			taken++
+		}
+	}
+	is.Equal(taken, 1019) // The reserve and a tenth of the requests.
+}
+
+func TestRepeatable(t *testing.T) {
+	is := is.New(t)
+	is.True(Repeatable(result.NotRun, false, false))
+	is.True(!Repeatable(result.NotRun, true, true))
+	is.True(Repeatable(result.Unknown, true, false))
+	is.True(!Repeatable(result.Unknown, false, false))
+	is.True(!Repeatable(result.Ran, true, false))
+}
+
+func TestDelay(t *testing.T) {
+	is := is.New(t)
+	var b Backoff
+	is.Equal(b.Delay(0, 0.5), DefaultFirst)
+	is.Equal(b.Delay(2, 0), 2*DefaultFirst)
+	is.Equal(b.Delay(1000, 0.5), DefaultLimit)
+}
--- /dev/null
+++ b/tarragonshed/entry/entry_test.go
@@ -0,0 +1,372 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/matryer/is"
+
+	"tarragonshed.example/manifest"
+	"tarragonshed.example/member"
+	"tarragonshed.example/result"
+	"tarragonshed.example/tarragonshed/entry/authenticator"
+	"tarragonshed.example/tarragonshed/holder"
+	"tarragonshed.example/unit"
+)
+
+const patience = 20 * time.Second
+
+// bench is an Entry on loopback with three fake instances "a" (the primary), "b"
+// and "c".
+type bench struct {
+	t     *testing.T
+	fake  *fake
+	entry *Entry
+	addr  string
+}
+
+func newBench(t *testing.T, options ...Option) *bench {
+	t.Helper()
+	verifier, err := authenticator.Verifier("secret", []byte("0123456789abcdef"), 4096)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &manifest.Manifest{
+		Version: 1,
+		Callers: []manifest.Caller{
+			{Name: "demo", SCRAMSecret: verifier, Groups: []unit.GroupName{"ledger"}},
+		},
+		Groups: []manifest.Group{{Name: "ledger"}, {Name: "other"}},
+	}
+	for _, name := range []unit.InstanceName{"a", "b", "c"} {
+		m.Groups[0].Instances = append(m.Groups[0].Instances, manifest.Instance{Name: name, Slots: 2})
+	}
+	h := holder.New(member.View{})
+	h.AdoptManifest(m)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, fake: newFake("a", "b", "c"), addr: listener.Addr().String()}
+	b.entry = New(listener, h, b.fake, options...)
+	t.Cleanup(b.entry.Close)
+	return b
+}
+
+func (b *bench) url(suffix string) string {
+	return "postgres://demo:secret@" + b.addr + "/ledger?sslmode=disable" + suffix
+}
+
+func (b *bench) connect(suffix string) *pgx.Conn {
+	b.t.Helper()
+	conn, err := pgx.Connect(b.context(), b.url(suffix))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { conn.Close(context.Background()) })
+	return conn
+}
+
+func (b *bench) context() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	b.t.Cleanup(cancel)
+	return ctx
+}
+
+// mustCode fails unless err is the PostgreSQL error of the code.
+func mustCode(t *testing.T, err error, code result.Code) {
+	t.Helper()
+	var refused *pgconn.PgError
+	if !errors.As(err, &refused) {
+		t.Fatalf("got %v, want %v", err, code)
+	}
+	is := is.New(t)
+	is.Equal(refused.Code, code.Entry().SQLState)
+	is.Equal(refused.Message[:6], code.String())
+}
+
+// mustSelect returns the instance that served a read.
+func mustSelect(t *testing.T, b *bench, conn *pgx.Conn, query string) string {
+	t.Helper()
+	var name string
+	if err := conn.QueryRow(b.context(), query).Scan(&name); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+func TestMixedWorkload(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	conn := b.connect("")
+	for range 3 {
+		b.fake.replicate("a")
+		is.True(mustSelect(t, b, conn, "SELECT x") != "a")
+		_, err := conn.Exec(b.context(), "INSERT $1", "x")
+		is.NoErr(err)
+		is.Equal(mustSelect(t, b, conn, "SELECT y"), "a") // The replicas are behind.
+		tx, err := conn.Begin(b.context())
+		is.NoErr(err)
+		_, err = tx.Exec(b.context(), "INSERT $1", "x")
+		is.NoErr(err)
+		is.NoErr(tx.Commit(b.context()))
+	}
+	is.Equal(conn.PgConn().ParameterStatus(positionParameter), "1/7")
+	is.Equal(mustSelect(t, b, conn, "SHOW tarragon.position"), "1/7")
+	is.Equal(b.fake.openLanes(), 0)
+}
+
+func TestPositionIsHandedBack(t *testing.T) {
+	for name, suffix := range map[string]string{
+		"parameter": "&tarragon.position=1/9",
+		"option":    "&options=-c%20tarragon.position%3D1/9",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			conn := b.connect(suffix)
+			is.Equal(conn.PgConn().ParameterStatus(positionParameter), "1/9")
+			b.fake.change("b", func(i *fakeInstance) { i.report.Applied.Index = 9 })
+			is.Equal(mustSelect(t, b, conn, "SELECT x"), "b")
+			opened, _ := b.fake.take()
+			is.Equal(opened[len(opened)-1].Floor.Index, uint64(9))
+		})
+	}
+}
+
+func TestNewSessionTakesReadIndex(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.fake.change("a", func(i *fakeInstance) { i.report.Last.Index, i.report.Applied.Index = 5, 5 })
+	b.fake.change("c", func(i *fakeInstance) { i.unreachable = true })
+	is.Equal(mustSelect(t, b, b.connect(""), "SELECT x"), "a")
+	opened, _ := b.fake.take()
+	is.Equal(opened[len(opened)-1].Floor.Index, uint64(5))
+	stale := b.connect("&tarragon.max_staleness=5s")
+	is.Equal(mustSelect(t, b, stale, "SHOW tarragon.max_staleness"), "5s")
+}
+
+func TestNoMajority(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, WithLimits(Limits{StatementTimeout: 200 * time.Millisecond}))
+	conn := b.connect("")
+	for _, name := range []unit.InstanceName{"a", "b"} {
+		b.fake.change(name, func(i *fakeInstance) { i.unreachable = true })
+	}
+	_, err := conn.Exec(b.context(), "SELECT x")
+	mustCode(t, err, result.NoMajority)
+	_, err = conn.Exec(b.context(), "INSERT x")
+	is.True(err != nil)
+	_, executed := b.fake.take()
+	is.Equal(len(executed), 0)
+}
+
+func TestWriteWaitsForPrimary(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	conn := b.connect("")
+	b.fake.change("a", func(i *fakeInstance) { i.unreachable = true })
+	done := make(chan error)
+	go func() {
+		_, err := conn.Exec(b.context(), "INSERT x")
+		done <- err
+	}()
+	b.fake.promote("b")
+	is.NoErr(<-done)
+	opened, _ := b.fake.take()
+	is.Equal(opened[len(opened)-1].Instance, "b")
+}
+
+func TestLostLane(t *testing.T) {
+	t.Run("a write is not repeated", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		conn := b.connect("")
+		b.fake.change("a", func(i *fakeInstance) { i.sever = true })
+		_, err := conn.Exec(b.context(), "INSERT x")
+		mustCode(t, err, result.HomeLost)
+		_, executed := b.fake.take()
+		is.Equal(executed, []string{"INSERT x"})
+		b.fake.change("a", func(i *fakeInstance) { i.sever = false })
+		_, err = conn.Exec(b.context(), "INSERT y")
+		is.NoErr(err)
+	})
+	t.Run("a read is repeated", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		b.fake.change("b", func(i *fakeInstance) { i.sever = true })
+		conn := b.connect("")
+		for range 8 {
+			is.Equal(mustSelect(t, b, conn, "SELECT x"), "c")
+		}
+	})
+	t.Run("a half answer is not completed", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		for _, name := range []unit.InstanceName{"b", "c"} {
+			b.fake.change(name, func(i *fakeInstance) { i.severRows = true })
+		}
+		conn := b.connect("")
+		_, err := conn.Exec(b.context(), "SELECT x")
+		mustCode(t, err, result.HomeLost)
+		is.Equal(len(b.fake.executed), 1)
+	})
+	t.Run("a transaction fails as a whole", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		conn := b.connect("")
+		_, err := conn.Exec(b.context(), "BEGIN")
+		is.NoErr(err)
+		b.fake.change("a", func(i *fakeInstance) { i.sever = true })
+		_, err = conn.Exec(b.context(), "INSERT x")
+		mustCode(t, err, result.TransactionEnded)
+		b.fake.change("a", func(i *fakeInstance) { i.sever = false })
+		b.fake.take()
+		_, err = conn.Exec(b.context(), "INSERT y")
+		is.True(err != nil)
+		is.Equal(conn.PgConn().TxStatus(), byte(statusFailed))
+		tag, err := conn.Exec(b.context(), "COMMIT")
+		is.NoErr(err)
+		is.Equal(tag.String(), "ROLLBACK")
+		_, executed := b.fake.take()
+		is.Equal(len(executed), 0)
+	})
+}
+
+func TestReadThatWrites(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	conn := b.connect("")
+	is.Equal(mustSelect(t, b, conn, "SELECT writing()"), "a")
+	is.Equal(mustSelect(t, b, conn, "SELECT writing()"), "a")
+}
+
+func TestSettings(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	conn := b.connect("")
+	exec := func(query string) {
+		t.Helper()
+		_, err := conn.Exec(b.context(), query)
+		is.NoErr(err)
+	}
+	exec("SET search_path = 'x'")
+	exec("BEGIN")
+	exec("SET work_mem = '1MB'")
+	exec("COMMIT")
+	exec("BEGIN; SET work_mem = '2MB'; ROLLBACK")
+	b.fake.take()
+	exec("INSERT x")
+	opened, _ := b.fake.take()
+	is.Equal(opened[0].Settings, map[string]string{"search_path": "x", "work_mem": "1MB"})
+	exec("DISCARD ALL")
+	exec("INSERT /*tarragon_request_key='k'*/ x")
+	opened, _ = b.fake.take()
+	is.Equal(len(opened[0].Settings), 0)
+	is.Equal(opened[0].RequestKey, "k")
+}
+
+func TestRefusedStatements(t *testing.T) {
+	b := newBench(t, WithLimits(Limits{MaxBatch: 10_000}))
+	conn := b.connect("")
+	for query, code := range map[string]result.Code{
+		"COPY t FROM STDIN":                             result.CopyNotCarried,
+		"LISTEN x":                                      result.NotCarried,
+		"SET tarragon.position = 'x'":                   result.MalformedOption,
+		"SET tarragon.unheard = 'x'":                    result.MalformedOption,
+		"INSERT x; DISCARD ALL":                         result.NotCarried,
+		"SELECT 1 /*tarragon_unheard='1'*/":             result.MalformedOption,
+		"SELECT '" + string(make([]byte, 20_000)) + "'": result.StatementTooLarge,
+	} {
+		t.Run(code.String()+" "+query[:8], func(t *testing.T) {
+			is := is.New(t)
+			_, err := conn.Exec(b.context(), query)
+			mustCode(t, err, code)
+			_, err = conn.Exec(b.context(), "INSERT x")
+			is.NoErr(err)
+		})
+	}
+}
+
+func TestFailedParseDefinesNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	conn := b.connect("")
+	_, err := conn.Prepare(b.context(), "p", "BROKEN")
+	is.True(err != nil)
+	_, err = conn.Prepare(b.context(), "p", "SELECT x")
+	is.NoErr(err)
+	is.True(mustSelect(t, b, conn, "p") != "")
+}
+
+func TestPipeline(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	conn := b.connect("")
+	batch := &pgx.Batch{}
+	batch.Queue("INSERT $1", "x")
+	batch.Queue("SELECT x")
+	batch.Queue("INSERT $1", "y")
+	results := conn.SendBatch(b.context(), batch)
+	for range 3 {
+		_, err := results.Exec()
+		is.NoErr(err)
+	}
+	is.NoErr(results.Close())
+}
+
+func TestCancel(t *testing.T) {
+	t.Run("what runs", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		conn := b.connect("")
+		done := make(chan error)
+		go func() {
+			_, err := conn.Exec(b.context(), "SELECT hang")
+			done <- err
+		}()
+		mustEventually(t, func() bool {
+			b.fake.mu.Lock()
+			defer b.fake.mu.Unlock()
+			return len(b.fake.executed) > 0
+		})
+		is.NoErr(conn.PgConn().CancelRequest(b.context()))
+		var failure *pgconn.PgError
+		is.True(errors.As(<-done, &failure))
+		is.Equal(failure.Code, "57014")
+	})
+	t.Run("what waits", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		conn := b.connect("")
+		b.fake.change("a", func(i *fakeInstance) { i.unreachable = true })
+		done := make(chan error)
+		go func() {
+			_, err := conn.Exec(b.context(), "INSERT x")
+			done <- err
+		}()
+		for {
+			is.NoErr(conn.PgConn().CancelRequest(b.context()))
+			select {
+			case err := <-done:
+				mustCode(t, err, result.CancelledUnsent)
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	})
+}
+
+func mustEventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the condition did not come true")
+		}
+	}
+}
--- a/tarragonshed/entry/relay.go
+++ b/tarragonshed/entry/relay.go
@@ -44,13 +44,14 @@
 		response, err := lane.Receive()
 		if err != nil {
 			out.broken = true
-			out.err = result.New(result.HomeLost, "the lane to the home broke: %v", err)
+			out.err = laneError(err)
 			return out
 		}
 		switch kind := response.Kind.(type) {
 		case *peer.CarryResponse_Answer:
 			s.pass(kind.Answer.Messages, &out)
 		case *peer.CarryResponse_Settled:
+			s.pass(kind.Settled.Messages, &out)
 			out.settled, out.report = kind.Settled, kind.Settled.Report
 			return out
 		case *peer.CarryResponse_Refused:
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -108,7 +108,7 @@
 		}
 		r.last = out.err
 		if !r.again(use, out, attempt) {
-			r.refuse(r.batch, r.plan, out.final())
+			r.refuse(r.batch, r.plan, r.giveUp(out))
 			return false, false
 		}
 		r.ready = r.ready[:0]
@@ -208,26 +208,32 @@
 
 // exchange sends the batch and passes the answer on.
 func (r *run) exchange(lane carrier.Lane, use router.Use) outcome {
-	open := &peer.CarryRequest{Kind: &peer.CarryRequest_Open{Open: r.open(use)}}
-	if err := r.transmit(lane, open); err != nil {
-		return outcome{err: result.New(result.HomeUnreachable, "%v", err), broken: true}
-	}
-	return r.send(lane)
+	open := r.open(use)
+	open.Batch = r.wireBatch()
+	return r.send(lane, &peer.CarryRequest{Kind: &peer.CarryRequest_Open{Open: open}})
+}
+
+func (r *run) wireBatch() *peer.Batch {
+	return &peer.Batch{Messages: r.batch.messages, Statements: r.batch.used, Last: true}
 }
 
-func (r *run) send(lane carrier.Lane) outcome {
+func (r *run) send(lane carrier.Lane, request *peer.CarryRequest) outcome {
 	defer r.watch(lane)()
-	request := &peer.CarryRequest{Kind: &peer.CarryRequest_Batch{Batch: &peer.Batch{
-		Messages:   r.batch.messages,
-		Statements: r.batch.used,
-		Last:       true,
-	}}}
 	if err := r.transmit(lane, request); err != nil {
-		return outcome{err: result.New(result.HomeLost, "%v", err), broken: true}
+		return outcome{err: laneError(err), broken: true}
 	}
 	return r.relay(lane)
 }
 
+// laneError returns the error of a broken lane. Unless the lane tells that the
+// home got nothing, the request may have arrived.
+func laneError(err error) error {
+	if result.CodeOf(err) != 0 {
+		return err
+	}
+	return result.New(result.HomeLost, "the lane to the home broke: %v", err)
+}
+
 // watch cancels what runs on the lane at the deadline.
 func (r *run) watch(lane carrier.Lane) (end func()) {
 	cancel := time.AfterFunc(time.Until(r.deadline), func() {
@@ -378,6 +384,15 @@
 	}
 }
 
+// giveUp returns the error of a batch that is not sent again.
+func (r *run) giveUp(out outcome) error {
+	err := out.final()
+	if late := r.late(); late != nil && result.OutcomeOf(err) == result.NotRun {
+		return late
+	}
+	return err
+}
+
 // final returns the error for the caller. A refusal does not say that nothing
 // ran once a part of the answer is out.
 func (out outcome) final() error {
@@ -389,7 +404,8 @@
 
 // goOn runs a batch of an open transaction.
 func (r *run) goOn() {
-	out := r.send(r.pinned.lane)
+	request := &peer.CarryRequest{Kind: &peer.CarryRequest_Batch{Batch: r.wireBatch()}}
+	out := r.send(r.pinned.lane, request)
 	if out.err == nil {
 		r.finishPinned(out)
 		return
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,57 @@
+package tracker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonshed.example/unit"
+)
+
+func at(index unit.Index) unit.Position {
+	return unit.Position{Term: 1, Index: index}
+}
+
+func TestSession(t *testing.T) {
+	is := is.New(t)
+	var s Session
+	_, ok := s.Floor(0)
+	is.True(!ok) // A new session needs a read index.
+	_, ok = s.Floor(time.Second)
+	is.True(ok) // A stale read does not.
+	is.True(s.Raise(at(5)))
+	_, ok = s.Floor(0)
+	is.True(!ok) // What a read saw does not cover other sessions' writes.
+	is.True(!s.Root(at(3)))
+	floor, ok := s.Floor(0)
+	is.True(ok)
+	is.Equal(floor, at(5))
+	is.True(s.Raise(unit.Position{Term: 2, Index: 1}))
+	is.Equal(s.Position(), unit.Position{Term: 2, Index: 1})
+}
+
+func TestIndexer(t *testing.T) {
+	t.Run("serves only reads that arrived before the question", func(t *testing.T) {
+		is := is.New(t)
+		x := NewIndexer(3)
+		is.Equal(x.Handle(Arrived{Read: 1}), []Effect{Ask{Round: 1}})
+		is.Equal(len(x.Handle(Arrived{Read: 2})), 0)
+		is.Equal(len(x.Handle(Reported{Round: 1, Instance: "a", Last: at(7)})), 0)
+		is.Equal(len(x.Handle(Reported{Round: 1, Instance: "a", Last: at(6)})), 0) // The same instance counts once.
+		is.Equal(x.Handle(Reported{Round: 1, Instance: "b", Last: at(4)}),
+			[]Effect{Serve{Reads: []ReadID{1}, Index: at(7)}, Stop{Round: 1}, Ask{Round: 2}})
+		is.Equal(len(x.Handle(Reported{Round: 1, Instance: "c", Last: at(9)})), 0) // A late answer.
+		is.Equal(len(x.Handle(Reported{Round: 2, Instance: "c", Last: at(9)})), 0)
+		is.Equal(x.Handle(Reported{Round: 2, Instance: "b", Last: at(4)}),
+			[]Effect{Serve{Reads: []ReadID{2}, Index: at(9)}, Stop{Round: 2}})
+	})
+	t.Run("an abandoned round ends", func(t *testing.T) {
+		is := is.New(t)
+		x := NewIndexer(3)
+		x.Handle(Arrived{Read: 1})
+		x.Handle(Arrived{Read: 2})
+		is.Equal(x.Handle(Abandoned{Read: 1}), []Effect{Stop{Round: 1}, Ask{Round: 2}})
+		is.Equal(x.Handle(Abandoned{Read: 2}), []Effect{Stop{Round: 2}})
+	})
+}
