entry: answer Flush, withhold reads at the primary like writes

A driver that sends Flush waits for its answer, so the batch is sent in parts. A read on the primary may see records that no majority holds, so it travels as a write with the priority of a read, and is not repeated once it was sent, because it may call a function that writes.

--- a/tarragonshed/entry/batch.go
+++ b/tarragonshed/entry/batch.go
@@ -51,15 +51,25 @@
 	ended    bool
 	// fault is why the batch can't be run.
 	fault error
+	// reported tells that the caller has been told of the fault.
+	reported bool
+	// answered is the number of steps that were answered before Sync.
+	answered int
+	// stream is set once a part of the batch has been sent before Sync.
+	stream *stream
+	// shared tells that a broken lane may still hold the messages.
+	shared bool
 }
 
 func newBatch(s *session) *batch {
 	return &batch{session: s, messages: takeBuffer()}
 }
 
-// free gives back the buffer. Nothing may use the messages any more.
+// free gives back the buffer.
 func (b *batch) free() {
-	releaseBuffer(b.messages)
+	if !b.shared {
+		releaseBuffer(b.messages)
+	}
 	b.messages = nil
 }
 
@@ -67,26 +77,42 @@
 // ends.
 func (s *session) collect(b *batch) bool {
 	for !b.ended {
-		kind, body, err := s.reader.Next()
-		switch {
-		case result.CodeOf(err) == result.StatementTooLarge:
-			b.refuse(err)
-			b.ended = kind == 'Q' || kind == 'F'
-		case err != nil:
-			s.fatal(err)
-			return false
-		case kind == 'X':
-			return false
-		default:
-			if err := b.add(kind, body); err != nil {
-				s.fatal(err)
-				return false
-			}
+		more, err := s.collectOne(b)
+		if err == nil && more {
+			continue
+		}
+		if b.stream != nil {
+			b.stream.abandon()
 		}
+		s.fatal(err)
+		return false
 	}
 	return true
 }
 
+// collectOne reads one message. It returns false or an error if the session
+// ends.
+func (s *session) collectOne(b *batch) (bool, error) {
+	kind, body, err := s.reader.Next()
+	switch {
+	case result.CodeOf(err) == result.StatementTooLarge:
+		b.refuse(err)
+		b.ended = kind == 'Q' || kind == 'F'
+		return true, nil
+	case err != nil:
+		return false, err
+	case kind == 'X':
+		return false, nil
+	}
+	if err := b.add(kind, body); err != nil {
+		return false, err
+	}
+	if kind == 'H' {
+		return s.advance(b), nil
+	}
+	return true, nil
+}
+
 func (b *batch) refuse(err error) {
 	if b.fault == nil {
 		b.fault = err
@@ -119,9 +145,10 @@
 		b.messages = framer.Append(b.messages, kind, body)
 	case 'F':
 		b.refuse(result.New(result.NotCarried, "the function call protocol is not carried"))
-	case 'H', 'd', 'c', 'f':
-		// What Flush asks for is sent with the batch. COPY messages outside of
-		// COPY are ignored, as PostgreSQL does.
+	case 'H':
+		b.messages = framer.Append(b.messages, kind, body)
+	case 'd', 'c', 'f':
+		// COPY messages outside of COPY are ignored, as PostgreSQL does.
 	default:
 		return result.New(result.ProtocolViolation, "message %q is not known", kind)
 	}
--- a/tarragonshed/entry/entry_test.go
+++ b/tarragonshed/entry/entry_test.go
@@ -320,6 +320,65 @@
 	is.NoErr(results.Close())
 }
 
+func TestFlush(t *testing.T) {
+	flush := func(t *testing.T, b *bench, conn *pgx.Conn, query string) error {
+		t.Helper()
+		is := is.New(t)
+		p := conn.PgConn().StartPipeline(b.context())
+		p.SendPrepare("p", query, nil)
+		p.SendFlushRequest()
+		is.NoErr(p.Flush())
+		_, err := p.GetResults() // Comes before Sync is sent.
+		if err == nil {
+			p.SendQueryPrepared("p", nil, nil, nil)
+		}
+		is.NoErr(p.Sync())
+		is.NoErr(p.Close())
+		return err
+	}
+	t.Run("outside of a transaction", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		conn := b.connect("")
+		is.NoErr(flush(t, b, conn, "INSERT x"))
+		_, executed := b.fake.take()
+		is.Equal(executed, []string{"INSERT x"})
+		is.Equal(b.fake.openLanes(), 0)
+	})
+	t.Run("in a transaction", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		conn := b.connect("")
+		_, err := conn.Exec(b.context(), "BEGIN")
+		is.NoErr(err)
+		is.NoErr(flush(t, b, conn, "INSERT x"))
+		_, err = conn.Exec(b.context(), "COMMIT")
+		is.NoErr(err)
+		_, executed := b.fake.take()
+		is.Equal(executed, []string{"BEGIN", "INSERT x", "COMMIT"})
+	})
+	t.Run("answered by the entry", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		is.NoErr(flush(t, b, b.connect(""), "SET tarragon.max_staleness = '5s'"))
+	})
+	for query, code := range map[string]result.Code{
+		"LISTEN x": result.NotCarried,
+		"INSERT x": result.HomeLost,
+	} {
+		t.Run("refused: "+query, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.fake.change("a", func(i *fakeInstance) { i.sever = true })
+			conn := b.connect("")
+			mustCode(t, flush(t, b, conn, query), code)
+			b.fake.change("a", func(i *fakeInstance) { i.sever = false })
+			_, err := conn.Exec(b.context(), "INSERT y")
+			is.NoErr(err)
+		})
+	}
+}
+
 func TestCancel(t *testing.T) {
 	t.Run("what runs", func(t *testing.T) {
 		is := is.New(t)
--- a/tarragonshed/entry/fake_test.go
+++ b/tarragonshed/entry/fake_test.go
@@ -202,7 +202,9 @@
 }
 
 func (l *fakeLane) run(batch *peer.Batch) error {
-	l.statements = make(map[string]string)
+	if l.statements == nil {
+		l.statements = make(map[string]string)
+	}
 	for _, s := range batch.Statements {
 		l.statements[s.Name] = s.Query
 	}
@@ -222,6 +224,11 @@
 		l.Close()
 		return nil
 	}
+	if !batch.Last {
+		l.responses <- &peer.CarryResponse{Kind: &peer.CarryResponse_Answer{Answer: &peer.Answer{Messages: l.answer}}}
+		l.answer = nil
+		return nil
+	}
 	if !held {
 		l.settle(failed)
 	}
--- a/tarragonshed/entry/local.go
+++ b/tarragonshed/entry/local.go
@@ -16,12 +16,9 @@
 
 // answerLocally answers a batch that needs no instance.
 func (s *session) answerLocally(b *batch) {
+	s.answerSteps(b)
 	confirmed := 0
-	for _, st := range b.steps {
-		if failure := s.answerStep(st); failure != nil {
-			s.queue(failure)
-			break
-		}
+	for _, st := range b.steps[:b.answered] {
 		if st.kind == 'P' {
 			confirmed++
 		}
@@ -30,6 +27,21 @@
 	s.queueReady(s.status)
 }
 
+// answerSteps answers the steps that have not been answered, up to a failure.
+func (s *session) answerSteps(b *batch) {
+	for _, st := range b.steps[b.answered:] {
+		if b.reported {
+			return
+		}
+		if failure := s.answerStep(st); failure != nil {
+			b.reported = true
+			s.queue(failure)
+			return
+		}
+		b.answered++
+	}
+}
+
 func (s *session) answerStep(st step) *pgproto3.ErrorResponse {
 	switch st.kind {
 	case 'Q':
--- a/tarragonshed/entry/relay.go
+++ b/tarragonshed/entry/relay.go
@@ -23,6 +23,8 @@
 	err     error
 	settled *peer.Settled
 	report  *peer.InstanceReport
+	// prompt has each part of the answer written at once.
+	prompt bool
 	// begun tells that a part of the answer has been written to the caller.
 	begun bool
 	// broken tells that the lane can't be used any more.
@@ -40,28 +42,37 @@
 // relay passes the answer to a batch on to the caller as it comes.
 func (s *session) relay(lane carrier.Lane) outcome {
 	var out outcome
+	s.relayInto(lane, &out)
+	return out
+}
+
+func (s *session) relayInto(lane carrier.Lane, out *outcome) {
 	for {
 		response, err := lane.Receive()
 		if err != nil {
 			out.broken = true
 			out.err = laneError(err)
-			return out
+			return
 		}
 		switch kind := response.Kind.(type) {
 		case *peer.CarryResponse_Answer:
-			s.pass(kind.Answer.Messages, &out)
+			s.pass(kind.Answer.Messages, out)
 		case *peer.CarryResponse_Settled:
-			s.pass(kind.Settled.Messages, &out)
+			out.prompt = false
+			s.pass(kind.Settled.Messages, out)
 			out.settled, out.report = kind.Settled, kind.Settled.Report
-			return out
+			return
 		case *peer.CarryResponse_Refused:
 			out.report = kind.Refused.Report
 			out.err = &result.Error{Code: result.Code(kind.Refused.Code), Detail: kind.Refused.Detail}
-			return out
+			return
+		}
+		if out.err == nil && s.broken {
+			out.err = result.New(result.HomeLost, "the caller does not read the answer")
 		}
-		if out.err != nil || s.broken {
+		if out.err != nil {
 			out.broken = true
-			return out
+			return
 		}
 	}
 }
@@ -80,7 +91,7 @@
 	if out.err != nil {
 		return
 	}
-	if hold && len(s.ready)+len(messages) <= holdSize {
+	if hold && !out.prompt && len(s.ready)+len(messages) <= holdSize {
 		if s.ready == nil {
 			s.ready = takeBuffer()
 		}
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -26,6 +26,10 @@
 
 // execute runs a batch and queues the end of its answer.
 func (s *session) execute(b *batch) {
+	if b.stream != nil {
+		b.stream.finish()
+		return
+	}
 	if b.fault != nil {
 		s.refuse(b, plan{}, b.fault)
 		return
@@ -53,7 +57,9 @@
 	s.pendingSettings = nil
 	inside := s.status != statusIdle
 	s.unpin()
-	s.queue(errorResponse(err, severityError))
+	if !b.reported {
+		s.queue(errorResponse(err, severityError))
+	}
 	if (inside && !p.ends) || p.begins {
 		s.queueReady(statusFailed)
 		return
@@ -73,16 +79,23 @@
 	last error
 }
 
-func (s *session) run(b *batch, p plan) {
-	started := time.Now()
-	r := &run{session: s, batch: b, plan: p, deadline: started.Add(s.entry.limits.StatementTimeout)}
+// newRun returns a run whose deadline begins now, and the function that ends it.
+func (s *session) newRun(b *batch, p plan) (r *run, end func()) {
+	deadline := time.Now().Add(s.entry.limits.StatementTimeout)
 	ctx, cancelCause := context.WithCancelCause(s.entry.ctx)
-	defer cancelCause(nil)
-	ctx, cancel := context.WithDeadline(ctx, r.deadline)
-	defer cancel()
-	r.ctx = ctx
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	s.setCancel(cancelCause)
-	defer s.setCancel(nil)
+	return &run{session: s, batch: b, plan: p, ctx: ctx, deadline: deadline}, func() {
+		s.setCancel(nil)
+		cancel()
+		cancelCause(nil)
+	}
+}
+
+func (s *session) run(b *batch, p plan) {
+	started := time.Now()
+	r, end := s.newRun(b, p)
+	defer end()
 	if s.pinned != nil {
 		r.goOn()
 		return
@@ -198,6 +211,7 @@
 	if out.report != nil {
 		r.group.note(reportOf(out.report), sent)
 	}
+	r.batch.shared = r.batch.shared || out.broken
 	if out.err == nil && r.wrongInstance(use, out) {
 		out.err = result.New(result.NotPrimary, "instance %s does not accept writes", use.Instance)
 		out.settled = nil
@@ -214,7 +228,7 @@
 }
 
 func (r *run) wireBatch() *peer.Batch {
-	return &peer.Batch{Messages: r.batch.messages, Statements: r.batch.used, Last: true}
+	return &peer.Batch{Messages: r.batch.messages, Statements: r.batch.used, Last: r.batch.ended}
 }
 
 func (r *run) send(lane carrier.Lane, request *peer.CarryRequest) outcome {
@@ -263,10 +277,15 @@
 		return open
 	}
 	floor := r.tracker.Position()
-	open.Class = peer.Class_CLASS_READ
 	open.Priority = peer.Priority_PRIORITY_PRIMARY_READ
 	open.RequestKey = ""
 	open.Floor = &peer.Position{Term: uint64(floor.Term), Index: uint64(floor.Index)}
+	if use.Primary {
+		// What the primary shows may not be on a majority yet. As a write, the
+		// answer is withheld until it is.
+		return open
+	}
+	open.Class = peer.Class_CLASS_READ
 	open.FloorWaitMicroseconds = microseconds(min(use.Wait, time.Until(r.deadline)))
 	if r.plan.staleness > 0 {
 		open.Priority = peer.Priority_PRIORITY_STALE_READ
@@ -347,7 +366,9 @@
 // again reports whether the batch is to be sent again, and waits before it is.
 func (r *run) again(use router.Use, out outcome, attempt int) bool {
 	code := result.CodeOf(out.err)
-	if r.broken || r.ctx.Err() != nil || !retrier.Repeatable(code.Entry().Outcome, r.plan.read, out.begun) {
+	// A read on the primary may call a function that writes.
+	read := r.plan.read && !use.Primary
+	if r.broken || r.ctx.Err() != nil || !retrier.Repeatable(code.Entry().Outcome, read, out.begun) {
 		return false
 	}
 	switch code {
@@ -406,6 +427,7 @@
 func (r *run) goOn() {
 	request := &peer.CarryRequest{Kind: &peer.CarryRequest_Batch{Batch: r.wireBatch()}}
 	out := r.send(r.pinned.lane, request)
+	r.batch.shared = r.batch.shared || out.broken
 	if out.err == nil {
 		r.finishPinned(out)
 		return
