target: stand in for database instances

A target runs SQL by sqlite over the PostgreSQL wire and keeps the log, the terms and the functions of docs/design/target-protocol.md.

--- /dev/null
+++ b/standin/target/command.go
@@ -0,0 +1,56 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"tarragonshed.example/unit"
+)
+
+// Command returns the command that runs one target as a process until SIGTERM.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "target",
+		Usage: "run one database instance of a group",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "name", Usage: "instance `NAME`", Required: true},
+			&cli.StringFlag{Name: "group", Usage: "group `NAME`", Required: true},
+			&cli.StringFlag{Name: "listen", Usage: "`HOST:PORT` to listen on", Value: "127.0.0.1:5511"},
+			&cli.BoolFlag{Name: "primary", Usage: "begin as the primary of term 1"},
+			&cli.StringFlag{Name: "follow", Usage: "begin as a replica of the instance `NAME` in term 1"},
+			&cli.StringFlag{Name: "follow-address", Usage: "`HOST:PORT` of the instance to follow"},
+			&cli.IntFlag{Name: "slots", Usage: "data statements that run at once", Value: DefaultSlots},
+			&cli.IntFlag{Name: "connections", Usage: "connections that are accepted", Value: DefaultConnections},
+			&cli.IntFlag{Name: "group-size", Usage: "instances of the group", Value: DefaultGroupSize},
+			&cli.DurationFlag{Name: "connect-delay", Usage: "time that a connection's startup takes", Value: DefaultConnectDelay},
+			&cli.DurationFlag{Name: "service-time", Usage: "time that a data statement holds a slot besides its own"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	options := []Option{
+		WithAddress(c.String("listen")), WithSlots(c.Int("slots")), WithConnections(c.Int("connections")),
+		WithGroupSize(c.Int("group-size")), WithConnectDelay(c.Duration("connect-delay")), WithServiceTime(c.Duration("service-time")),
+	}
+	switch {
+	case c.Bool("primary"):
+		options = append(options, WithPrimary())
+	case c.String("follow") != "":
+		options = append(options, WithFollow(unit.InstanceName(c.String("follow")), c.String("follow-address")))
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	t, err := New(unit.InstanceName(c.String("name")), unit.GroupName(c.String("group")), options...)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(c.Root().Writer, "target %s listens on %s\n", t.Name(), t.Address())
+	<-ctx.Done()
+	return t.Destroy()
+}
--- /dev/null
+++ b/standin/target/functions.go
@@ -0,0 +1,86 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"tarragonshed.example/instance"
+	"tarragonshed.example/recorder"
+	"tarragonshed.example/unit"
+)
+
+// call runs one of the extension's functions and returns its text.
+func (t *Target) call(ctx context.Context, name string, args []string) (string, error) {
+	arg := func(i int) string {
+		if i < len(args) {
+			return args[i]
+		}
+		return ""
+	}
+	number, err := strconv.ParseUint(arg(0), 10, 64)
+	if err != nil && name != "tarragon_status" && name != "tarragon_history" {
+		return "", fail("22023", "%s: the term %q is not a number", name, arg(0))
+	}
+	term := unit.Term(number)
+	t.gate.pass(ctx)
+	switch name {
+	case "tarragon_status":
+		return text(t.ledger.report())
+	case "tarragon_history":
+		return text(t.ledger.history())
+	case "tarragon_grant":
+		report, changed := t.ledger.grant(term, arg(1))
+		if changed {
+			t.depose()
+			t.record(recorder.TermGranted, report, "granted to "+arg(1))
+		}
+		return text(report)
+	case "tarragon_promote":
+		report, changed := t.ledger.promote(term, arg(1))
+		if changed {
+			t.record(recorder.PrimaryPromoted, report, "promoted by "+arg(1))
+		}
+		return text(report)
+	case "tarragon_follow":
+		report, changed := t.ledger.follow(term, unit.InstanceName(arg(1)), arg(2))
+		if changed {
+			t.depose()
+			t.record(recorder.InstanceFollows, report, "follows "+arg(1))
+		}
+		return text(report)
+	case "tarragon_quiesce":
+		return t.quiesce(ctx, term, arg(1))
+	default:
+		return "", fail("42883", "function %s does not exist", name)
+	}
+}
+
+func (t *Target) quiesce(ctx context.Context, term unit.Term, milliseconds string) (string, error) {
+	ms, err := strconv.ParseInt(milliseconds, 10, 64)
+	if err != nil {
+		return "", fail("22023", "tarragon_quiesce: the time %q is not a number of milliseconds", milliseconds)
+	}
+	until := time.Now().Add(time.Duration(ms) * time.Millisecond)
+	if t.ledger.quiesce(term, until) && ms > 0 {
+		waiting, cancel := context.WithDeadline(ctx, until)
+		defer cancel()
+		if t.database.lockWriter(waiting) == nil {
+			t.database.unlockWriter()
+		}
+		if ctx.Err() != nil {
+			return "", ctx.Err()
+		}
+	}
+	return text(t.ledger.report())
+}
+
+func (t *Target) record(kind recorder.Kind, r instance.Report, detail string) {
+	t.recorder.Record(recorder.Event{Kind: kind, Group: t.group, Instance: t.name, Term: r.Term, Position: r.Last, Detail: detail})
+}
+
+func text(v any) (string, error) {
+	b, err := json.Marshal(v)
+	return string(b), err
+}
