gossiper, wire/peer: spread the view and the manifest between daemons

Gossiper is a connect-go service in its own schema file. Only three relays of a failure domain poll the platform; the others learn by exchanges.

--- a/tarragonshed/gossiper/gossiper.go
+++ b/tarragonshed/gossiper/gossiper.go
@@ -1,36 +1,69 @@
 // Package gossiper keeps the view of the daemons and the manifest of this daemon up
-// to date.
+// to date. It carries out the effects of [prober.Prober] and [adopter.Adopter].
+//
+// # Relays
+//
+// The first [Relays] live daemons of a failure domain read the platform's VM list and
+// manifest row about once a second; the others read them about twice a minute and learn
+// the rest from the relays. A daemon without a manifest, or one that knows no other
+// daemon, reads them as a relay does. So the platform's load hardly grows with the number
+// of daemons, and a failure domain that is cut off from the platform learns of an
+// accepted manifest from any daemon that it can reach.
+//
+// # Connections
+//
+// Messages are short unary calls over HTTP/1.1 with a timeout. A call without an answer
+// closes its connection, so a connection that has gone silent is not used again.
 //
 // # Usage
 //
-//	g := gossiper.New(holder, self, gossiper.WithPlatform(client))
+//	g := gossiper.New(holder, self, gossiper.WithPlatform(client), gossiper.WithRecorder(rec))
 //	defer g.Close()
 //	mux.Handle(g.Handler())
 //	...
+//	<-g.Leaving() // Marked by the platform's list or by another daemon.
+//	...
 //	g.Leave() // Marks this daemon as leaving, for all of them.
 package gossiper
 
 import (
 	"context"
-	"errors"
+	"crypto/tls"
+	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
 
 	"tarragonshed.example/adopter"
 	"tarragonshed.example/member"
+	"tarragonshed.example/placer"
+	"tarragonshed.example/prober"
 	"tarragonshed.example/recorder"
 	"tarragonshed.example/tarragonshed/dialer"
 	"tarragonshed.example/tarragonshed/holder"
 	"tarragonshed.example/tarragonshed/platformer"
+	"tarragonshed.example/wire/peer/peerconnect"
 )
 
-// pollInterval is the time between two reads of the platform.
-const pollInterval = time.Second
+// Relays is the number of daemons of a failure domain that read the platform for the
+// others.
+const Relays = 3
+
+// Intervals and bounds of the work.
+const (
+	tickInterval = 100 * time.Millisecond
+	pollInterval = time.Second
+	// idlePollInterval is the time between two reads of a daemon that is no relay.
+	idlePollInterval = 30 * time.Second
+	fetchTimeout     = 4 * time.Second
+	idleTimeout      = 10 * time.Second
+	// farewells is the number of daemons that Leave tells directly.
+	farewells = 32
+)
 
 // Gossiper keeps a [holder.Holder] up to date. It is safe for concurrent use.
 type Gossiper struct {
@@ -39,13 +72,24 @@
 	recorder *recorder.Recorder
 	logger   *log.Logger
 	dial     dialer.Func
+	tls      *tls.Config
+	seeds    []string
+	http     *http.Client
+	sent     metrics.Counter
+	received metrics.Counter
+	calls    metrics.Counter
+	ctx      context.Context
 	cancel   context.CancelFunc
-	done     chan struct{}
+	work     sync.WaitGroup
+	leaving  chan struct{}
 
-	mu      sync.Mutex
-	self    member.Daemon
-	listed  []member.Daemon
-	adopter *adopter.Adopter
+	mu       sync.Mutex
+	closed   bool
+	dirty    bool
+	left     bool
+	prober   *prober.Prober
+	adopter  *adopter.Adopter
+	document []byte
 }
 
 // Option changes a Gossiper under construction.
@@ -61,7 +105,18 @@
 	return func(g *Gossiper) { g.dial = dial }
 }
 
-// WithRecorder records the changes of the view and of the manifest.
+// WithTLS makes the calls to other daemons over TLS.
+func WithTLS(config *tls.Config) Option {
+	return func(g *Gossiper) { g.tls = config }
+}
+
+// WithSeeds sets peer addresses to ask while no other daemon is known.
+func WithSeeds(addresses ...string) Option {
+	return func(g *Gossiper) { g.seeds = addresses }
+}
+
+// WithRecorder records the changes of the view and of the manifest, and carries the
+// hybrid clock between the daemons.
 func WithRecorder(r *recorder.Recorder) Option {
 	return func(g *Gossiper) { g.recorder = r }
 }
@@ -71,134 +126,166 @@
 	return func(g *Gossiper) { g.logger = l }
 }
 
+// WithMetrics registers "gossip.calls", "gossip.bytes-sent" and
+// "gossip.bytes-received"; bytes are those of the messages without HTTP.
+func WithMetrics(registry metrics.Registry) Option {
+	return func(g *Gossiper) {
+		g.calls = metrics.GetOrRegisterCounter("gossip.calls", registry)
+		g.sent = metrics.GetOrRegisterCounter("gossip.bytes-sent", registry)
+		g.received = metrics.GetOrRegisterCounter("gossip.bytes-received", registry)
+	}
+}
+
 // New starts a Gossiper of the daemon self.
 func New(h *holder.Holder, self member.Daemon, options ...Option) *Gossiper {
 	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Now()
 	g := &Gossiper{
-		holder: h, self: self, dial: dialer.Default, logger: log.Default(),
-		cancel: cancel, done: make(chan struct{}), adopter: adopter.New(time.Now()),
+		holder: h, dial: dialer.Default, logger: log.Default(), ctx: ctx, cancel: cancel,
+		calls: metrics.NilCounter{}, sent: metrics.NilCounter{}, received: metrics.NilCounter{},
+		leaving: make(chan struct{}),
+		prober:  prober.New(self, now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		adopter: adopter.New(now),
 	}
 	for _, option := range options {
 		option(g)
 	}
-	g.announce()
-	go func() {
-		defer close(g.done)
-		ticker := time.NewTicker(pollInterval)
-		defer ticker.Stop()
-		for {
-			g.poll(ctx)
-			select {
-			case <-ticker.C:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
+	g.http = &http.Client{Transport: &http.Transport{
+		DialContext: g.dial, TLSClientConfig: g.tls, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
+	}}
+	h.AdoptView(g.prober.View())
+	g.start(func() { g.repeat(tickInterval, g.tick) })
+	if g.platform != nil {
+		g.start(func() { g.repeat(pollInterval, g.pollIfDue()) })
+	}
 	return g
 }
 
 // Handler returns the path and the handler for other daemons.
 func (g *Gossiper) Handler() (string, http.Handler) {
-	return "/tarragonshed.peer.v1.Gossiper/", http.NotFoundHandler()
+	return peerconnect.NewGossiperHandler(&server{g}, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
-// Leave marks this daemon as leaving.
+// Leaving is closed when this daemon is marked as leaving, by whomever.
+func (g *Gossiper) Leaving() <-chan struct{} { return g.leaving }
+
+// Leave marks this daemon as leaving and tells other daemons before it returns. The
+// mark is never withdrawn.
 func (g *Gossiper) Leave() {
-	g.mu.Lock()
-	g.self.State = member.Leaving
-	g.mu.Unlock()
-	g.announce()
+	g.stepProber(prober.Leave{Now: time.Now()})
+	g.publish()
+	others := g.others()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var told sync.WaitGroup
+	for _, d := range others[:min(len(others), farewells)] {
+		told.Go(func() { g.exchange(d.ID, d.PeerAddress) })
+	}
+	told.Wait()
 }
 
-// Close stops the Gossiper.
+// Close stops the Gossiper. It does not mark the daemon as leaving.
 func (g *Gossiper) Close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
 	g.cancel()
-	<-g.done
+	g.work.Wait()
+	g.http.CloseIdleConnections()
 }
 
-// poll reads the platform once.
-func (g *Gossiper) poll(ctx context.Context) {
-	if g.platform == nil {
-		return
-	}
-	if vms, _, err := g.platform.VMs(ctx); err == nil {
-		g.mu.Lock()
-		g.listed = vms
-		g.mu.Unlock()
-		g.announce()
-	}
-	row, err := g.platform.Get(ctx, adopter.Table, adopter.CurrentKey)
-	if errors.Is(err, platformer.ErrNotFound) {
-		g.step(ctx, adopter.Answered{Now: time.Now()})
-		return
-	}
-	if err != nil {
-		g.step(ctx, adopter.Tick{Now: time.Now()})
-		return
-	}
-	record, err := adopter.DecodeRecord(row.Value)
-	if err != nil {
-		g.logger.Error("manifest row can't be read", "err", err)
-		return
+// start runs a goroutine that Close waits for.
+func (g *Gossiper) start(run func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed {
+		g.work.Go(run)
 	}
-	g.step(ctx, adopter.Heard{Now: time.Now(), Record: record, From: adopter.Platform, Holds: true})
 }
 
-// step tells the adopter and carries out what it asks for.
-func (g *Gossiper) step(ctx context.Context, e adopter.Event) {
-	g.mu.Lock()
-	effects := g.adopter.Step(e)
-	g.mu.Unlock()
-	for _, effect := range effects {
-		switch effect := effect.(type) {
-		case adopter.Fetch:
-			g.step(ctx, g.fetch(ctx, effect))
-		case adopter.Adopt:
-			g.adopt(effect)
-		case adopter.Reject:
-			g.logger.Error("manifest rejected", "version", effect.Record.Version, "from", effect.From, "reason", effect.Reason)
+// repeat calls run at once and each interval, until the Gossiper is closed.
+func (g *Gossiper) repeat(interval time.Duration, run func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for g.ctx.Err() == nil {
+		run()
+		select {
+		case <-ticker.C:
+		case <-g.ctx.Done():
 		}
 	}
 }
 
-func (g *Gossiper) adopt(effect adopter.Adopt) {
-	g.holder.AdoptManifest(effect.Manifest)
-	g.recorder.Record(recorder.Event{Kind: recorder.ManifestInForce, Detail: "version " + strconv.FormatUint(uint64(effect.Record.Version), 10)})
+func (g *Gossiper) tick() {
+	now := time.Now()
+	g.stepProber(prober.Tick{Now: now})
+	g.stepAdopter(adopter.Tick{Now: now})
+	g.publish()
+	if len(g.seeds) > 0 && len(g.others()) == 0 {
+		g.exchange("", g.seeds[rand.IntN(len(g.seeds))])
+	}
+}
+
+// publish puts the view in force if it has changed.
+func (g *Gossiper) publish() {
 	g.mu.Lock()
-	g.self.Manifest = effect.Record.Version
-	g.mu.Unlock()
-	g.announce()
+	defer g.mu.Unlock()
+	if g.dirty {
+		g.dirty = false
+		g.holder.AdoptView(g.prober.View())
+	}
+	if g.prober.Self().Leaving && !g.left {
+		g.left = true
+		close(g.leaving)
+	}
 }
 
-func (g *Gossiper) fetch(ctx context.Context, effect adopter.Fetch) adopter.Event {
-	document, err := g.platform.Object(ctx, adopter.ObjectName(effect.Record.Digest))
-	if err != nil {
-		return adopter.FetchFailed{Now: time.Now(), Record: effect.Record, From: effect.From}
+// others returns the other daemons that are not taken for dead.
+func (g *Gossiper) others() []member.Daemon {
+	var found []member.Daemon
+	view := g.holder.Current().View
+	for _, d := range view.Daemons {
+		if d.ID != view.Self && d.State != member.Dead {
+			found = append(found, d)
+		}
 	}
-	return adopter.Fetched{Now: time.Now(), Record: effect.Record, From: effect.From, Document: document}
+	return found
 }
 
-// announce puts the view in force.
-func (g *Gossiper) announce() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	view := member.View{Self: g.self.ID, Daemons: []member.Daemon{g.self}}
-	for _, d := range g.listed {
-		if d.ID != g.self.ID {
-			view.Daemons = append(view.Daemons, d)
-		} else if d.Incarnation == g.self.Incarnation && d.State == member.Leaving {
-			g.self.State = member.Leaving
-			view.Daemons[0].State = member.Leaving
+// pollIfDue returns a function that reads the platform if this daemon's role asks for
+// it.
+func (g *Gossiper) pollIfDue() func() {
+	var last time.Time
+	return func() {
+		now := g.holder.Current()
+		relay := placer.IsRelay(now.View, Relays) || now.Manifest == nil || len(g.others()) == 0
+		if relay || time.Since(last) >= idlePollInterval {
+			last = time.Now().Add(-rand.N(idlePollInterval / 4))
+			g.poll()
 		}
 	}
-	slices.SortFunc(view.Daemons, func(a, b member.Daemon) int {
-		if a.ID < b.ID {
-			return -1
+}
+
+// stepProber tells the prober and carries out what it asks for.
+func (g *Gossiper) stepProber(e prober.Event) {
+	g.mu.Lock()
+	effects := g.prober.Step(e)
+	g.mu.Unlock()
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case prober.Probe:
+			g.start(func() { g.probe(effect) })
+		case prober.ProbeIndirect:
+			g.start(func() { g.probeIndirect(effect) })
+		case prober.Exchange:
+			g.start(func() { g.exchange(effect.To.ID, effect.To.PeerAddress) })
+		case prober.Changed:
+			g.mu.Lock()
+			g.dirty = true
+			g.mu.Unlock()
+		case prober.Noted:
+			g.recorder.Record(effect.Event)
+		case prober.Remembered:
+			g.stepAdopter(adopter.Remembered{Version: effect.Version})
 		}
-		return 1
-	})
-	if !slices.Equal(g.holder.Current().View.Daemons, view.Daemons) {
-		g.holder.AdoptView(view)
 	}
 }
