--- /dev/null
+++ b/tarragonshed/home/conn.go
@@ -0,0 +1,321 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"tarragonshed.example/pooler"
+	"tarragonshed.example/result"
+	"tarragonshed.example/tarragonshed/dialer"
+	"tarragonshed.example/unit"
+)
+
+// ApplicationName is what data connections call themselves.
+const ApplicationName = "tarragonshed"
+
+const (
+	positionParameter = "tarragon_position"
+	tooManyState      = "53300"
+	cancelTimeout     = time.Second
+)
+
+// endpoint is where a connection goes to and as whom.
+type endpoint struct {
+	dial           dialer.Func
+	address        string
+	group          unit.GroupName
+	user, password string
+	application    string
+}
+
+// connect opens and authenticates a connection and takes it over from pgconn.
+func (e endpoint) connect(ctx context.Context) (*pgconn.HijackedConn, error) {
+	config, err := pgconn.ParseConfig("sslmode=disable host=unset")
+	if err != nil {
+		return nil, trace.Wrap(err, "home: make a connection config")
+	}
+	config.Fallbacks = nil
+	config.User, config.Password, config.Database = e.user, e.password, string(e.group)
+	config.RuntimeParams = map[string]string{"application_name": e.application}
+	config.LookupFunc = func(context.Context, string) ([]string, error) { return []string{e.address}, nil }
+	config.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return e.dial(ctx, "tcp", e.address)
+	}
+	pg, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, trace.Wrap(err, "home: connect to %s", e.address)
+	}
+	return pg.Hijack()
+}
+
+// connectError gives a failed connect its result code: nothing has run.
+func connectError(name unit.InstanceName, err error) (failure *result.Error, exhausted bool) {
+	var pg *pgconn.PgError
+	if errors.As(err, &pg) && pg.Code == tooManyState {
+		return result.New(result.ConnectionsExhausted, "instance %s has too many connections", name), true
+	}
+	return result.New(result.InstanceUnreachable, "instance %s: %v", name, trace.Unwrap(err)), false
+}
+
+// conn is one data connection. Its messages are read by a goroutine of its own;
+// they are sent by whoever has it from the pool.
+type conn struct {
+	id       pooler.Conn
+	endpoint endpoint
+	net      net.Conn
+	frontend *pgproto3.Frontend
+	pid      uint32
+	secret   []byte
+	// onClosed is called once, when the connection can't be used any more.
+	onClosed func(*conn)
+	// injected receives the outcome of each query of the home's own.
+	injected chan error
+
+	mu       sync.Mutex
+	answers  expected
+	prepared *preparer
+	settings map[string]string
+	// dirty tells that a statement may have changed the connection's state.
+	dirty bool
+	// owner takes the answers to messages of the present transaction.
+	owner  *relay
+	closed bool
+	// heard is when the last message came, asked when the oldest owed answer
+	// was asked for.
+	heard, asked time.Time
+	failure      string // The last error of an injected query.
+}
+
+func newConn(id pooler.Conn, e endpoint, hijacked *pgconn.HijackedConn, onClosed func(*conn)) *conn {
+	c := &conn{
+		id: id, endpoint: e, net: hijacked.Conn, frontend: hijacked.Frontend,
+		pid: hijacked.PID, secret: hijacked.SecretKey, onClosed: onClosed,
+		injected: make(chan error, 1), prepared: newPreparer(), heard: time.Now(),
+	}
+	go c.read()
+	return c
+}
+
+// read takes messages in until the connection ends.
+func (c *conn) read() {
+	for {
+		message, err := c.frontend.Receive()
+		if err != nil {
+			c.end(err)
+			return
+		}
+		if err := c.handle(message); err != nil {
+			c.end(err)
+			return
+		}
+	}
+}
+
+// end closes the connection and tells the owner.
+func (c *conn) end(err error) {
+	_ = c.net.Close()
+	c.mu.Lock()
+	owner := c.owner
+	c.owner = nil
+	already := c.closed
+	c.closed = true
+	c.mu.Unlock()
+	select {
+	case c.injected <- trace.Wrap(err, "home: connection lost"):
+	default:
+	}
+	if !already {
+		c.onClosed(c)
+	}
+	if owner != nil {
+		owner.lost(err)
+	}
+}
+
+// close makes the reading goroutine end.
+func (c *conn) close() { _ = c.net.Close() }
+
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// begin gives the connection to a transaction, or to none. It returns false
+// when the connection is closed.
+func (c *conn) begin(r *relay) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owner = r
+	return !c.closed
+}
+
+func (c *conn) isDirty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dirty
+}
+
+// settled reports whether no answer is owed.
+func (c *conn) settled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answers.empty()
+}
+
+// waits returns since when the connection owes an answer without having said
+// anything, and when it was last heard of.
+func (c *conn) waits() (since, heard time.Time, owes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since = c.asked
+	if c.heard.After(since) {
+		since = c.heard
+	}
+	return since, c.heard, !c.answers.empty()
+}
+
+// write sends bytes whose answers have been noted. It reports whether any byte
+// may have reached the instance.
+func (c *conn) write(b []byte) (sent bool, err error) {
+	n, err := c.net.Write(b)
+	if err != nil {
+		c.close()
+		return n > 0, trace.Wrap(err, "home: write to the instance")
+	}
+	return true, nil
+}
+
+// run executes a query of the home's own and drops its answer.
+func (c *conn) run(ctx context.Context, query string) error {
+	select {
+	case <-c.injected:
+	default:
+	}
+	message, err := (&pgproto3.Query{String: query}).Encode(nil)
+	if err != nil {
+		return trace.Wrap(err, "home: encode a query")
+	}
+	c.mu.Lock()
+	c.failure = ""
+	c.push(owed{kind: 'Q', swallow: true})
+	c.prepared.dropUnnamed()
+	c.mu.Unlock()
+	if _, err := c.write(message); err != nil {
+		return err
+	}
+	select {
+	case err := <-c.injected:
+		return err
+	case <-ctx.Done():
+		c.close()
+		return trace.Wrap(ctx.Err(), "home: %s", query)
+	}
+}
+
+// push notes that an answer is owed, unless the instance will skip the message.
+// The lock is held.
+func (c *conn) push(o owed) bool {
+	if c.answers.empty() {
+		c.asked = time.Now()
+	}
+	return c.answers.push(o)
+}
+
+// cancel asks the instance to cancel what runs on the connection.
+func (c *conn) cancel() {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	side, err := c.endpoint.dial(ctx, "tcp", c.endpoint.address)
+	if err != nil {
+		return
+	}
+	defer side.Close()
+	deadline, _ := ctx.Deadline()
+	_ = side.SetDeadline(deadline)
+	message, err := (&pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}).Encode(nil)
+	if err != nil {
+		return
+	}
+	if _, err := side.Write(message); err != nil {
+		return
+	}
+	var end [1]byte
+	_, _ = side.Read(end[:]) // The instance closes when it has taken it in.
+}
+
+// adjust gives the connection the session's settings.
+func (c *conn) adjust(ctx context.Context, settings map[string]string) error {
+	if equal(c.settings, settings) {
+		return nil
+	}
+	var query strings.Builder
+	if len(c.settings) > 0 {
+		query.WriteString("RESET ALL;")
+	}
+	for name, value := range settings {
+		query.WriteString("SET " + quoteIdentifier(name) + " = " + quoteLiteral(value) + ";")
+	}
+	if err := c.run(ctx, query.String()); err != nil {
+		c.settings = unknownSettings
+		return err
+	}
+	c.settings = settings
+	return nil
+}
+
+// unknownSettings stand for settings that were applied in part. They equal no
+// session's.
+var unknownSettings = map[string]string{"": ""}
+
+// reset undoes what a statement may have changed on the connection.
+func (c *conn) reset(ctx context.Context) error {
+	c.mu.Lock()
+	c.dirty = false
+	c.mu.Unlock()
+	if err := c.run(ctx, "DISCARD ALL"); err != nil {
+		c.close()
+		return err
+	}
+	c.settings = nil
+	c.mu.Lock()
+	c.prepared = newPreparer()
+	c.mu.Unlock()
+	return nil
+}
+
+func equal(a, b map[string]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, value := range a {
+		if other, ok := b[name]; !ok || other != value {
+			return false
+		}
+	}
+	return true
+}
+
+// quoteIdentifier quotes the parts of a setting's name.
+func quoteIdentifier(name string) string {
+	parts := strings.Split(name, ".")
+	for i, part := range parts {
+		parts[i] = `"` + strings.ReplaceAll(part, `"`, `""`) + `"`
+	}
+	return strings.Join(parts, ".")
+}
+
+func quoteLiteral(value string) string {
+	quoted := "'" + strings.ReplaceAll(value, "'", "''") + "'"
+	if strings.Contains(value, `\`) {
+		return " E" + strings.ReplaceAll(quoted, `\`, `\\`)
+	}
+	return quoted
+}
--- /dev/null
+++ b/tarragonshed/home/group.go
@@ -0,0 +1,216 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tarragonshed.example/acknowledger"
+	"tarragonshed.example/instance"
+	"tarragonshed.example/manifest"
+	"tarragonshed.example/recorder"
+	"tarragonshed.example/result"
+	"tarragonshed.example/tarragonshed/controller"
+	"tarragonshed.example/unit"
+)
+
+// The timing of questions to the group's other instances.
+const (
+	resolveFirst   = 20 * time.Millisecond
+	resolveLast    = 250 * time.Millisecond
+	resolveTimeout = 500 * time.Millisecond
+)
+
+// released is the outcome of a wait for a majority.
+type released struct {
+	position unit.Position
+	err      *result.Error
+}
+
+// group is the acknowledger of one group, under one lock.
+type group struct {
+	home *Home
+	name unit.GroupName
+
+	mu        sync.Mutex
+	core      *acknowledger.Acknowledger
+	waits     map[acknowledger.WaitID]chan released
+	next      acknowledger.WaitID
+	resolving bool
+	primary   unit.InstanceName
+	term      unit.Term
+}
+
+func newGroup(h *Home, g manifest.Group) *group {
+	return &group{
+		home: h, name: g.Name,
+		core:  acknowledger.New(len(g.Instances)),
+		waits: make(map[acknowledger.WaitID]chan released),
+	}
+}
+
+// known returns the primary as far as reports have told.
+func (g *group) known() unit.InstanceName {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primary
+}
+
+// covers reports whether a majority is known to hold p.
+func (g *group) covers(p unit.Position) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Covers(p)
+}
+
+// await starts a wait. The channel receives one value.
+func (g *group) await(s seen, wrote bool, deadline time.Time) (acknowledger.WaitID, <-chan released) {
+	answer := make(chan released, 1)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.next++
+	id := g.next
+	g.waits[id] = answer
+	g.apply(g.core.Step(acknowledger.Await{ID: id, Position: s.position, Term: s.term, Wrote: wrote, Deadline: deadline}))
+	return id, answer
+}
+
+// abandon ends a wait that nobody needs any more.
+func (g *group) abandon(id acknowledger.WaitID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waits, id)
+	g.core.Step(acknowledger.Abandon{ID: id})
+}
+
+func (g *group) receive(r instance.Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.Primary != "" && r.Term >= g.term {
+		g.primary, g.term = r.Primary, r.Term
+	}
+	g.apply(g.core.Step(acknowledger.Reported{Report: r}))
+}
+
+func (g *group) lost(name unit.InstanceName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if name == g.primary {
+		g.apply(g.core.Step(acknowledger.Lost{Instance: name}))
+	}
+}
+
+func (g *group) expire(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.waits) > 0 {
+		g.apply(g.core.Step(acknowledger.Expire{Now: now}))
+	}
+}
+
+// apply carries out effects of the acknowledger. The lock is held.
+func (g *group) apply(effects []acknowledger.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case acknowledger.Release:
+			g.end(effect.ID, released{position: effect.Position})
+		case acknowledger.Refuse:
+			g.home.recorder.Record(recorder.Event{Kind: recorder.WriteUnconfirmed, Group: g.name, Detail: effect.Err.Error()})
+			g.end(effect.ID, released{err: effect.Err})
+		case acknowledger.AskReports:
+			g.resolve()
+		case acknowledger.AskHistory:
+			g.resolve()
+		}
+	}
+}
+
+func (g *group) end(id acknowledger.WaitID, r released) {
+	if answer, ok := g.waits[id]; ok {
+		answer <- r
+		delete(g.waits, id)
+	}
+}
+
+// resolve asks the group's instances until no wait is left. The lock is held.
+func (g *group) resolve() {
+	if g.resolving || len(g.waits) == 0 {
+		return
+	}
+	g.resolving = true
+	go func() {
+		for wait := resolveFirst; ; wait = min(2*wait, resolveLast) {
+			g.askAll()
+			if g.resolved() {
+				return
+			}
+			select {
+			case <-time.After(wait):
+			case <-g.home.ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+func (g *group) resolved() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.resolving = len(g.waits) > 0
+	return !g.resolving
+}
+
+// askAll asks each instance once, all at the same time.
+func (g *group) askAll() {
+	now := g.home.holder.Current()
+	if now.Manifest == nil {
+		return
+	}
+	configured, ok := now.Manifest.Group(g.name)
+	if !ok {
+		return
+	}
+	var asking sync.WaitGroup
+	for _, i := range configured.Instances {
+		asking.Go(func() { g.askOne(i) })
+	}
+	asking.Wait()
+}
+
+// askOne asks one instance for its report, and the primary for its history.
+func (g *group) askOne(i manifest.Instance) {
+	ctx, stop := context.WithTimeout(g.home.ctx, resolveTimeout)
+	defer stop()
+	options := []controller.Option{controller.WithDatabase(string(g.name)), controller.WithUser(g.home.user, g.home.password)}
+	c, err := controller.Dial(ctx, g.home.dial, i.Address, options...)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	report, err := c.Status(ctx)
+	if err != nil {
+		return
+	}
+	g.receive(report)
+	if report.Role != instance.Primary {
+		return
+	}
+	history, err := c.History(ctx)
+	if err != nil {
+		return
+	}
+	extents := make([]acknowledger.Extent, len(history))
+	for n, e := range history {
+		extents[n] = acknowledger.Extent{Term: e.Term, First: e.First, Last: e.Last}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(g.core.Step(acknowledger.HistoryRead{Extents: extents}))
+}
+
+// resize adopts the number of instances that the manifest lists.
+func (g *group) resize(instances int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Resize(instances)
+}
--- /dev/null
+++ b/tarragonshed/home/target.go
@@ -0,0 +1,331 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tarragonshed.example/instance"
+	"tarragonshed.example/limiter"
+	"tarragonshed.example/manifest"
+	"tarragonshed.example/placer"
+	"tarragonshed.example/pooler"
+	"tarragonshed.example/recorder"
+	"tarragonshed.example/result"
+	"tarragonshed.example/tarragonshed/holder"
+	"tarragonshed.example/unit"
+)
+
+const (
+	// queuePerSlot bounds the statements that wait for an instance.
+	queuePerSlot = 200
+	openingLimit = 3
+	// refillRate is in connections a second.
+	refillRate  = 50
+	openTimeout = 2 * time.Second
+)
+
+// gave is the answer to a request for a connection.
+type gave struct {
+	conn  *conn
+	check bool
+	err   *result.Error
+}
+
+// target is one instance that this daemon is a home of, under one lock.
+type target struct {
+	home    *Home
+	group   *group
+	name    unit.InstanceName
+	control *control
+	stop    context.CancelFunc
+
+	mu       sync.Mutex
+	endpoint endpoint
+	limiter  *limiter.Limiter
+	pool     *pooler.Pooler
+	conns    map[pooler.Conn]*conn
+	admits   map[limiter.ID]chan *result.Error
+	gives    map[pooler.Ticket]chan gave
+	next     uint64
+	stopped  bool
+
+	report    instance.Report
+	reported  chan struct{} // Closed at the next report.
+	reachable bool
+	// safe is the highest position that the instance was known to have
+	// applied in the position's own term.
+	safe unit.Position
+}
+
+func newTarget(h *Home, g *group, i manifest.Instance, limits bounds) *target {
+	ctx, stop := context.WithCancel(h.ctx)
+	t := &target{
+		home: h, group: g, name: i.Name, stop: stop,
+		endpoint: h.endpoint(g.name, i.Address),
+		limiter:  limiter.New(limits.limiter()),
+		pool:     pooler.New(limits.pooler()),
+		conns:    make(map[pooler.Conn]*conn),
+		admits:   make(map[limiter.ID]chan *result.Error),
+		gives:    make(map[pooler.Ticket]chan gave),
+		reported: make(chan struct{}),
+	}
+	t.control = newControl(ctx, t.endpoint, t.receive, t.lost)
+	return t
+}
+
+// bounds are a home's limits for one instance.
+type bounds struct{ slots, share int }
+
+// boundsOf returns the limits of this daemon, which takes the place of one
+// further home when it is none by its own view.
+func boundsOf(now holder.Snapshot, g manifest.Group, i manifest.Instance) bounds {
+	homes := placer.HomeCount(g, i)
+	chosen := placer.Homes(now.View, i, homes)
+	rank := len(chosen) - 1
+	for r, d := range chosen {
+		if d.ID == now.View.Self {
+			rank = r
+		}
+	}
+	return bounds{
+		slots: max(1, limiter.Part(i.Slots, max(1, len(chosen)), max(0, rank))),
+		share: pooler.Share(i.Connections, homes),
+	}
+}
+
+func (b bounds) limiter() limiter.Limits {
+	return limiter.Limits{Slots: b.slots, Connections: b.share, Queue: b.slots * queuePerSlot}
+}
+
+func (b bounds) pooler() pooler.Limits {
+	return pooler.Limits{Share: b.share, Warm: min(b.slots+1, b.share), Opening: openingLimit, Rate: refillRate}
+}
+
+// resize adopts what a newer manifest or view says.
+func (t *target) resize(b bounds) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit(t.limiter.Step(limiter.Resize{Limits: b.limiter(), Now: now}))
+	t.apply(t.pool.Step(pooler.Resize{Limits: b.pooler(), Now: now}))
+}
+
+// tick lets time pass.
+func (t *target) tick(now time.Time) {
+	t.control.check(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped && t.reachable {
+		t.apply(t.pool.Step(pooler.Tick{Now: now}))
+	}
+}
+
+// close closes everything.
+func (t *target) close() {
+	t.stop()
+	t.mu.Lock()
+	t.stopped = true
+	conns := t.conns
+	t.conns = make(map[pooler.Conn]*conn)
+	t.mu.Unlock()
+	for _, c := range conns {
+		c.close()
+	}
+}
+
+// receive takes a report of the instance in.
+func (t *target) receive(r instance.Report) {
+	t.mu.Lock()
+	if r.Supersedes(t.report) || !t.reachable {
+		t.report = r
+		close(t.reported)
+		t.reported = make(chan struct{})
+	}
+	t.reachable = true
+	if r.Applied.Term == r.Term {
+		t.safe = t.safe.Max(r.Applied)
+	}
+	t.mu.Unlock()
+	t.group.receive(r)
+}
+
+// lost notes that the control connection was lost.
+func (t *target) lost() {
+	t.mu.Lock()
+	t.reachable = false
+	t.mu.Unlock()
+	t.group.lost(t.name)
+}
+
+// last returns the latest report and a channel that is closed at the next one.
+func (t *target) last() (r instance.Report, reachable bool, next <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.report, t.reachable, t.reported
+}
+
+// isSafe reports whether reads may show the position although the instance has no
+// record of its current term yet.
+func (t *target) isSafe(p unit.Position) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.safe.AtLeast(p)
+}
+
+// admit asks for a slot, and for the right to a connection unless the
+// transaction is open. The channel receives one value, nil for admission.
+func (t *target) admit(caller unit.CallerName, p limiter.Priority, deadline time.Time) (limiter.ID, <-chan *result.Error) {
+	answer := make(chan *result.Error, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next++
+	id := limiter.ID(t.next)
+	t.admits[id] = answer
+	t.limit(t.limiter.Step(limiter.Request{ID: id, Caller: caller, Priority: p, Now: time.Now(), Deadline: deadline}))
+	return id, answer
+}
+
+// withdraw takes a request for a slot back. It reports whether the request was
+// still waiting.
+func (t *target) withdraw(id limiter.ID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, waiting := t.admits[id]; !waiting {
+		return false
+	}
+	delete(t.admits, id)
+	t.limiter.Step(limiter.Withdraw{ID: id})
+	return true
+}
+
+// finish gives a slot back.
+func (t *target) finish(took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit(t.limiter.Step(limiter.Finished{Now: time.Now(), Took: took}))
+}
+
+// endTransaction gives the right to a connection back.
+func (t *target) endTransaction() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit(t.limiter.Step(limiter.TransactionEnded{Now: time.Now()}))
+}
+
+// limit carries out effects of the limiter. The lock is held.
+func (t *target) limit(effects []limiter.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case limiter.Admit:
+			t.admits[effect.ID] <- nil
+			delete(t.admits, effect.ID)
+		case limiter.Refuse:
+			t.admits[effect.ID] <- effect.Err
+			delete(t.admits, effect.ID)
+		}
+	}
+}
+
+// take asks for a connection. The channel receives one value.
+func (t *target) take() (pooler.Ticket, <-chan gave) {
+	answer := make(chan gave, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next++
+	ticket := pooler.Ticket(t.next)
+	t.gives[ticket] = answer
+	t.apply(t.pool.Step(pooler.Take{Ticket: ticket, Now: time.Now()}))
+	return ticket, answer
+}
+
+// withdrawTake takes a request for a connection back. It reports whether the
+// request was still waiting.
+func (t *target) withdrawTake(ticket pooler.Ticket) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, waiting := t.gives[ticket]; !waiting {
+		return false
+	}
+	delete(t.gives, ticket)
+	t.pool.Step(pooler.Withdraw{Ticket: ticket})
+	return true
+}
+
+// put returns an idle connection.
+func (t *target) put(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, open := t.conns[c.id]; open {
+		t.apply(t.pool.Step(pooler.Returned{Conn: c.id, Now: time.Now()}))
+	}
+}
+
+// apply carries out effects of the pooler. The lock is held.
+func (t *target) apply(effects []pooler.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case pooler.Give:
+			t.gives[effect.Ticket] <- gave{conn: t.conns[effect.Conn], check: effect.Check}
+			delete(t.gives, effect.Ticket)
+		case pooler.Fail:
+			t.gives[effect.Ticket] <- gave{err: effect.Err}
+			delete(t.gives, effect.Ticket)
+		case pooler.Open:
+			go t.open()
+		case pooler.Close:
+			t.conns[effect.Conn].close()
+			delete(t.conns, effect.Conn)
+		case pooler.Probe:
+			go t.probe(effect)
+		}
+	}
+}
+
+// open opens one connection.
+func (t *target) open() {
+	ctx, stop := context.WithTimeout(t.home.ctx, openTimeout)
+	defer stop()
+	hijacked, err := t.endpoint.connect(ctx)
+	now := time.Now()
+	if err != nil {
+		failure, exhausted := connectError(t.name, err)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.apply(t.pool.Step(pooler.OpenFailed{Now: now, Exhausted: exhausted, Err: failure}))
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next++
+	id := pooler.Conn(t.next)
+	c := newConn(id, t.endpoint, hijacked, t.gone)
+	t.conns[id] = c
+	t.home.recorder.Record(recorder.Event{Kind: recorder.ConnectionOpened, Group: t.group.name, Instance: t.name})
+	if t.stopped {
+		c.close()
+	}
+	t.apply(t.pool.Step(pooler.Opened{Conn: id, Now: now}))
+}
+
+// gone takes a closed connection out of the pool.
+func (t *target) gone(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, open := t.conns[c.id]; !open {
+		return
+	}
+	delete(t.conns, c.id)
+	t.home.recorder.Record(recorder.Event{Kind: recorder.ConnectionClosed, Group: t.group.name, Instance: t.name})
+	effects := t.pool.Step(pooler.Gone{Conn: c.id, Now: time.Now()})
+	if !t.stopped {
+		t.apply(effects)
+	}
+}
+
+// unused reports whether no transaction is open.
+func (t *target) unused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.Open() == 0 && t.limiter.Queued() == 0
+}
--- /dev/null
+++ b/tarragonshed/translator/translator.go
@@ -0,0 +1,59 @@
+// Package translator turns positions and reports into wire types and back.
+//
+// # Usage
+//
+//	settled.Position = translator.ToPosition(position)
+//	report := translator.FromReport(settled.Report)
+package translator
+
+import (
+	"tarragonshed.example/instance"
+	"tarragonshed.example/unit"
+	"tarragonshed.example/wire/peer"
+)
+
+// ToPosition returns p on the wire. The zero position is nil.
+func ToPosition(p unit.Position) *peer.Position {
+	if p.IsZero() {
+		return nil
+	}
+	return &peer.Position{Term: uint64(p.Term), Index: uint64(p.Index)}
+}
+
+// FromPosition returns the position that p stands for.
+func FromPosition(p *peer.Position) unit.Position {
+	return unit.Position{Term: unit.Term(p.GetTerm()), Index: unit.Index(p.GetIndex())}
+}
+
+// ToReport returns r on the wire. A report without an instance is nil.
+func ToReport(r instance.Report) *peer.InstanceReport {
+	if r.Instance == "" {
+		return nil
+	}
+	report := &peer.InstanceReport{
+		Instance: string(r.Instance), Boot: r.Boot, Sequence: r.Sequence, Role: string(r.Role),
+		Term: uint64(r.Term), GrantedTo: r.GrantedTo, Last: ToPosition(r.Last), Applied: ToPosition(r.Applied),
+		FreshAt: r.FreshAt, Primary: string(r.Primary), Quiesced: r.Quiesced,
+	}
+	for _, f := range r.Followers {
+		report.Followers = append(report.Followers, &peer.FollowerReport{
+			Instance: string(f.Instance), Term: uint64(f.Term), Last: ToPosition(f.Last),
+		})
+	}
+	return report
+}
+
+// FromReport returns the report that r stands for.
+func FromReport(r *peer.InstanceReport) instance.Report {
+	report := instance.Report{
+		Instance: unit.InstanceName(r.GetInstance()), Boot: r.GetBoot(), Sequence: r.GetSequence(), Role: instance.Role(r.GetRole()),
+		Term: unit.Term(r.GetTerm()), GrantedTo: r.GetGrantedTo(), Last: FromPosition(r.GetLast()), Applied: FromPosition(r.GetApplied()),
+		FreshAt: r.GetFreshAt(), Primary: unit.InstanceName(r.GetPrimary()), Quiesced: r.GetQuiesced(),
+	}
+	for _, f := range r.GetFollowers() {
+		report.Followers = append(report.Followers, instance.Follower{
+			Instance: unit.InstanceName(f.GetInstance()), Term: unit.Term(f.GetTerm()), Last: FromPosition(f.GetLast()),
+		})
+	}
+	return report
+}
