--- a/standin/target/run.go
+++ b/standin/target/run.go
@@ -142,9 +142,9 @@
 	case setKind:
 		return p.tag, s.set(p)
 	case resetKind:
-		s.put(p.at(1).text, startSettings(&pgproto3.StartupMessage{})[p.at(1).text])
+		s.reset(lower(p.at(1).text))
 	case discardKind:
-		s.settings = startSettings(&pgproto3.StartupMessage{Parameters: map[string]string{"application_name": s.settings["application_name"]}})
+		s.reset("all")
 		s.prepared = map[string]*prepared{}
 		s.listens = false
 	case deallocateKind:
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &session{
-		target: t, backend: backend, life: ctx, types: pgtype.NewMap(), settings: startSettings(startup),
+		target: t, backend: backend, life: ctx, types: pgtype.NewMap(), settings: startSettings(startup), initial: startSettings(startup),
 		control:  startup.Parameters["application_name"] == controlApplication,
 		prepared: map[string]*prepared{}, portals: map[string]*portal{},
 	}
--- a/standin/target/session.go
+++ b/standin/target/session.go
@@ -31,6 +31,7 @@
 	// notification is sent.
 	mu       sync.Mutex
 	settings map[string]string
+	initial  map[string]string // The settings at the start.
 	prepared map[string]*prepared
 	portals  map[string]*portal
 	tx       transaction
--- a/standin/target/settings.go
+++ b/standin/target/settings.go
@@ -29,7 +29,7 @@
 		s.put("timezone", p.at(i+2).text)
 		return nil
 	}
-	name := p.at(i).text
+	name := lower(p.at(i).text)
 	for i++; p.at(i).is("."); i += 2 {
 		name += "." + p.at(i+1).text
 	}
@@ -44,7 +44,7 @@
 		value = strings.TrimSpace(p.source[p.tokens[i+1].start:])
 	}
 	if lower(value) == "default" {
-		value = startSettings(&pgproto3.StartupMessage{})[name]
+		value = s.initial[name]
 	}
 	s.put(name, value)
 	return nil
@@ -60,6 +60,15 @@
 	}
 }
 
+// reset gives a setting, or all of them, the value that it had at the start.
+func (s *session) reset(name string) {
+	for changed, value := range s.settings {
+		if initial := s.initial[changed]; value != initial && (name == "all" || name == changed) {
+			s.put(changed, initial)
+		}
+	}
+}
+
 func (s *session) show(p *parsed, out *answer) (string, error) {
 	var words []string
 	for _, t := range p.tokens[1:] {
--- a/tarragonshed/home/conn.go
+++ b/tarragonshed/home/conn.go
@@ -163,13 +163,6 @@
 	return c.dirty
 }
 
-// settled reports whether no answer is owed.
-func (c *conn) settled() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answers.empty()
-}
-
 // waits returns since when the connection owes an answer without having said
 // anything, and when it was last heard of.
 func (c *conn) waits() (since, heard time.Time, owes bool) {
@@ -261,7 +254,7 @@
 		query.WriteString("RESET ALL;")
 	}
 	for name, value := range settings {
-		query.WriteString("SET " + quoteIdentifier(name) + " = " + quoteLiteral(value) + ";")
+		query.WriteString("SET " + quoteIdentifier(strings.ToLower(name)) + " = " + quoteLiteral(value) + ";")
 	}
 	if err := c.run(ctx, query.String()); err != nil {
 		c.settings = unknownSettings
