controller: deliver pushed reports on the connection that also makes calls

A control connection counts against an instance's connections; a watcher now needs one for reports and calls together.

--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -16,6 +16,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	_ = flag.Set("rapid.nofailfile", "true")
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		_ = flag.Set("rapid.seed", "1")
 	}
--- a/tarragonshed/controller/controller.go
+++ b/tarragonshed/controller/controller.go
@@ -12,8 +12,9 @@
 //
 // Every call returns the [instance.Report] that the instance made in the same
 // atomic step as the call's effect. Whether a call took effect is read from the
-// report and never from the absence of an error. [Listen] delivers reports as
-// they change, on a connection of its own.
+// report and never from the absence of an error. A Conn that was dialed
+// [WithReceiver] also delivers reports as they change, in between its calls.
+// [Listen] does only that, on a connection of its own.
 //
 // # Usage
 //
@@ -36,6 +37,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -54,8 +56,6 @@
 // DefaultUser is the user that control connections authenticate as.
 const DefaultUser = "tarragon"
 
-const closeTimeout = 100 * time.Millisecond
-
 // Extent is the range of a log's indexes that was written in one term.
 type Extent struct {
 	Term  unit.Term  `json:"term"`
@@ -65,13 +65,20 @@
 
 // Conn is a control connection to one instance. It is safe for concurrent use.
 type Conn struct {
-	mu sync.Mutex
-	pg *pgconn.PgConn
+	mu     sync.Mutex // Held while pg is in use.
+	pg     *pgconn.PgConn
+	done   chan struct{}
+	broken atomic.Bool
+
+	waiting   sync.Mutex
+	idle      *sync.Cond // Signalled when callers falls to zero.
+	callers   int
+	interrupt context.CancelFunc
 }
 
 type settings struct {
 	user, password, database string
-	notify                   func(payload string)
+	receive                  func(instance.Report)
 }
 
 // Option changes how a control connection is opened.
@@ -87,6 +94,13 @@
 	return func(s *settings) { s.database = name }
 }
 
+// WithReceiver calls receive with the instance's present report, before Dial
+// returns, and with each one that the instance pushes, in order. It must not
+// call the Conn.
+func WithReceiver(receive func(instance.Report)) Option {
+	return func(s *settings) { s.receive = receive }
+}
+
 // Dial opens a control connection to the instance at the host:port address.
 func Dial(ctx context.Context, dial dialer.Func, address string, options ...Option) (*Conn, error) {
 	s := settings{user: DefaultUser}
@@ -101,7 +115,16 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "controller: connect to %s", address)
 	}
-	return &Conn{pg: pg}, nil
+	c := &Conn{pg: pg, done: make(chan struct{}), interrupt: func() {}}
+	c.idle = sync.NewCond(&c.waiting)
+	if s.receive == nil {
+		return c, nil
+	}
+	if err := c.listen(ctx, s.receive); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
 }
 
 func (s settings) config(dial dialer.Func, address string) (*pgconn.Config, error) {
@@ -116,11 +139,12 @@
 	config.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return dial(ctx, "tcp", address)
 	}
-	if s.notify != nil {
-		config.OnNotification = func(_ *pgconn.PgConn, n *pgconn.Notification) {
-			if n.Channel == Channel {
-				s.notify(n.Payload)
-			}
+	config.OnNotification = func(_ *pgconn.PgConn, n *pgconn.Notification) {
+		if n.Channel != Channel || s.receive == nil {
+			return
+		}
+		if report, err := parse([]byte(n.Payload)); err == nil {
+			s.receive(report)
 		}
 	}
 	return config, nil
@@ -169,14 +193,16 @@
 
 // Broken reports whether the connection can't be used any more.
 func (c *Conn) Broken() bool {
-	return c.pg.IsClosed()
+	return c.broken.Load()
 }
 
-// Close closes the connection.
+// Close closes the connection. A call that is under way fails.
 func (c *Conn) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	_ = c.pg.Close(ctx)
+	c.broken.Store(true)
+	_ = c.pg.Conn().Close()
+	c.enter()
+	defer c.leave()
+	_ = c.pg.Close(context.Background())
 }
 
 func (c *Conn) report(ctx context.Context, query string) (instance.Report, error) {
@@ -188,8 +214,8 @@
 }
 
 func (c *Conn) text(ctx context.Context, query string) ([]byte, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.enter()
+	defer c.leave()
 	results, err := c.pg.Exec(ctx, query).ReadAll()
 	if err != nil {
 		return nil, trace.Wrap(err, "controller: %s", query)
--- a/tarragonshed/controller/controller_test.go
+++ b/tarragonshed/controller/controller_test.go
@@ -63,6 +63,23 @@
 	})
 }
 
+func TestReceiver(t *testing.T) {
+	is := is.New(t)
+	fake := newFake()
+	received := make(chan instance.Report, 4)
+	conn, err := controller.Dial(t.Context(), fake.dial, "127.0.0.1:1", controller.WithReceiver(func(r instance.Report) { received <- r }))
+	is.NoErr(err)
+	for range 20 {
+		_, err := conn.Status(t.Context()) // The waiting reader makes way.
+		is.NoErr(err)
+	}
+	is.Equal((<-received).Term, unit.Term(1))
+	is.Equal((<-received).Term, unit.Term(2))
+	is.Equal((<-received).Term, unit.Term(3))
+	conn.Close()
+	<-conn.Done()
+}
+
 func TestListen(t *testing.T) {
 	is := is.New(t)
 	fake := newFake()
@@ -90,7 +107,7 @@
 }
 
 func newFake() *fakeTarget {
-	return &fakeTarget{report: instance.Report{Instance: "a", Term: 1}, queries: make(chan string, 16)}
+	return &fakeTarget{report: instance.Report{Instance: "a", Term: 1}, queries: make(chan string, 64)}
 }
 
 func (f *fakeTarget) dial(context.Context, string, string) (net.Conn, error) {
--- a/tarragonshed/controller/listen.go
+++ b/tarragonshed/controller/listen.go
@@ -12,33 +12,86 @@
 // receive with its present report and with each later one that it pushes. It
 // returns when the connection breaks or ctx ends; the error is never nil.
 func Listen(ctx context.Context, dial dialer.Func, address string, receive func(instance.Report), options ...Option) error {
-	var malformed error
-	deliver := func(payload string) {
-		report, err := parse([]byte(payload))
-		if err != nil {
-			malformed = err
-			return
-		}
-		receive(report)
-	}
-	options = append(options, func(s *settings) { s.notify = deliver })
-	conn, err := Dial(ctx, dial, address, options...)
+	conn, err := Dial(ctx, dial, address, append(options, WithReceiver(receive))...)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	if _, err := conn.pg.Exec(ctx, "LISTEN "+Channel).ReadAll(); err != nil {
-		return trace.Wrap(err, "controller: listen on %s", address)
+	select {
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err(), "controller: listen on %s", address)
+	case <-conn.Done():
+		return trace.ConnectionProblem(nil, "controller: the connection to %s broke", address)
 	}
-	report, err := conn.Status(ctx)
+}
+
+// Done is closed when a Conn that was dialed [WithReceiver] is closed or breaks.
+func (c *Conn) Done() <-chan struct{} {
+	return c.done
+}
+
+// listen subscribes to the instance's reports, delivers the present one and
+// starts to read the others.
+func (c *Conn) listen(ctx context.Context, receive func(instance.Report)) error {
+	if _, err := c.pg.Exec(ctx, "LISTEN "+Channel).ReadAll(); err != nil {
+		return trace.Wrap(err, "controller: listen")
+	}
+	report, err := c.Status(ctx)
 	if err != nil {
 		return err
 	}
 	receive(report)
-	for malformed == nil {
-		if err := conn.pg.WaitForNotification(ctx); err != nil {
-			return trace.Wrap(err, "controller: wait for a report of %s", address)
+	go func() {
+		defer close(c.done)
+		for !c.Broken() {
+			c.await()
+		}
+	}()
+	return nil
+}
+
+// await reads pushed reports until a call wants the connection.
+func (c *Conn) await() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c.yield(cancel)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for ctx.Err() == nil && !c.Broken() {
+		if err := c.pg.WaitForNotification(ctx); err != nil && ctx.Err() == nil {
+			c.broken.Store(true)
 		}
 	}
-	return malformed
+	c.broken.CompareAndSwap(false, c.pg.IsClosed())
+}
+
+// yield waits until no call wants the connection, and lets the next one call
+// interrupt.
+func (c *Conn) yield(interrupt context.CancelFunc) {
+	c.waiting.Lock()
+	defer c.waiting.Unlock()
+	for c.callers > 0 {
+		c.idle.Wait()
+	}
+	c.interrupt = interrupt
+}
+
+// enter takes the connection for a call.
+func (c *Conn) enter() {
+	c.waiting.Lock()
+	c.callers++
+	c.interrupt()
+	c.waiting.Unlock()
+	c.mu.Lock()
+}
+
+func (c *Conn) leave() {
+	c.broken.CompareAndSwap(false, c.pg.IsClosed())
+	c.mu.Unlock()
+	c.waiting.Lock()
+	defer c.waiting.Unlock()
+	c.callers--
+	if c.callers == 0 {
+		c.idle.Signal()
+	}
 }
