--- a/promoter/change.go
+++ b/promoter/change.go
@@ -130,7 +130,7 @@
 	}
 	c.pollAt = p.now.Add(activeInterval)
 	target.probing, target.probedAt = true, p.now
-	p.do(Probe{Instance: target.Name, Fresh: target.fresh, Timeout: p.detect.timeout(&target.history)})
+	p.do(Probe{Instance: target.Name, Fresh: target.fresh, Timeout: p.probeTimeout(target)})
 }
 
 // leave begins a change when the primary is leaving.
--- a/promoter/peer.go
+++ b/promoter/peer.go
@@ -128,10 +128,20 @@
 			continue
 		}
 		q.probing, q.probedAt = true, p.now
-		p.do(Probe{Instance: q.Name, Fresh: q.fresh, Timeout: p.detect.timeout(&q.history)})
+		p.do(Probe{Instance: q.Name, Fresh: q.fresh, Timeout: p.probeTimeout(q)})
 	}
 }
 
+// probeTimeout returns how long a probe may take. One on a fresh connection takes
+// more round trips.
+func (p *Promoter) probeTimeout(q *peer) time.Duration {
+	timeout := p.detect.timeout(&q.history)
+	if q.fresh || !q.known {
+		return timeout * 3 / 2
+	}
+	return timeout
+}
+
 // probeDue returns when the instance is to be probed next.
 func (p *Promoter) probeDue(q *peer) time.Time {
 	interval := p.probeInterval(q)
@@ -148,8 +158,10 @@
 func (p *Promoter) probeInterval(q *peer) time.Duration {
 	primary := p.find(p.primary.Instance)
 	switch {
-	case primary != nil && q == primary:
+	case primary != nil && q == primary && p.confirmed == p.primary.Term:
 		return p.timing.ProbeInterval
+	case primary != nil && q == primary:
+		return p.timing.Stagger / 2
 	case primary == nil, primary.missed > 0, p.suspicion.reason != noReason:
 		return p.timing.Stagger / 2
 	}
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -302,3 +302,19 @@
 func (p *Promoter) emit(event recorder.Event) {
 	p.do(Emit{Event: event})
 }
+
+// Settled reports whether the primary and a majority that follows it have
+// reported.
+func (p *Promoter) Settled() bool {
+	primary := p.find(p.primary.Instance)
+	if primary == nil || !primary.leads(p.primary) {
+		return false
+	}
+	following := 0
+	for _, q := range p.peers {
+		if q.alive() && q.follows(p.primary) {
+			following++
+		}
+	}
+	return following >= p.majority()
+}
--- a/tarragonshed/controller/controller.go
+++ b/tarragonshed/controller/controller.go
@@ -5,8 +5,9 @@
 // A [Conn] is one connection to one instance under the application name
 // "tarragon-control", which takes no slot of the instance. It serves one call at
 // a time; calls of several goroutines wait for each other. A call that fails for
-// any other reason than an error of the instance breaks the connection: see
-// [Conn.Broken].
+// any other reason than an error of the instance breaks the connection. Between
+// calls a Conn reads, so that [Conn.Done] tells at once when the other end
+// closes or resets the connection.
 //
 // # Reports
 //
@@ -117,13 +118,18 @@
 	}
 	c := &Conn{pg: pg, done: make(chan struct{}), interrupt: func() {}}
 	c.idle = sync.NewCond(&c.waiting)
-	if s.receive == nil {
-		return c, nil
-	}
-	if err := c.listen(ctx, s.receive); err != nil {
-		c.Close()
-		return nil, err
+	if s.receive != nil {
+		if err := c.listen(ctx, s.receive); err != nil {
+			_ = pg.Close(ctx)
+			return nil, err
+		}
 	}
+	go func() {
+		defer close(c.done)
+		for !c.Broken() {
+			c.await()
+		}
+	}()
 	return c, nil
 }
 
@@ -220,10 +226,19 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "controller: %s", query)
 	}
-	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 1 {
+	text, ok := single(results)
+	if !ok {
 		return nil, trace.BadParameter("controller: %s did not return one value", query)
 	}
-	return results[0].Rows[0][0], nil
+	return text, nil
+}
+
+// single returns the only value of a result.
+func single(results []*pgconn.Result) ([]byte, bool) {
+	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 1 {
+		return nil, false
+	}
+	return results[0].Rows[0][0], true
 }
 
 func parse(text []byte) (instance.Report, error) {
--- a/tarragonshed/controller/controller_test.go
+++ b/tarragonshed/controller/controller_test.go
@@ -17,6 +17,8 @@
 	"tarragonshed.example/unit"
 )
 
+const listenQuery = "LISTEN tarragon_status; SELECT tarragon_status()"
+
 func TestConn(t *testing.T) {
 	t.Run("sends the documented calls", func(t *testing.T) {
 		is := is.New(t)
@@ -53,6 +55,16 @@
 		is.True(err != nil)
 		is.True(conn.Broken())
 	})
+	t.Run("a connection that the target closes is done", func(t *testing.T) {
+		is := is.New(t)
+		fake := newFake()
+		conn, err := controller.Dial(t.Context(), fake.dial, "127.0.0.1:1")
+		is.NoErr(err)
+		is.True(!conn.Broken())
+		fake.close()
+		<-conn.Done()
+		is.True(conn.Broken())
+	})
 	t.Run("a refused connection can be told apart", func(t *testing.T) {
 		is := is.New(t)
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -94,7 +106,7 @@
 	})
 	is.True(err != nil)
 	is.Equal(terms, []uint64{1, 2, 3}) // The present report, then each pushed one.
-	fake.expect(t, "LISTEN tarragon_status", "SELECT tarragon_status()")
+	fake.expect(t, listenQuery)
 }
 
 // fakeTarget answers every query with its report, and pushes two more after
@@ -104,6 +116,7 @@
 	silent     bool
 	queries    chan string
 	parameters map[string]string
+	close      func()
 }
 
 func newFake() *fakeTarget {
@@ -112,6 +125,7 @@
 
 func (f *fakeTarget) dial(context.Context, string, string) (net.Conn, error) {
 	client, server := net.Pipe()
+	f.close = func() { _ = server.Close() }
 	go f.serve(server)
 	return client, nil
 }
@@ -126,7 +140,6 @@
 	f.parameters = startup.(*pgproto3.StartupMessage).Parameters
 	backend.Send(&pgproto3.AuthenticationOk{})
 	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-	listening := false
 	for backend.Flush() == nil {
 		message, err := backend.Receive()
 		if err != nil {
@@ -141,11 +154,10 @@
 			continue
 		}
 		f.answer(backend)
-		if listening {
+		if query.String == listenQuery {
 			f.push(backend, 2)
 			f.push(backend, 3)
 		}
-		listening = query.String == "LISTEN tarragon_status"
 	}
 }
 
--- a/tarragonshed/controller/listen.go
+++ b/tarragonshed/controller/listen.go
@@ -25,28 +25,26 @@
 	}
 }
 
-// Done is closed when a Conn that was dialed [WithReceiver] is closed or breaks.
+// Done is closed when the Conn is closed or breaks.
 func (c *Conn) Done() <-chan struct{} {
 	return c.done
 }
 
-// listen subscribes to the instance's reports, delivers the present one and
-// starts to read the others.
+// listen subscribes to the instance's reports and delivers the present one.
 func (c *Conn) listen(ctx context.Context, receive func(instance.Report)) error {
-	if _, err := c.pg.Exec(ctx, "LISTEN "+Channel).ReadAll(); err != nil {
+	results, err := c.pg.Exec(ctx, "LISTEN "+Channel+"; SELECT tarragon_status()").ReadAll()
+	if err != nil {
 		return trace.Wrap(err, "controller: listen")
 	}
-	report, err := c.Status(ctx)
+	text, ok := single(results[len(results)-1:])
+	if !ok {
+		return trace.BadParameter("controller: no report came with LISTEN")
+	}
+	report, err := parse(text)
 	if err != nil {
 		return err
 	}
 	receive(report)
-	go func() {
-		defer close(c.done)
-		for !c.Broken() {
-			c.await()
-		}
-	}()
 	return nil
 }
 
