--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -251,11 +251,11 @@
 		return nil
 	}
 	t.listener = nil
-	t.end()
 	err := listener.Close()
 	for c := range t.open {
-		c.reset()
+		c.reset() // Before the end of life makes statements fail and answer.
 	}
+	t.end()
 	t.mu.Unlock()
 	t.depose()
 	t.wait.Wait()
--- a/tarragonshed/home/failure_test.go
+++ b/tarragonshed/home/failure_test.go
@@ -15,8 +15,9 @@
 
 func TestUnconfirmedWrites(t *testing.T) {
 	const insert = "INSERT INTO batches VALUES (1, 'one')"
-	// strand makes a write on a that no other instance has received.
-	strand := func(t *testing.T, timeout time.Duration) (*rig, link) {
+	// strand makes a write on a that c has not received, and b not either unless
+	// the group has further members, which can't be reached.
+	strand := func(t *testing.T, timeout time.Duration, members ...unit.InstanceName) (*rig, link) {
 		r := newRig(t)
 		p := r.table(t)
 		for _, i := range []unit.InstanceName{"b", "c"} {
@@ -25,15 +26,21 @@
 				return report.Last.AtLeast(p)
 			})
 		}
-		r.b.SetReceiveLag(time.Hour)
+		if len(members) == 0 {
+			r.b.SetReceiveLag(time.Hour)
+		}
 		r.c.SetReceiveLag(time.Hour)
+		r.holder.AdoptManifest(r.manifest(2, members...))
 		l := r.home.Open()
 		t.Cleanup(l.Close)
 		o := write("a")
 		o.TimeoutMicroseconds = uint64(timeout.Microseconds())
 		begin(t, l, o)
 		send(t, l, simple(insert))
-		eventually(t, func() bool { return r.a.Report().Last.AtLeast(unit.Position{Term: p.Term, Index: p.Index + 1}) })
+		eventually(t, func() bool {
+			next := unit.Position{Term: p.Term, Index: p.Index + 1}
+			return r.a.Report().Last.AtLeast(next) && (len(members) == 0 || r.b.Report().Last.AtLeast(next))
+		})
 		return r, l
 	}
 	t.Run("end as unconfirmed at the deadline", func(t *testing.T) {
@@ -42,30 +49,27 @@
 	})
 	t.Run("end as unconfirmed when the new primary lacks them", func(t *testing.T) {
 		r, l := strand(t, patience)
+		is.New(t).NoErr(r.a.Close())
 		r.b.SetReceiveLag(0)
 		r.c.SetReceiveLag(0)
-		is.New(t).NoErr(r.a.Close())
 		r.promote(t, 2, r.b, r.c)
 		a := receive(t, l)
 		is.New(t).Equal(a.refused, result.Unconfirmed)
 	})
 	t.Run("are acknowledged when the new primary has them", func(t *testing.T) {
 		is := is.New(t)
-		r, l := strand(t, patience)
+		r, l := strand(t, patience, "x", "y") // With two more, b alone makes no majority.
+		is.NoErr(r.a.Close())
 		r.c.SetReceiveLag(0)
-		var a answer
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			a = receive(t, l)
-		}()
-		<-done
+		r.promote(t, 2, r.b, r.c)
+		is.NoErr(r.a.Restart())
+		report, err := r.control(t, r.a).Follow(t.Context(), 2, "b", r.b.Address())
+		is.NoErr(err)
+		is.Equal(report.Term, unit.Term(2))
+		a := receive(t, l)
 		is.Equal(a.text, "INSERT 0 1;")
-		is.NoErr(r.a.Close())
-		r.b.SetReceiveLag(0)
-		r.promote(t, 2, r.c, r.b)
-		b := query(t, l, waiting(read("b", unit.Position{Term: 2})), "SELECT note FROM batches")
-		is.Equal(b.text, "T one SELECT 1;")
+		is.Equal(a.position.Term, unit.Term(2)) // The later record's.
+		is.Equal(query(t, l, write("b"), "SELECT note FROM batches").text, "T one SELECT 1;")
 	})
 }
 
@@ -188,7 +192,7 @@
 	})
 	a := receive(t, l)
 	if a.refused == 0 {
-		is.Equal(a.text, "T error 57014;")
+		is.Equal(a.text, "error 57014;")
 	} else {
 		is.Equal(a.refused, result.CancelledUnsent)
 	}
--- a/tarragonshed/home/rig_test.go
+++ b/tarragonshed/home/rig_test.go
@@ -58,11 +58,15 @@
 	return r
 }
 
-func (r *rig) manifest(version unit.ManifestVersion) *manifest.Manifest {
+// manifest lists the instances, and further ones that can't be reached.
+func (r *rig) manifest(version unit.ManifestVersion, further ...unit.InstanceName) *manifest.Manifest {
 	g := manifest.Group{Name: ledger, Homes: 1}
 	for _, i := range []*target.Target{r.a, r.b, r.c} {
 		g.Instances = append(g.Instances, manifest.Instance{Name: i.Name(), Domain: "lautoka-shed", Address: i.Address(), Slots: 3, Connections: 20})
 	}
+	for _, name := range further {
+		g.Instances = append(g.Instances, manifest.Instance{Name: name, Domain: "lautoka-shed", Address: "127.0.0.1:1", Slots: 3, Connections: 20})
+	}
 	return &manifest.Manifest{Version: version, Groups: []manifest.Group{g}}
 }
 
--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -266,7 +266,7 @@
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case pooler.Give:
-			t.gives[effect.Ticket] <- gave{conn: t.conns[effect.Conn], check: effect.Check}
+			t.gives[effect.Ticket] <- t.give(effect)
 			delete(t.gives, effect.Ticket)
 		case pooler.Fail:
 			t.gives[effect.Ticket] <- gave{err: effect.Err}
@@ -282,6 +282,13 @@
 	}
 }
 
+func (t *target) give(g pooler.Give) gave {
+	if t.stopped {
+		return gave{err: result.New(result.ShuttingDown, "the daemon gives instance %s up", t.name)}
+	}
+	return gave{conn: t.conns[g.Conn], check: g.Check}
+}
+
 // open opens one connection.
 func (t *target) open() {
 	ctx, stop := context.WithTimeout(t.home.ctx, openTimeout)
