--- a/standin/target/run.go
+++ b/standin/target/run.go
@@ -315,10 +315,28 @@
 			oid = names.expressionType(p, items[i][0], items[i][1], params)
 		}
 		fields[i] = field{t.Name(), orText(oid)}
+		if len(items) == len(types) {
+			fields[i].name = p.columnName(items[i], t.Name())
+		}
 	}
 	return fields, nil
 }
 
+// columnName names a column without an alias as PostgreSQL does.
+func (p *parsed) columnName(item [2]int, name string) string {
+	from, to := item[0], item[1]
+	if to-from < 2 && p.at(from).isName() || p.at(from).is("*") || p.at(to-2).is("as") || p.at(from+1).is(".") {
+		return name
+	}
+	switch {
+	case p.at(from).isName() && p.at(from+1).is("("):
+		return p.at(from).text
+	case p.at(to - 1).isName():
+		return name
+	}
+	return "?column?"
+}
+
 // selected returns the items of a SELECT or RETURNING list.
 func (p *parsed) selected() [][2]int {
 	if p.returning > 0 {
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -151,6 +151,14 @@
 	is.Equal(tag.String(), "UPDATE 1")
 	is.NoErr(conn.QueryRow(t.Context(), "SELECT sum(n), now(), $1::text || 'y' FROM t", "x").Scan(&n, &got, &s))
 	is.Equal([]any{n, s}, []any{int64(8), "xy"})
+	rows, err := conn.Query(t.Context(), "SELECT count(*), 1, n AS m, t.s, id FROM t")
+	is.NoErr(err)
+	rows.Close()
+	var names []string
+	for _, f := range rows.FieldDescriptions() {
+		names = append(names, f.Name)
+	}
+	is.Equal(names, []string{"count", "?column?", "m", "s", "id"})
 
 	db, err := sql.Open("pgx", conn.Config().ConnString())
 	is.NoErr(err)
