home: find silent connections by the instance's own activity

A connection that owes an answer past two seconds is asked about on a fresh connection. Only when the instance says that nothing runs on it is it closed, with the idle ones that have not been used since; so long statements are left alone. The target protocol gains the pg_stat_activity query.

--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -26,7 +26,7 @@
 // A connection that owes an answer for long is a suspect. A fresh connection then
 // asks the instance. If the instance answers and knows of nothing that runs on
 // the suspect, the suspect is closed, and so are idle connections that have not
-// been heard of since before the suspect was: what lost track of the suspect may
+// been used since its silence began: what lost track of the suspect may
 // have lost track of them. If the statement still runs, nothing is closed.
 //
 // # Usage
@@ -134,17 +134,17 @@
 // Tick lets time pass.
 type Tick struct{ Now time.Time }
 
-// Suspect tells that a connection owes an answer for long. Heard is when it
-// was heard of last.
+// Suspect tells that a connection owes an answer for long. Silent is since when
+// it has said nothing although it owes one.
 type Suspect struct {
-	Conn  Conn
-	Heard time.Time
+	Conn   Conn
+	Silent time.Time
 }
 
 // Probed tells what a fresh connection said about a suspect.
 type Probed struct {
-	Conn  Conn
-	Heard time.Time
+	Conn   Conn
+	Silent time.Time
 	// Answered tells that the instance answered the fresh connection.
 	Answered bool
 	// Runs tells that the instance knows of a statement that runs on the
@@ -188,8 +188,8 @@
 
 // Probe asks the instance about a suspect, by a fresh connection.
 type Probe struct {
-	Conn  Conn
-	Heard time.Time
+	Conn   Conn
+	Silent time.Time
 }
 
 func (Give) effect()  {}
@@ -376,7 +376,7 @@
 	effects := []Effect{Close{Conn: e.Conn}}
 	var kept []idle
 	for _, i := range p.idle {
-		if i.since.After(e.Heard) {
+		if i.since.After(e.Silent) {
 			kept = append(kept, i)
 			continue
 		}
--- a/standin/target/functions.go
+++ b/standin/target/functions.go
@@ -84,3 +84,33 @@
 	b, err := json.Marshal(v)
 	return string(b), err
 }
+
+// activity answers the question for the state and the wait event of the
+// connection whose process id is the statement's last token.
+func (s *session) activity(p *parsed, out *answer) (string, error) {
+	pid, err := strconv.ParseUint(p.at(len(p.tokens)-1).text, 10, 32)
+	if err != nil {
+		return "", fail("0A000", "pg_stat_activity can only be asked for one pid")
+	}
+	s.target.mu.Lock()
+	asked, ok := s.target.sessions[uint32(pid)]
+	s.target.mu.Unlock()
+	if !ok {
+		return "SELECT 0", nil
+	}
+	return "SELECT 1", out.single("activity", asked.state())
+}
+
+// state returns the state and the wait event, separated by a slash.
+func (s *session) state() string {
+	if s.mu.TryLock() {
+		defer s.mu.Unlock()
+		return "idle/ClientRead"
+	}
+	s.cancelMu.Lock()
+	defer s.cancelMu.Unlock()
+	if s.cancel == nil {
+		return "active/ClientRead"
+	}
+	return "active/"
+}
--- a/standin/target/run.go
+++ b/standin/target/run.go
@@ -113,6 +113,8 @@
 			return "", err
 		}
 		return "SELECT 1", out.single(name, value)
+	case activityKind:
+		return s.activity(p, out)
 	case beginKind:
 		return p.tag, s.begin(p)
 	case commitKind:
--- a/standin/target/statement.go
+++ b/standin/target/statement.go
@@ -26,6 +26,7 @@
 	resetKind
 	showKind
 	discardKind
+	activityKind
 	deallocateKind
 	listenKind
 	unlistenKind
@@ -168,6 +169,10 @@
 	if n := len(p.tokens); n > 2 && p.at(n-2).is("for") && p.at(n-1).is("update", "share") {
 		p.kind = lockKind
 	}
+	if p.has("pg_stat_activity") {
+		p.kind = activityKind
+		return
+	}
 	name, open := p.at(1), p.at(2)
 	if !open.is("(") || name.kind != wordToken {
 		return
--- a/tarragonshed/home/conn.go
+++ b/tarragonshed/home/conn.go
@@ -37,6 +37,14 @@
 
 // connect opens and authenticates a connection and takes it over from pgconn.
 func (e endpoint) connect(ctx context.Context) (*pgconn.HijackedConn, error) {
+	pg, err := e.dialFresh(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return pg.Hijack()
+}
+
+func (e endpoint) dialFresh(ctx context.Context) (*pgconn.PgConn, error) {
 	config, err := pgconn.ParseConfig("sslmode=disable host=unset")
 	if err != nil {
 		return nil, trace.Wrap(err, "home: make a connection config")
@@ -52,7 +60,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "home: connect to %s", e.address)
 	}
-	return pg.Hijack()
+	return pg, nil
 }
 
 // connectError gives a failed connect its result code: nothing has run.
@@ -90,7 +98,9 @@
 	// heard is when the last message came, asked when the oldest owed answer
 	// was asked for.
 	heard, asked time.Time
-	failure      string // The last error of an injected query.
+	// handling tells that a message is being passed on.
+	handling bool
+	failure  string // The last error of an injected query.
 }
 
 func newConn(id pooler.Conn, e endpoint, hijacked *pgconn.HijackedConn, onClosed func(*conn)) *conn {
@@ -164,15 +174,15 @@
 }
 
 // waits returns since when the connection owes an answer without having said
-// anything, and when it was last heard of.
-func (c *conn) waits() (since, heard time.Time, owes bool) {
+// anything. While the caller does not take an answer in, nothing is owed.
+func (c *conn) waits() (since time.Time, owes bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	since = c.asked
 	if c.heard.After(since) {
 		since = c.heard
 	}
-	return since, c.heard, !c.answers.empty()
+	return since, !c.answers.empty() && !c.handling
 }
 
 // write sends bytes whose answers have been noted. It reports whether any byte
--- a/tarragonshed/home/failure_test.go
+++ b/tarragonshed/home/failure_test.go
@@ -9,6 +9,7 @@
 
 	"tarragonshed.example/instance"
 	"tarragonshed.example/result"
+	"tarragonshed.example/tarragonshed/home"
 	"tarragonshed.example/unit"
 	"tarragonshed.example/wire/peer"
 )
@@ -235,3 +236,29 @@
 	defer l.Close()
 	is.Equal(query(t, l, read("b", unit.Position{}), "SELECT 1").refused, result.InstanceLeaving)
 }
+
+func TestSilentConnections(t *testing.T) {
+	suspicion := []home.Option{home.WithSuspicion(50 * time.Millisecond)}
+	t.Run("under a pipelined batch are closed with their idle elders", func(t *testing.T) {
+		is := is.New(t)
+		r := newRigWith(t, suspicion)
+		eventually(t, func() bool { return r.a.Connections() >= 4 }) // The warm ones.
+		r.a.Silence()
+		l := r.home.Open()
+		defer l.Close()
+		begin(t, l, write("a"))
+		one := messages(&pgproto3.Parse{Query: "SELECT 1"}, &pgproto3.Bind{}, &pgproto3.Execute{})
+		send(t, l, &peer.Batch{Messages: append(append(one, one...), messages(&pgproto3.Sync{})...), Last: true})
+		is.Equal(receive(t, l).refused, result.ConnectionLost)
+		for range 6 { // None of the silent ones is left.
+			is.Equal(query(t, l, write("a"), "SELECT 1").text, "T 1 SELECT 1;")
+		}
+	})
+	t.Run("are told from statements that run long", func(t *testing.T) {
+		is := is.New(t)
+		r := newRigWith(t, suspicion)
+		l := r.home.Open()
+		defer l.Close()
+		is.Equal(query(t, l, write("a"), "SELECT pg_sleep(0.5)").refused, result.Code(0))
+	})
+}
--- a/tarragonshed/home/handle.go
+++ b/tarragonshed/home/handle.go
@@ -56,6 +56,7 @@
 	c.mu.Lock()
 	c.heard = time.Now()
 	v, err := c.judge(message)
+	c.handling = v.forward && v.owner != nil
 	c.mu.Unlock()
 	if err != nil {
 		return err
@@ -67,7 +68,12 @@
 	if !v.forward || v.owner == nil {
 		return nil
 	}
-	return v.owner.take(message, v.idle)
+	err = v.owner.take(message, v.idle)
+	c.mu.Lock()
+	c.handling = false
+	c.heard = time.Now()
+	c.mu.Unlock()
+	return err
 }
 
 func (c *conn) finishInjected(failure string) {
--- a/tarragonshed/home/silence.go
+++ b/tarragonshed/home/silence.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"tarragonshed.example/pooler"
 	"tarragonshed.example/recorder"
 	"tarragonshed.example/tarragonshed/controller"
@@ -13,16 +16,22 @@
 // suspected to be silent.
 const DefaultSuspicion = 2 * time.Second
 
-const probeTimeout = time.Second
+const (
+	probeTimeout = time.Second
+	probePause   = 20 * time.Millisecond
+	// blindSuspicion is how many times longer the suspicion takes when the
+	// instance can't tell whether a statement runs.
+	blindSuspicion = 5
+)
 
 // suspect looks for connections that owe an answer for long.
 func (t *target) suspect(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, c := range t.conns {
-		since, heard, owes := c.waits()
+		since, owes := c.waits()
 		if owes && now.Sub(since) > t.home.suspicion {
-			t.apply(t.pool.Step(pooler.Suspect{Conn: id, Heard: heard}))
+			t.apply(t.pool.Step(pooler.Suspect{Conn: id, Silent: since}))
 		}
 	}
 }
@@ -32,7 +41,7 @@
 	answered, runs := t.ask(p.Conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	effects := t.pool.Step(pooler.Probed{Conn: p.Conn, Heard: p.Heard, Answered: answered, Runs: runs})
+	effects := t.pool.Step(pooler.Probed{Conn: p.Conn, Silent: p.Silent, Answered: answered, Runs: runs})
 	if len(effects) > 0 {
 		t.home.recorder.Record(recorder.Event{Kind: recorder.ConnectionSilent, Group: t.group.name, Instance: t.name})
 	}
@@ -40,7 +49,8 @@
 }
 
 // ask reports whether the instance answers a fresh connection, and whether it
-// knows of a statement that runs on the connection.
+// knows of a statement that runs on the connection. It asks twice, because a
+// connection may be between two statements of a batch.
 func (t *target) ask(id pooler.Conn) (answered, runs bool) {
 	t.mu.Lock()
 	c := t.conns[id]
@@ -50,14 +60,42 @@
 	}
 	ctx, stop := context.WithTimeout(t.home.ctx, probeTimeout)
 	defer stop()
-	options := []controller.Option{controller.WithDatabase(string(t.group.name)), controller.WithUser(t.home.user, t.home.password)}
-	fresh, err := controller.Dial(ctx, t.home.dial, t.endpoint.address, options...)
+	e := t.endpoint
+	e.application = controller.ApplicationName
+	fresh, err := e.dialFresh(ctx)
 	if err != nil {
 		return false, false
 	}
-	defer fresh.Close()
-	if _, err := fresh.Status(ctx); err != nil {
-		return false, false
+	defer fresh.Close(ctx)
+	query := fmt.Sprintf("SELECT state || '/' || coalesce(wait_event, '') FROM pg_stat_activity WHERE pid = %d", c.pid)
+	for range 2 {
+		results, err := fresh.Exec(ctx, query).ReadAll()
+		if err != nil {
+			return !fresh.IsClosed(), t.patient(c)
+		}
+		if active(results) {
+			return true, true
+		}
+		select {
+		case <-time.After(probePause):
+		case <-ctx.Done():
+		}
 	}
 	return true, false
 }
+
+// patient reports whether a statement is taken to run still on an instance that
+// can't tell.
+func (t *target) patient(c *conn) bool {
+	since, _ := c.waits()
+	return time.Since(since) < blindSuspicion*t.home.suspicion
+}
+
+// active reads "state/wait-event".
+func active(results []*pgconn.Result) bool {
+	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 1 {
+		return false
+	}
+	state, event, _ := strings.Cut(string(results[0].Rows[0][0]), "/")
+	return state == "active" && event != "ClientRead"
+}
