--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -24,6 +24,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,6 +121,20 @@
 	return line
 }
 
+// Sort orders the events of several recorders by their clocks.
+func Sort(events []Event) {
+	slices.SortStableFunc(events, func(a, b Event) int {
+		switch {
+		case a.Time.Before(b.Time):
+			return -1
+		case b.Time.Before(a.Time):
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
 // DefaultCapacity is the number of events that a ring holds by default.
 const DefaultCapacity = 4096
 
--- /dev/null
+++ b/standin/deployer/deployer.go
@@ -0,0 +1,302 @@
+// Package deployer runs a whole deployment in one process over real loopback
+// sockets: a platform, the targets of every group, and daemons, with the
+// latencies of a users' deployment between them.
+//
+// # Parts
+//
+// Every part is a node of a [shaper.Network], so that it can be cut off, paused
+// or silenced. Daemons run the code of `tarragonshed serve`; only their dialer
+// and listeners go through the network.
+//
+// # Usage
+//
+//	d, err := deployer.New(deployer.WithProfile(deployer.Trust()))
+//	if err != nil {
+//		return err
+//	}
+//	defer d.Close()
+//	conn, err := pgx.Connect(ctx, d.URL("lautoka-shed-1", "pulp-ledger-1"))
+//	...
+//	err = d.Inject(deployer.Fault{Kind: deployer.StopTarget, Target: "primary:pulp-ledger-1"})
+package deployer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"tarragonshed.example/manifest"
+	"tarragonshed.example/member"
+	"tarragonshed.example/recorder"
+	"tarragonshed.example/standin/platform"
+	"tarragonshed.example/standin/shaper"
+	"tarragonshed.example/standin/target"
+	"tarragonshed.example/tarragonshed/daemon"
+	"tarragonshed.example/unit"
+)
+
+// The account that every deployment accepts.
+const (
+	Caller   = "demo"
+	Password = "demo"
+)
+
+// Token is the bearer token of the operator API of every daemon.
+const Token = "demo"
+
+const platformNode = shaper.Name("platform")
+
+// Deployment is a running deployment. It is safe for concurrent use.
+type Deployment struct {
+	// Profile is the users' deployment that this one follows.
+	Profile  Profile
+	Network  *shaper.Network
+	Platform *platform.Platform
+	// PlatformURL is the base URL of the platform.
+	PlatformURL string
+
+	daemonsPerDomain int
+	localGroups      bool
+	fixedPorts       bool
+	withoutLatency   bool
+	homes            int
+	maxStaleness     time.Duration
+	serviceTime      time.Duration
+	seed             uint64
+	logger           *log.Logger
+	rec              *recorder.Recorder
+	extra            map[string]http.Handler
+
+	mu       sync.Mutex
+	manifest manifest.Manifest
+	targets  map[unit.InstanceName]*target.Target
+	daemons  map[unit.DaemonID]*vm
+	servers  []*http.Server
+}
+
+// vm is an entry VM and the daemon that runs on it.
+type vm struct {
+	member    member.Daemon
+	listeners [3]string
+	daemon    *daemon.Daemon
+	rec       *recorder.Recorder
+}
+
+// Option changes a Deployment under construction.
+type Option func(*Deployment)
+
+// WithProfile sets the users' deployment. The default is [Trust].
+func WithProfile(p Profile) Option { return func(d *Deployment) { d.Profile = p } }
+
+// WithDaemons sets the number of daemons in each failure domain. The default
+// is four.
+func WithDaemons(perDomain int) Option { return func(d *Deployment) { d.daemonsPerDomain = perDomain } }
+
+// WithLocalGroups puts the instances of a group into one failure domain.
+func WithLocalGroups() Option { return func(d *Deployment) { d.localGroups = true } }
+
+// WithFixedPorts uses the ports that the README lists instead of free ones.
+func WithFixedPorts() Option { return func(d *Deployment) { d.fixedPorts = true } }
+
+// WithoutLatency leaves out latencies and connection delays.
+func WithoutLatency() Option { return func(d *Deployment) { d.withoutLatency = true } }
+
+// WithHomes sets the number of homes of each instance.
+func WithHomes(n int) Option { return func(d *Deployment) { d.homes = n } }
+
+// WithMaxStaleness sets the staleness that the groups accept by default.
+func WithMaxStaleness(age time.Duration) Option {
+	return func(d *Deployment) { d.maxStaleness = age }
+}
+
+// WithServiceTime makes each statement hold its slot for a time.
+func WithServiceTime(t time.Duration) Option { return func(d *Deployment) { d.serviceTime = t } }
+
+// WithSeed sets the seed of everything random.
+func WithSeed(seed uint64) Option { return func(d *Deployment) { d.seed = seed } }
+
+// WithLogger sets where daemons log. The default discards.
+func WithLogger(l *log.Logger) Option { return func(d *Deployment) { d.logger = l } }
+
+// WithRecorder sets the recorder of the deployment's own events.
+func WithRecorder(r *recorder.Recorder) Option { return func(d *Deployment) { d.rec = r } }
+
+// WithHandler serves a path on the platform's address besides the platform.
+func WithHandler(path string, h http.Handler) Option {
+	return func(d *Deployment) { d.extra[path] = h }
+}
+
+// New starts a deployment and waits until every daemon has the manifest in
+// force and every group has a primary.
+func New(options ...Option) (*Deployment, error) {
+	d := &Deployment{
+		Profile:          Trust(),
+		daemonsPerDomain: 4,
+		homes:            2,
+		logger:           log.New(nopWriter{}),
+		rec:              recorder.New("standin"),
+		extra:            make(map[string]http.Handler),
+		targets:          make(map[unit.InstanceName]*target.Target),
+		daemons:          make(map[unit.DaemonID]*vm),
+	}
+	for _, option := range options {
+		option(d)
+	}
+	if d.daemonsPerDomain < 1 || d.daemonsPerDomain > 10 {
+		return nil, fmt.Errorf("deployer: %d daemons a domain is not between 1 and 10", d.daemonsPerDomain)
+	}
+	var networkOptions []shaper.Option
+	if !d.withoutLatency {
+		networkOptions = append(networkOptions, shaper.WithLatency(d.Profile.latency()))
+	}
+	d.Network = shaper.New(networkOptions...)
+	if err := d.start(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start() error {
+	for _, step := range []func() error{d.startTargets, d.layOutDaemons, d.startPlatform, d.startDaemons, d.awaitReady} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startDaemons() error {
+	for _, id := range d.DaemonIDs() {
+		if err := d.startDaemon(id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// URL returns the connection string of a daemon for a group.
+func (d *Deployment) URL(id unit.DaemonID, group unit.GroupName) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", Caller, Password, d.daemons[id].member.CallerAddress, group)
+}
+
+// Daemons returns the daemons with their addresses, ordered by id.
+func (d *Deployment) Daemons() []member.Daemon {
+	var list []member.Daemon
+	for _, id := range d.DaemonIDs() {
+		list = append(list, d.daemons[id].member)
+	}
+	return list
+}
+
+// Groups returns the names of the groups.
+func (d *Deployment) Groups() []unit.GroupName {
+	var names []unit.GroupName
+	for _, g := range d.manifest.Groups {
+		names = append(names, g.Name)
+	}
+	return names
+}
+
+// Target returns the target with an instance name or, as "primary:GROUP", the
+// primary with the highest term.
+func (d *Deployment) Target(name string) (*target.Target, error) { return d.target(name) }
+
+func (d *Deployment) target(name string) (*target.Target, error) {
+	groupName, isPrimary := strings.CutPrefix(name, "primary:")
+	if !isPrimary {
+		t, ok := d.targets[unit.InstanceName(name)]
+		if !ok {
+			return nil, fmt.Errorf("deployer: no target %q", name)
+		}
+		return t, nil
+	}
+	group, ok := d.manifest.Group(unit.GroupName(groupName))
+	if !ok {
+		return nil, fmt.Errorf("deployer: no group %q", groupName)
+	}
+	return d.primary(group)
+}
+
+// Timeline returns the events of all daemons and of the deployment itself since
+// a time.
+func (d *Deployment) Timeline(since recorder.Time) []recorder.Event {
+	events := d.rec.Since(since)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, v := range d.daemons {
+		events = append(events, v.rec.Since(since)...)
+	}
+	recorder.Sort(events)
+	return events
+}
+
+// Shutdown drains the daemons and stops everything. No request in flight is cut
+// before the context ends.
+func (d *Deployment) Shutdown(ctx context.Context) error {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	var errs []error
+	for _, v := range d.running() {
+		wait.Go(func() {
+			if err := v.Shutdown(ctx); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				errs = append(errs, err)
+			}
+		})
+	}
+	wait.Wait()
+	d.Close()
+	return errors.Join(errs...)
+}
+
+// Close stops everything at once.
+func (d *Deployment) Close() {
+	d.Network.Heal()
+	var wait sync.WaitGroup
+	for _, running := range d.running() {
+		wait.Go(running.Close)
+	}
+	wait.Wait()
+	for _, t := range d.targets {
+		t.Resume()
+		t.Destroy()
+	}
+	for _, s := range d.servers {
+		s.Close()
+	}
+}
+
+func (d *Deployment) running() []*daemon.Daemon {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []*daemon.Daemon
+	for _, v := range d.daemons {
+		if v.daemon != nil {
+			list = append(list, v.daemon)
+		}
+	}
+	return list
+}
+
+// listen opens a loopback listener at a port, or at a free one when ports are
+// not fixed.
+func (d *Deployment) listen(port int) (net.Listener, error) {
+	if !d.fixedPorts {
+		port = 0
+	}
+	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+}
+
+type nopWriter struct{}
+
+// Write drops p.
+func (nopWriter) Write(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/tarragonshed/main.go
@@ -0,0 +1,152 @@
+// Command tarragonshed is the daemon: a PostgreSQL-wire database proxy with
+// session consistency.
+//
+// # Usage
+//
+//	tarragonshed serve --settings daemon.toml
+//	tarragonshed check --settings daemon.toml
+//	tarragonshed version
+//
+// `serve` runs until SIGTERM or SIGINT, then drains: requests in flight end,
+// idle callers get the standard shutdown error between transactions. A second
+// signal ends it at once.
+//
+// Exit codes: 0 ended after draining, 1 failed, 2 the settings or the command
+// line are wrong.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+
+	"tarragonshed.example/tarragonshed/daemon"
+	"tarragonshed.example/tarragonshed/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// drainTimeout bounds how long requests in flight may take after a signal.
+const drainTimeout = 60 * time.Second
+
+func main() {
+	command := &cli.Command{
+		Name:                  "tarragonshed",
+		Usage:                 "PostgreSQL-wire database proxy with session consistency",
+		Version:               daemon.Version,
+		EnableShellCompletion: true,
+		Commands:              []*cli.Command{serveCommand(), checkCommand(), versionCommand()},
+	}
+	err := command.Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	var problems settings.Problems
+	if errors.As(err, &problems) {
+		fmt.Fprintln(os.Stderr, problems)
+		os.Exit(exitUsage)
+	}
+	fmt.Fprintln(os.Stderr, "tarragonshed:", err)
+	os.Exit(exitFailed)
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "settings", Aliases: []string{"s"}, Required: true,
+		Usage: "read the settings from `FILE`", Sources: cli.EnvVars("TARRAGONSHED_SETTINGS"),
+	}
+}
+
+func load(command *cli.Command) (settings.Settings, error) {
+	s, problems := settings.Load(command.String("settings"))
+	if len(problems) > 0 {
+		return s, problems
+	}
+	return s, nil
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a settings file and name every problem",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(_ context.Context, command *cli.Command) error {
+			s, err := load(command)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("the settings of daemon %s are good\n", s.ID)
+			return nil
+		},
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(context.Context, *cli.Command) error {
+			fmt.Println(daemon.Version)
+			return nil
+		},
+	}
+}
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the daemon",
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			s, err := load(command)
+			if err != nil {
+				return err
+			}
+			return serve(ctx, s)
+		},
+	}
+}
+
+func serve(ctx context.Context, s settings.Settings) error {
+	logger := newLogger(s.Log).With("daemon", string(s.ID))
+	d, err := daemon.New(s, daemon.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	got := <-signals
+	logger.Info("draining", "signal", got.String())
+	drainCtx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return d.Shutdown(drainCtx)
+}
+
+func newLogger(s settings.Log) *log.Logger {
+	level, err := log.ParseLevel(s.Level)
+	if err != nil {
+		level = log.InfoLevel
+	}
+	options := log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano}
+	if s.Format == "json" {
+		options.Formatter = log.JSONFormatter
+	}
+	return log.NewWithOptions(os.Stderr, options)
+}
