--- a/standin/demonstrator/fault.go
+++ b/standin/demonstrator/fault.go
@@ -53,7 +53,7 @@
 				By:      command.Duration("by"),
 				Receive: command.Bool("receive"),
 				Share:   command.Float("share"),
-				Seed:    command.Int64("seed"),
+				Seed:    command.Uint64("seed"),
 			})
 		},
 	}
@@ -105,7 +105,7 @@
 	case deployer.PlatformSlow:
 		return append(list, &cli.DurationFlag{Name: "by", Usage: "the delay"})
 	case deployer.PlatformLoseAnswers:
-		return append(list, &cli.FloatFlag{Name: "share", Usage: "share of answers, 0 to 1"}, &cli.Int64Flag{Name: "seed", Value: 1, Usage: "seed of the choice"})
+		return append(list, &cli.FloatFlag{Name: "share", Usage: "share of answers, 0 to 1"}, &cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the choice"})
 	default:
 		return list
 	}
--- a/standin/deployer/fault.go
+++ b/standin/deployer/fault.go
@@ -61,7 +61,7 @@
 	Receive bool `json:"receive,omitempty" toml:"receive"`
 	// Share of the platform's answers that are lost, from 0 to 1.
 	Share float64 `json:"share,omitempty" toml:"share"`
-	Seed  int64   `json:"seed,omitempty" toml:"seed"`
+	Seed  uint64  `json:"seed,omitempty" toml:"seed"`
 }
 
 // String formats the fault as its command line.
--- a/standin/deployer/parts.go
+++ b/standin/deployer/parts.go
@@ -11,6 +11,7 @@
 
 	"github.com/xdg-go/scram"
 
+	"tarragonshed.example/adopter"
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/member"
 	"tarragonshed.example/recorder"
@@ -18,6 +19,8 @@
 	"tarragonshed.example/standin/shaper"
 	"tarragonshed.example/standin/target"
 	"tarragonshed.example/tarragonshed/daemon"
+	"tarragonshed.example/tarragonshed/platformer"
+	"tarragonshed.example/tarragonshed/pusher"
 	"tarragonshed.example/tarragonshed/settings"
 	"tarragonshed.example/unit"
 )
@@ -90,6 +93,7 @@
 	primary := group.Instances[(number-1)%len(group.Instances)]
 	for i, instance := range group.Instances {
 		options := []target.Option{
+			target.WithConnectDelay(d.connectDelay()),
 			target.WithListener(listeners[i]),
 			target.WithDialer(d.Network.Dialer(shaper.Name(instance.Name))),
 			target.WithSlots(instance.Slots),
@@ -97,9 +101,6 @@
 			target.WithServiceTime(d.serviceTime),
 			target.WithGroupSize(len(group.Instances)),
 		}
-		if !d.withoutLatency {
-			options = append(options, target.WithConnectDelay(d.Profile.ConnectDelay))
-		}
 		if instance.Name == primary.Name {
 			options = append(options, target.WithPrimary())
 		} else {
@@ -114,6 +115,13 @@
 	return nil
 }
 
+func (d *Deployment) connectDelay() time.Duration {
+	if d.withoutLatency {
+		return 0
+	}
+	return d.Profile.ConnectDelay
+}
+
 func (d *Deployment) instanceDomain(group, instance int) unit.DomainName {
 	if d.localGroups {
 		return d.Profile.Domains[(group-1)%len(d.Profile.Domains)].Name
@@ -279,6 +287,31 @@
 	return d.pushManifest()
 }
 
+// pushManifest has the deployment's manifest accepted, as an operator's pipeline
+// does.
+func (d *Deployment) pushManifest() error {
+	document, err := manifest.Encode(&d.manifest)
+	if err != nil {
+		return err
+	}
+	client, err := platformer.New(d.PlatformURL)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	accepted, err := pusher.New(client, d.rec).Push(context.Background(), adopter.Request{
+		ID:       adopter.PushID(fmt.Sprintf("deployer-%d", d.manifest.Version+1)),
+		Base:     d.manifest.Version,
+		Document: document,
+		Author:   "deployer",
+	})
+	if err != nil {
+		return err
+	}
+	d.manifest.Version = accepted.Version
+	return nil
+}
+
 // awaitReady waits until every daemon serves callers.
 func (d *Deployment) awaitReady() error {
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
--- /dev/null
+++ b/tarragonshed/daemon/daemon.go
@@ -0,0 +1,273 @@
+// Package daemon assembles a daemon from its parts.
+//
+// # Parts
+//
+// The entry ends callers' connections. It reaches instances by the carrier, over
+// lanes to their homes; this daemon's home holds connections to the instances
+// that it is a home of. The watcher runs the promoters of the groups that this
+// daemon watches. The gossiper keeps the member view and the manifest in the
+// holder, from which all others read.
+//
+// # Usage
+//
+//	d, err := daemon.New(s, daemon.WithLogger(logger))
+//	if err != nil {
+//		return err
+//	}
+//	defer d.Close()
+//	<-signals
+//	return d.Shutdown(ctx) // Cuts no request in flight.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+	"github.com/rcrowley/go-metrics"
+
+	"tarragonshed.example/member"
+	"tarragonshed.example/recorder"
+	"tarragonshed.example/tarragonshed/carrier"
+	"tarragonshed.example/tarragonshed/dialer"
+	"tarragonshed.example/tarragonshed/entry"
+	"tarragonshed.example/tarragonshed/gossiper"
+	"tarragonshed.example/tarragonshed/holder"
+	"tarragonshed.example/tarragonshed/home"
+	"tarragonshed.example/tarragonshed/platformer"
+	"tarragonshed.example/tarragonshed/settings"
+	"tarragonshed.example/tarragonshed/watcher"
+	"tarragonshed.example/unit"
+)
+
+// Version is the version of the daemon.
+const Version = "0.1.0"
+
+// Daemon is a running daemon. It is safe for concurrent use.
+type Daemon struct {
+	settings settings.Settings
+	dial     dialer.Func
+	accept   func(net.Listener) net.Listener
+	logger   *log.Logger
+	rec      *recorder.Recorder
+	registry metrics.Registry
+
+	self     member.Daemon
+	holder   *holder.Holder
+	platform *platformer.Platformer
+	gossip   *gossiper.Gossiper
+	home     *home.Home
+	lanes    *carrier.Lanes
+	watch    *watcher.Watcher
+	entry    *entry.Entry
+
+	servers   []*http.Server
+	draining  atomic.Bool
+	closeOnce sync.Once
+}
+
+// Option changes a Daemon under construction.
+type Option func(*Daemon)
+
+// WithDialer replaces how the daemon opens connections.
+func WithDialer(dial dialer.Func) Option { return func(d *Daemon) { d.dial = dial } }
+
+// WithCallerListener wraps the listener for callers.
+func WithCallerListener(wrap func(net.Listener) net.Listener) Option {
+	return func(d *Daemon) { d.accept = wrap }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l *log.Logger) Option { return func(d *Daemon) { d.logger = l } }
+
+// WithRecorder sets the recorder of the daemon's events.
+func WithRecorder(r *recorder.Recorder) Option { return func(d *Daemon) { d.rec = r } }
+
+// New starts a daemon. It serves callers once it has a manifest in force.
+func New(s settings.Settings, options ...Option) (*Daemon, error) {
+	d := &Daemon{
+		settings: s,
+		dial:     dialer.Default,
+		accept:   func(l net.Listener) net.Listener { return l },
+		logger:   log.Default(),
+		rec:      recorder.New(string(s.ID)),
+		registry: metrics.NewRegistry(),
+	}
+	for _, option := range options {
+		option(d)
+	}
+	if err := d.start(); err != nil {
+		d.Close()
+		return nil, trace.Wrap(err, "daemon: starting %s", s.ID)
+	}
+	d.rec.Record(recorder.Event{Kind: recorder.DaemonStarted, Daemon: s.ID, Detail: "callers at " + d.self.CallerAddress})
+	return d, nil
+}
+
+func (d *Daemon) start() error {
+	listeners, err := listen(d.settings.Callers.Listen, d.settings.Operator.Listen, d.settings.Peers.Listen)
+	if err != nil {
+		return err
+	}
+	callers, operators, peers := listeners[0], listeners[1], listeners[2]
+	d.self = member.Daemon{
+		ID:              d.settings.ID,
+		Incarnation:     unit.Incarnation(time.Now().UnixNano()),
+		Domain:          d.settings.Domain,
+		State:           member.Live,
+		CallerAddress:   first(d.settings.Callers.Advertise, callers.Addr().String()),
+		OperatorAddress: first(d.settings.Operator.Advertise, operators.Addr().String()),
+		PeerAddress:     first(d.settings.Peers.Advertise, peers.Addr().String()),
+	}
+	d.holder = holder.New(member.View{Self: d.self.ID, Daemons: []member.Daemon{d.self}})
+	d.platform, err = platformer.New(d.settings.Platform.URL,
+		platformer.WithDialer(d.dial),
+		platformer.WithTimeout(d.settings.Platform.Timeout),
+		platformer.WithRecorder(d.rec),
+		platformer.WithMetrics(d.registry),
+	)
+	if err != nil {
+		return err
+	}
+	d.home = home.New(d.holder,
+		home.WithDialer(d.dial),
+		home.WithRecorder(d.rec),
+		home.WithLogger(d.logger),
+		home.WithMetrics(d.registry),
+		home.WithCredentials(d.settings.Targets.User, d.settings.Targets.Password),
+	)
+	d.lanes = carrier.New(d.holder, d.home, carrier.WithDialer(d.dial))
+	d.watch = watcher.New(d.holder,
+		watcher.WithDialer(d.dial),
+		watcher.WithRecorder(d.rec),
+		watcher.WithLogger(d.logger),
+	)
+	d.gossip = gossiper.New(d.holder, d.self,
+		gossiper.WithPlatform(d.platform),
+		gossiper.WithDialer(d.dial),
+		gossiper.WithRecorder(d.rec),
+		gossiper.WithLogger(d.logger),
+	)
+	d.entry = entry.New(d.accept(callers), d.holder, d.lanes,
+		entry.WithLogger(d.logger),
+		entry.WithRecorder(d.rec),
+		entry.WithMetrics(d.registry),
+		entry.WithDomain(d.settings.Domain),
+		entry.WithLimits(entry.Limits{
+			MaxCallers:       d.settings.Callers.MaxConnections,
+			MaxBatch:         int(d.settings.Callers.MaxMessageBytes),
+			StartupTimeout:   d.settings.Callers.StartupTimeout,
+			StatementTimeout: d.settings.Callers.StatementTimeout,
+		}),
+	)
+	d.serve(peers, d.peerHandler())
+	d.serve(operators, d.operatorHandler())
+	return nil
+}
+
+// peerHandler serves the other daemons.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(d.home.Handler())
+	mux.Handle(d.gossip.Handler())
+	return mux
+}
+
+// operatorHandler serves operators, health checks and metrics.
+func (d *Daemon) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", healthHandler)
+	mux.HandleFunc("GET /readyz", d.readyHandler)
+	mux.HandleFunc("GET /metrics", d.metricsHandler)
+	return mux
+}
+
+// Self returns the daemon as others see it.
+func (d *Daemon) Self() member.Daemon { return d.self }
+
+// Holder returns what is in force on the daemon.
+func (d *Daemon) Holder() *holder.Holder { return d.holder }
+
+// Watcher returns the daemon's watcher.
+func (d *Daemon) Watcher() *watcher.Watcher { return d.watch }
+
+// Metrics returns the daemon's metrics.
+func (d *Daemon) Metrics() metrics.Registry { return d.registry }
+
+// Ready reports whether the daemon takes new work: it has a manifest in force
+// and is not draining.
+func (d *Daemon) Ready() bool {
+	return !d.draining.Load() && d.holder.Current().Manifest != nil
+}
+
+// Shutdown drains the daemon: it tells the others that it leaves, lets what is
+// in flight end until the context does, and closes.
+func (d *Daemon) Shutdown(ctx context.Context) error {
+	if d.draining.Swap(true) {
+		return nil
+	}
+	d.rec.Record(recorder.Event{Kind: recorder.DaemonDraining, Daemon: d.self.ID})
+	d.gossip.Leave()
+	err := errors.Join(d.entry.Shutdown(ctx), d.home.Shutdown(ctx))
+	d.Close()
+	d.rec.Record(recorder.Event{Kind: recorder.DaemonStopped, Daemon: d.self.ID})
+	return trace.Wrap(err)
+}
+
+// Close ends the daemon at once.
+func (d *Daemon) Close() {
+	d.closeOnce.Do(func() {
+		if d.entry != nil {
+			d.entry.Close()
+		}
+		if d.gossip != nil {
+			d.gossip.Close()
+		}
+		if d.watch != nil {
+			d.watch.Close()
+		}
+		for _, s := range d.servers {
+			s.Close()
+		}
+		if d.lanes != nil {
+			d.lanes.Close()
+		}
+		if d.home != nil {
+			d.home.Close()
+		}
+		if d.platform != nil {
+			d.platform.Close()
+		}
+	})
+}
+
+// listen opens all listeners or none.
+func listen(addresses ...string) ([]net.Listener, error) {
+	var opened []net.Listener
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, o := range opened {
+				o.Close()
+			}
+			return nil, err
+		}
+		opened = append(opened, l)
+	}
+	return opened, nil
+}
+
+func first(texts ...string) string {
+	for _, t := range texts {
+		if t != "" {
+			return t
+		}
+	}
+	return ""
+}
