--- a/standin/deployer/deployer.go
+++ b/standin/deployer/deployer.go
@@ -74,11 +74,12 @@
 	rec              *recorder.Recorder
 	extra            map[string]http.Handler
 
-	mu       sync.Mutex
-	manifest manifest.Manifest
-	targets  map[unit.InstanceName]*target.Target
-	daemons  map[unit.DaemonID]*vm
-	servers  []*http.Server
+	mu        sync.Mutex
+	manifest  manifest.Manifest
+	targets   map[unit.InstanceName]*target.Target
+	daemons   map[unit.DaemonID]*vm
+	daemonIDs []unit.DaemonID
+	servers   []*http.Server
 }
 
 // vm is an entry VM and the daemon that runs on it.
@@ -187,7 +188,8 @@
 	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", Caller, Password, d.daemons[id].member.CallerAddress, group)
 }
 
-// Daemons returns the daemons with their addresses, ordered by id.
+// Daemons returns the daemons with their addresses, in the order of
+// [Deployment.DaemonIDs].
 func (d *Deployment) Daemons() []member.Daemon {
 	var list []member.Daemon
 	for _, id := range d.DaemonIDs() {
--- a/standin/deployer/parts.go
+++ b/standin/deployer/parts.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/xdg-go/scram"
@@ -168,19 +168,16 @@
 			d.Network.Add(shaper.Node{Name: shaper.Name(id), Domain: domain.Name, Kind: shaper.VM})
 			d.Network.Bind(v.member.PeerAddress, shaper.Name(id))
 			d.daemons[id] = v
+			d.daemonIDs = append(d.daemonIDs, id)
 		}
 	}
 	return nil
 }
 
-// DaemonIDs returns the ids of all daemons, ordered.
+// DaemonIDs returns the ids of all daemons, in the order of the profile's
+// failure domains.
 func (d *Deployment) DaemonIDs() []unit.DaemonID {
-	ids := make([]unit.DaemonID, 0, len(d.daemons))
-	for id := range d.daemons {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
+	return slices.Clone(d.daemonIDs)
 }
 
 // startPlatform starts the platform and has the manifest accepted.
--- a/tarragonshed/daemon/daemon.go
+++ b/tarragonshed/daemon/daemon.go
@@ -147,6 +147,7 @@
 		watcher.WithDialer(d.dial),
 		watcher.WithRecorder(d.rec),
 		watcher.WithLogger(d.logger),
+		watcher.WithMetrics(d.registry),
 	)
 	d.gossip = gossiper.New(d.holder, d.self,
 		gossiper.WithPlatform(d.platform),
@@ -235,9 +236,6 @@
 		for _, s := range d.servers {
 			s.Close()
 		}
-		if d.lanes != nil {
-			d.lanes.Close()
-		}
 		if d.home != nil {
 			d.home.Close()
 		}
