loader: put an open-loop load on daemons

Arrivals are seeded Poisson with phases; latency counts from the arrival. Reads are judged by the callers' own rows: a session read misses no write of its caller, a stale read none older than its staleness.

--- a/tarragonbench/historian/caller.go
+++ b/tarragonbench/historian/caller.go
@@ -131,12 +131,12 @@
 	for o.Attempts < keyedAttempts && ctx.Err() == nil {
 		o.Attempts++
 		err = c.attempt(ctx, &o)
-		if outcome, _ := classify(err); outcome != Unknown {
+		if outcome, _ := Classify(err); outcome != Unknown {
 			break
 		}
 		c.hangUp()
 	}
-	if outcome, _ := classify(err); outcome == NotRun && o.Attempts > 1 && result.Code(codeOf(err)) != result.RequestCancelled {
+	if outcome, _ := Classify(err); outcome == NotRun && o.Attempts > 1 && !Cancelled(err) {
 		// The last attempt did not run; an earlier one may have.
 		err = fmt.Errorf("an earlier attempt is unknown: %v", err)
 	}
@@ -146,7 +146,7 @@
 func (c *caller) finish(o Operation, err error) {
 	o.Return = c.history.Now()
 	o.Session, o.Daemon = c.session, c.daemon.Name
-	o.Outcome, o.Code = classify(err)
+	o.Outcome, o.Code = Classify(err)
 	if err != nil {
 		o.Detail = err.Error()
 		c.hangUp()
@@ -214,11 +214,19 @@
 // unsent is the error of an operation whose deciding statement was never sent.
 type unsent struct{ err error }
 
+// Unsent marks err as that of an operation whose deciding statement was never
+// sent.
+func Unsent(err error) error { return &unsent{err} }
+
+// Cancelled reports whether err says that the request key is claimed, so that the
+// request can't run any more.
+func Cancelled(err error) bool { return result.Code(codeOf(err)) == result.RequestCancelled }
+
 func (u *unsent) Error() string { return "before the deciding statement: " + u.err.Error() }
 func (u *unsent) Unwrap() error { return u.err }
 
-// classify tells the outcome and the code of an operation.
-func classify(err error) (Outcome, string) {
+// Classify tells the outcome and the code of an operation.
+func Classify(err error) (Outcome, string) {
 	var u *unsent
 	var e *pgconn.PgError
 	switch {
@@ -274,7 +282,7 @@
 		return nil
 	}
 	c.daemon = c.settings.Daemons[c.random.IntN(len(c.settings.Daemons))]
-	conn, err := c.settings.connect(ctx, c.daemon, c.group)
+	conn, err := c.settings.Connect(ctx, c.daemon, c.group)
 	if err != nil {
 		return err
 	}
@@ -283,8 +291,8 @@
 	return nil
 }
 
-// connect opens a connection to a daemon.
-func (s Settings) connect(ctx context.Context, d Daemon, group unit.GroupName) (*pgx.Conn, error) {
+// Connect opens a connection to a daemon.
+func (s Settings) Connect(ctx context.Context, d Daemon, group unit.GroupName) (*pgx.Conn, error) {
 	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable&%s", s.User, s.Password, d.Address, group, s.Parameters))
 	if err != nil {
 		return nil, err
@@ -359,7 +367,7 @@
 	var last error
 	for i := 0; ctx.Err() == nil; i++ {
 		once, cancel := context.WithTimeout(ctx, 2*h.settings.Timeout)
-		conn, err := h.settings.connect(once, h.settings.Daemons[i%len(h.settings.Daemons)], group)
+		conn, err := h.settings.Connect(once, h.settings.Daemons[i%len(h.settings.Daemons)], group)
 		if err == nil {
 			err = f(once, conn)
 			_ = conn.Close(once)
--- /dev/null
+++ b/tarragonbench/loader/loader.go
@@ -0,0 +1,278 @@
+// Package loader puts an open-loop load on a deployment and measures what its
+// callers see.
+//
+// # Arrivals
+//
+// Requests arrive by a seeded Poisson process whose rate follows the phases,
+// whether or not earlier requests are answered. Each arrival is given to one of
+// the callers, who carries out one request at a time on one connection. Latency
+// counts from the arrival, so that a stall is felt by all requests that arrive
+// during it (no coordinated omission).
+//
+// # Classes
+//
+// A class is a kind of request with what its reads may miss. Each caller has a
+// row of its own, whose value only it raises, so that reads can be judged: a
+// [SessionRead] reads the caller's row, a [StaleRead] any row with a stated
+// staleness.
+//
+// # Gap
+//
+// The failover gap of a group is the longest time between two acknowledged
+// writes of which the second one came after a fault.
+//
+// # Usage
+//
+//	l := loader.New(loader.Settings{Seed: 1, Daemons: daemons, Groups: groups,
+//		Phases: []loader.Phase{{Rate: 500}}, Duration: 10 * time.Second})
+//	if err := l.Prepare(ctx); err != nil {
+//		return err
+//	}
+//	l.Run(ctx)
+//	report, err := l.Settle(ctx)
+package loader
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"tarragonshed.example/tarragonbench/historian"
+	"tarragonshed.example/unit"
+)
+
+// Class names a kind of request.
+type Class string
+
+// The classes of requests.
+const (
+	// Write inserts a row or raises the caller's own.
+	Write Class = "write"
+	// KeyedWrite inserts a row under a request key and repeats it while its
+	// outcome is unknown.
+	KeyedWrite Class = "keyed-write"
+	// Transaction inserts two rows between BEGIN and COMMIT.
+	Transaction Class = "transaction"
+	// SessionRead must see what the caller has written.
+	SessionRead Class = "session-read"
+	// StaleRead accepts data of a stated age.
+	StaleRead Class = "stale-read"
+)
+
+// Share is the part that a class has in the load.
+type Share struct {
+	Class  Class   `toml:"class" json:"class"`
+	Weight float64 `toml:"weight" json:"weight"`
+	// Staleness is what a StaleRead accepts.
+	Staleness time.Duration `toml:"staleness" json:"staleness,omitempty"`
+}
+
+// Phase sets the rate of arrivals from a time on.
+type Phase struct {
+	After time.Duration `toml:"after" json:"after"`
+	// Rate is in requests a second, over all groups.
+	Rate float64 `toml:"rate" json:"rate"`
+	// Writes, if not zero, multiplies the weight of all classes that write.
+	Writes float64 `toml:"writes" json:"writes,omitempty"`
+}
+
+// Settings describe a load. Zero fields have defaults.
+type Settings struct {
+	Seed    uint64
+	Callers int
+	Daemons []historian.Daemon
+	Groups  []unit.GroupName
+	Phases  []Phase
+	Mix     []Share
+	// Duration is how long requests arrive.
+	Duration time.Duration
+	// Roam is the share of requests before which the caller moves to another daemon.
+	Roam float64
+	// Queue is the number of requests that wait for a caller; more are shed.
+	Queue int
+	// Timeout bounds a request from its sending.
+	Timeout time.Duration
+}
+
+// The defaults of Settings.
+const (
+	DefaultCallers  = 24
+	DefaultRate     = 300
+	DefaultDuration = 10 * time.Second
+	DefaultQueue    = 1000
+	DefaultTimeout  = 10 * time.Second
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.Callers == 0 {
+		s.Callers = DefaultCallers
+	}
+	if len(s.Phases) == 0 {
+		s.Phases = []Phase{{Rate: DefaultRate}}
+	}
+	if len(s.Mix) == 0 {
+		s.Mix = []Share{{Class: Write, Weight: 3}, {Class: SessionRead, Weight: 4}, {Class: StaleRead, Weight: 3, Staleness: 2 * time.Second}}
+	}
+	if s.Duration == 0 {
+		s.Duration = DefaultDuration
+	}
+	if s.Queue == 0 {
+		s.Queue = DefaultQueue
+	}
+	if s.Timeout == 0 {
+		s.Timeout = DefaultTimeout
+	}
+	return s
+}
+
+// arrival is one request and when it is due.
+type arrival struct {
+	at    time.Duration
+	share Share
+}
+
+// schedule draws arrivals one after the other.
+type schedule struct {
+	settings Settings
+	random   *rand.Rand
+	at       time.Duration
+}
+
+// phase returns the phase in force at a time.
+func (s Settings) phase(at time.Duration) Phase {
+	current := s.Phases[0]
+	for _, p := range s.Phases {
+		if p.After <= at {
+			current = p
+		}
+	}
+	return current
+}
+
+// next returns the next arrival, or ok false after the last one.
+func (s *schedule) next() (a arrival, ok bool) {
+	phase := s.settings.phase(s.at)
+	s.at += time.Duration(s.random.ExpFloat64() / phase.Rate * float64(time.Second))
+	if s.at >= s.settings.Duration {
+		return arrival{}, false
+	}
+	return arrival{at: s.at, share: s.draw(phase)}, true
+}
+
+func (s *schedule) draw(p Phase) Share {
+	weight := func(share Share) float64 {
+		if p.Writes > 0 && share.Class.writes() {
+			return share.Weight * p.Writes
+		}
+		return share.Weight
+	}
+	sum := 0.0
+	for _, share := range s.settings.Mix {
+		sum += weight(share)
+	}
+	pick := s.random.Float64() * sum
+	for _, share := range s.settings.Mix {
+		if pick -= weight(share); pick < 0 {
+			return share
+		}
+	}
+	return s.settings.Mix[len(s.settings.Mix)-1]
+}
+
+func (c Class) writes() bool { return c == Write || c == KeyedWrite || c == Transaction }
+
+// The range of latencies that are told apart.
+const (
+	shortestLatency = int64(time.Microsecond)
+	longestLatency  = int64(2 * time.Minute)
+	latencyDigits   = 3
+)
+
+// Figures are the measurements of one class.
+type Figures struct {
+	Arrived int `json:"arrived"`
+	Done    int `json:"done"`
+	NotRun  int `json:"not-run"`
+	Unknown int `json:"unknown"`
+	Shed    int `json:"shed"`
+	// P50 to Max are latencies of done requests from their arrival, in
+	// milliseconds.
+	P50  float64 `json:"p50-ms"`
+	P99  float64 `json:"p99-ms"`
+	P999 float64 `json:"p99.9-ms"`
+	Max  float64 `json:"max-ms"`
+
+	latencies *hdrhistogram.Histogram
+}
+
+func newFigures() *Figures {
+	return &Figures{latencies: hdrhistogram.New(shortestLatency, longestLatency, latencyDigits)}
+}
+
+// Merge adds the measurements of other.
+func (f *Figures) Merge(other *Figures) {
+	f.Arrived += other.Arrived
+	f.Done += other.Done
+	f.NotRun += other.NotRun
+	f.Unknown += other.Unknown
+	f.Shed += other.Shed
+	if f.latencies == nil {
+		f.latencies = hdrhistogram.New(shortestLatency, longestLatency, latencyDigits)
+	}
+	if other.latencies != nil {
+		f.latencies.Merge(other.latencies)
+	}
+	f.summarize()
+}
+
+func (f *Figures) summarize() {
+	at := func(percent float64) float64 {
+		return float64(f.latencies.ValueAtPercentile(percent)) / float64(time.Millisecond)
+	}
+	f.P50, f.P99, f.P999, f.Max = at(50), at(99), at(99.9), float64(f.latencies.Max())/float64(time.Millisecond)
+}
+
+// Report is what a load gave.
+type Report struct {
+	Classes map[Class]*Figures `json:"classes"`
+	// Codes counts requests that are not done by code.
+	Codes map[string]int `json:"codes"`
+	// Gaps are the longest times without an acknowledged write, by group.
+	Gaps map[unit.GroupName]time.Duration `json:"gaps"`
+	// Goodput is in done requests a second of the load's duration.
+	Goodput float64 `json:"goodput"`
+	// Violations tell of broken promises.
+	Violations []string `json:"violations"`
+}
+
+// acknowledgements are the times of a group's acknowledged writes.
+type acknowledgements struct {
+	mu    sync.Mutex
+	times []time.Duration
+}
+
+func (a *acknowledgements) add(at time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times = append(a.times, at)
+}
+
+// gap returns the longest time between two acknowledged writes of which the
+// second one was acknowledged at from or later. A run that ends at end without a
+// further write counts up to there.
+func (a *acknowledgements) gap(from, end time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	sort.Slice(a.times, func(i, j int) bool { return a.times[i] < a.times[j] })
+	longest, last := time.Duration(0), time.Duration(0)
+	for _, t := range append(a.times, end) {
+		if t >= from {
+			longest = max(longest, t-last)
+		}
+		last = t
+	}
+	return longest
+}
--- /dev/null
+++ b/tarragonbench/loader/loader_test.go
@@ -0,0 +1,101 @@
+package loader
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonshed.example/standin/target"
+	"tarragonshed.example/tarragonbench/historian"
+	"tarragonshed.example/unit"
+)
+
+func TestScheduleFollowsItsPhases(t *testing.T) {
+	is := is.New(t)
+	s := schedule{random: rand.New(rand.NewPCG(1, 0)), settings: Settings{
+		Phases: []Phase{{Rate: 100}, {After: 50 * time.Second, Rate: 400, Writes: 3}}, Duration: 100 * time.Second,
+		Mix: []Share{{Class: Write, Weight: 1}, {Class: SessionRead, Weight: 3}},
+	}}
+	var arrived, written [2]float64
+	for a, ok := s.next(); ok; a, ok = s.next() {
+		half := int(a.at / (50 * time.Second))
+		arrived[half]++
+		if a.share.Class == Write {
+			written[half]++
+		}
+	}
+	between := func(v, low, high float64) { t.Helper(); is.True(v > low && v < high) }
+	between(arrived[0], 4700, 5300)
+	between(arrived[1], 19400, 20600)
+	between(written[0]/arrived[0], 0.22, 0.28)
+	between(written[1]/arrived[1], 0.47, 0.53)
+}
+
+func TestGap(t *testing.T) {
+	is := is.New(t)
+	var a acknowledgements
+	for _, at := range []time.Duration{1, 100, 110, 90, 150} {
+		a.add(at * time.Millisecond)
+	}
+	is.Equal(a.gap(105*time.Millisecond, 160*time.Millisecond), 40*time.Millisecond)
+	is.Equal(a.gap(155*time.Millisecond, time.Second), 850*time.Millisecond) // No write came after.
+}
+
+func load(t *testing.T, mix []Share, primaryOnly bool) Report {
+	t.Helper()
+	is := is.New(t)
+	a, err := target.New("a", "ledger", target.WithPrimary(), target.WithConnectDelay(0), target.WithConnections(100))
+	is.NoErr(err)
+	t.Cleanup(func() { _ = a.Destroy() })
+	b, err := target.New("b", "ledger", target.WithFollow("a", a.Address()), target.WithConnectDelay(0), target.WithConnections(100))
+	is.NoErr(err)
+	t.Cleanup(func() { _ = b.Destroy() })
+	daemons := []historian.Daemon{{Name: "a", Address: a.Address()}, {Name: "b", Address: b.Address()}}
+	if primaryOnly {
+		daemons = daemons[:1]
+	}
+	l := New(Settings{
+		Seed: 1, Callers: 6, Daemons: daemons[:1], Groups: []unit.GroupName{"ledger"}, Mix: mix,
+		Phases: []Phase{{Rate: 2000}}, Duration: time.Second, Roam: 0.3,
+	})
+	is.NoErr(l.Prepare(t.Context()))
+	b.SetApplyLag(time.Hour)
+	l.settings.Daemons = daemons
+	l.Run(t.Context())
+	l.settings.Daemons = daemons[:1]
+	report, err := l.Settle(t.Context())
+	is.NoErr(err)
+	return report
+}
+
+func TestLoadOnAPrimary(t *testing.T) {
+	is := is.New(t)
+	mix := []Share{{Write, 1, 0}, {KeyedWrite, 1, 0}, {Transaction, 1, 0}, {SessionRead, 1, 0}, {StaleRead, 1, time.Second}}
+	r := load(t, mix, true)
+	is.Equal(r.Violations, nil)
+	is.Equal(len(r.Codes), 0)
+	for _, share := range mix {
+		f := r.Classes[share.Class]
+		is.True(f.Done > 0 && f.Done == f.Arrived)
+		is.True(f.P50 > 0 && f.P50 <= f.P99 && f.P99 <= f.Max)
+	}
+	is.True(r.Goodput > 0 && r.Gaps["ledger"] > 0)
+}
+
+// A replica that lags without end gives reads that miss acknowledged writes.
+func TestViolationsAreFound(t *testing.T) {
+	r := load(t, []Share{{Write, 1, 0}, {SessionRead, 1, 0}, {StaleRead, 1, time.Millisecond}}, false)
+	session, stale := 0, 0
+	for _, v := range r.Violations {
+		if strings.Contains(v, "staleness") {
+			stale++
+		} else {
+			session++
+		}
+	}
+	is.New(t).True(session > 0 && stale > 0)
+	is.New(t).True(r.Codes["25006"] > 0)
+}
