--- a/result/codes.go
+++ b/result/codes.go
@@ -64,9 +64,9 @@
 	ManifestDuration    Code = 5012
 	ManifestSpread      Code = 5013
 	ManifestInvalid     Code = 5014
-	PushConflict        Code = 5101
+	PushConflict        Code = 5201
 	StoreUnavailable    Code = 6001
-	PushReused          Code = 5102
+	PushReused          Code = 5202
 )
 
 var entries = index([]Entry{
--- a/tarragonshed/pusher/pusher.go
+++ b/tarragonshed/pusher/pusher.go
@@ -25,6 +25,7 @@
 	"tarragonshed.example/recorder"
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/platformer"
+	"tarragonshed.example/unit"
 )
 
 // DefaultTimeout is the time that a push has when its context has no earlier
@@ -177,6 +178,16 @@
 	return record, unavailable(err)
 }
 
+// Version returns the record of an accepted version. An unknown one has
+// [result.NoManifest].
+func (p *Pusher) Version(ctx context.Context, version unit.ManifestVersion) (adopter.Record, error) {
+	record, _, err := p.record(ctx, adopter.HistoryKey(version))
+	if err == nil && record.Version == 0 {
+		return record, result.New(result.NoManifest, "version %d was not accepted", version)
+	}
+	return record, unavailable(err)
+}
+
 // History returns the accepted records, latest first.
 func (p *Pusher) History(ctx context.Context) ([]adopter.Record, error) {
 	rows, err := p.platform.Scan(ctx, adopter.Table, adopter.HistoryPrefix)
--- a/wire/operator/design/design.go
+++ b/wire/operator/design/design.go
@@ -268,8 +268,7 @@
 		})
 		Result(func() {
 			Attribute("primary", String, "The new primary.")
-			Attribute("term", UInt64, "Its term.")
-			Required("primary", "term")
+			Required("primary")
 		})
 		HTTP(func() {
 			POST("/{group}/primary")
--- a/wire/operator/gen/group/service.go
+++ b/wire/operator/gen/group/service.go
@@ -51,8 +51,6 @@
 type ChangePrimaryResult struct {
 	// The new primary.
 	Primary string
-	// Its term.
-	Term uint64
 }
 
 // A database group.
--- a/wire/operator/gen/http/group/client/types.go
+++ b/wire/operator/gen/http/group/client/types.go
@@ -25,8 +25,6 @@
 type ChangePrimaryResponseBody struct {
 	// The new primary.
 	Primary *string `form:"primary,omitempty" json:"primary,omitempty" xml:"primary,omitempty"`
-	// Its term.
-	Term *uint64 `form:"term,omitempty" json:"term,omitempty" xml:"term,omitempty"`
 }
 
 // ListRefusedResponseBody is the type of the "group" service "list" endpoint
@@ -168,7 +166,6 @@
 func NewChangePrimaryResultOK(body *ChangePrimaryResponseBody) *group.ChangePrimaryResult {
 	v := &group.ChangePrimaryResult{
 		Primary: *body.Primary,
-		Term:    *body.Term,
 	}
 
 	return v
@@ -218,9 +215,6 @@
 	if body.Primary == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("primary", "body"))
 	}
-	if body.Term == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("term", "body"))
-	}
 	return
 }
 
--- a/wire/operator/gen/http/group/server/types.go
+++ b/wire/operator/gen/http/group/server/types.go
@@ -24,8 +24,6 @@
 type ChangePrimaryResponseBody struct {
 	// The new primary.
 	Primary string `form:"primary" json:"primary" xml:"primary"`
-	// Its term.
-	Term uint64 `form:"term" json:"term" xml:"term"`
 }
 
 // ListRefusedResponseBody is the type of the "group" service "list" endpoint
@@ -148,7 +146,6 @@
 func NewChangePrimaryResponseBody(res *group.ChangePrimaryResult) *ChangePrimaryResponseBody {
 	body := &ChangePrimaryResponseBody{
 		Primary: res.Primary,
-		Term:    res.Term,
 	}
 	return body
 }
