--- a/standin/demonstrator/demonstrator.go
+++ b/standin/demonstrator/demonstrator.go
@@ -18,8 +18,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -76,8 +74,6 @@
 	if command.Bool("verbose") {
 		options = append(options, deployer.WithLogger(log.New(os.Stderr)))
 	}
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	d, err := deployer.New(options...)
 	if err != nil {
 		return err
--- a/standin/deployer/parts.go
+++ b/standin/deployer/parts.go
@@ -48,7 +48,7 @@
 
 // startTargets starts the instances of all groups and writes the manifest.
 func (d *Deployment) startTargets() error {
-	secret, err := scramSecret(Password)
+	secret, err := SCRAMSecret(Caller, Password)
 	if err != nil {
 		return err
 	}
@@ -328,9 +328,9 @@
 // scramIterations is the iteration count of the account's verifier.
 const scramIterations = 4096
 
-// scramSecret returns the verifier of a password in PostgreSQL's format.
-func scramSecret(password string) (string, error) {
-	client, err := scram.SHA256.NewClient(Caller, password, "")
+// SCRAMSecret returns the verifier of a caller's password in PostgreSQL's format.
+func SCRAMSecret(caller, password string) (string, error) {
+	client, err := scram.SHA256.NewClient(caller, password, "")
 	if err != nil {
 		return "", err
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -15,6 +15,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -35,7 +37,9 @@
 			target.Command(),
 		},
 	}
-	if err := command.Run(context.Background(), os.Args); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
 	}
--- a/standin/target/command.go
+++ b/standin/target/command.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"tarragonshed.example/unit"
 )
 
-// Command returns the command that runs one target as a process until SIGTERM.
+// Command returns the command that runs one target as a process until the
+// context ends.
 func Command() *cli.Command {
 	return &cli.Command{
 		Name:  "target",
@@ -44,8 +43,6 @@
 	case c.String("follow") != "":
 		options = append(options, WithFollow(unit.InstanceName(c.String("follow")), c.String("follow-address")))
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	t, err := New(unit.InstanceName(c.String("name")), unit.GroupName(c.String("group")), options...)
 	if err != nil {
 		return err
