--- /dev/null
+++ b/tarragonbench/experimenter/run.go
@@ -0,0 +1,353 @@
+package experimenter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"tarragonshed.example/recorder"
+	"tarragonshed.example/standin/deployer"
+	"tarragonshed.example/tarragonbench/historian"
+	"tarragonshed.example/tarragonbench/loader"
+	"tarragonshed.example/unit"
+)
+
+// Limits of waiting for a run's parts.
+const (
+	prepareTimeout = 30 * time.Second
+	settleTimeout  = 45 * time.Second
+	// excerpt is how far the timeline goes before and after a gap.
+	excerpt      = 50 * time.Millisecond
+	excerptLines = 60
+)
+
+// Perform makes all runs of an experiment. Progress is told line by line.
+func Perform(ctx context.Context, e Experiment, progress func(string)) (Result, error) {
+	result := Result{Experiment: e, Commit: commit(), Began: time.Now().UTC()}
+	total := len(e.Deployments) * e.Runs
+	for _, deployment := range e.Deployments {
+		for i := range e.Runs {
+			if ctx.Err() != nil {
+				return result, ctx.Err()
+			}
+			r := run(ctx, e, deployment, e.FirstSeed+uint64(i))
+			result.Runs = append(result.Runs, r)
+			progress(fmt.Sprintf("[%d/%d] %s", len(result.Runs), total, r.line()))
+		}
+	}
+	result.Summary = Summarize(e, result.Runs)
+	return result, nil
+}
+
+// line tells a run in one line.
+func (r Run) line() string {
+	text := fmt.Sprintf("%s seed %d: %d violations", r.Deployment, r.Seed, len(r.Violations()))
+	if len(r.Gaps) > 0 {
+		text += fmt.Sprintf(", gaps up to %.0f ms", quantile(r.Gaps, 1))
+	}
+	if r.Error != "" {
+		text += ", failed: " + r.Error
+	}
+	return text
+}
+
+// commit returns the revision that the program was built from.
+func commit() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	revision, modified := "", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			modified = "+changes"
+		}
+	}
+	return revision + modified
+}
+
+// bench is one run under way.
+type bench struct {
+	experiment Experiment
+	deployment *deployer.Deployment
+	groups     []unit.GroupName
+	random     *rand.Rand
+	run        *Run
+	// struck is when the first fault of the cycle struck.
+	struck time.Time
+	// noted is called when a fault strikes.
+	mends []deployer.Fault
+}
+
+func run(ctx context.Context, e Experiment, deployment string, seed uint64) Run {
+	r := Run{Deployment: deployment, Seed: seed}
+	if err := perform(ctx, e, &r); err != nil {
+		r.Error = err.Error()
+	}
+	return r
+}
+
+func perform(ctx context.Context, e Experiment, r *Run) error {
+	profile, err := deployer.ProfileNamed(r.Deployment)
+	if err != nil {
+		return err
+	}
+	options := []deployer.Option{
+		deployer.WithProfile(profile), deployer.WithDaemons(e.Daemons), deployer.WithHomes(e.Homes),
+		deployer.WithServiceTime(e.ServiceTime), deployer.WithSeed(r.Seed),
+	}
+	if e.LocalGroups {
+		options = append(options, deployer.WithLocalGroups())
+	}
+	d, err := deployer.New(options...)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	b := &bench{experiment: e, deployment: d, run: r, random: rand.New(rand.NewPCG(r.Seed, 0xbe0c))}
+	b.groups = d.Groups()[:min(e.Groups, len(d.Groups()))]
+	if e.Mode == History {
+		return b.history(ctx)
+	}
+	return b.load(ctx)
+}
+
+func (b *bench) daemons() []historian.Daemon {
+	var list []historian.Daemon
+	for _, m := range b.deployment.Daemons() {
+		list = append(list, historian.Daemon{Name: string(m.ID), Address: m.CallerAddress})
+	}
+	return list
+}
+
+// load makes a run of mode "load".
+func (b *bench) load(ctx context.Context) error {
+	e := b.experiment
+	l := loader.New(loader.Settings{
+		Seed: b.run.Seed, Callers: e.Load.Callers, Daemons: b.daemons(), Groups: b.groups,
+		Phases: e.Load.Phases, Mix: e.Load.Mix, Roam: e.Load.Roam, Duration: e.length(),
+	})
+	preparing, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	if err := l.Prepare(preparing); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(ctx)
+	}()
+	err := b.cycles(ctx, func(from, to time.Time) {
+		for _, g := range b.groups {
+			b.run.Gaps = append(b.run.Gaps, float64(l.Gap(g, from, to))/float64(time.Millisecond))
+		}
+		b.excerpt(l, from, to)
+	})
+	<-done
+	b.run.Replicas = b.replicaShares()
+	settling, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	report, settleErr := l.Settle(settling)
+	if settleErr != nil {
+		return settleErr
+	}
+	b.run.Load = &report
+	return err
+}
+
+// history makes a run of mode "history".
+func (b *bench) history(ctx context.Context) error {
+	e := b.experiment
+	h := historian.New(historian.Settings{
+		Seed: b.run.Seed, Callers: e.History.Callers, Daemons: b.daemons(), Groups: b.groups,
+		Pause: e.History.Pause, Roam: e.History.Roam, Reads: e.History.Reads,
+	})
+	preparing, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	if err := h.Prepare(preparing); err != nil {
+		return err
+	}
+	working, stop := context.WithCancel(ctx)
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.Run(working)
+	}()
+	err := b.cycles(ctx, func(from, to time.Time) {})
+	stop()
+	<-done
+	settling, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	if settleErr := h.Settle(settling); settleErr != nil {
+		return settleErr
+	}
+	verdict := h.Check()
+	b.run.Verdict = &verdict
+	return err
+}
+
+// cycles lets the faults strike and mends them, and calls after with the time of
+// the first fault and the end of each cycle.
+func (b *bench) cycles(ctx context.Context, after func(from, to time.Time)) error {
+	began := time.Now()
+	for i := range b.experiment.Cycles {
+		start := began.Add(b.experiment.Warmup + time.Duration(i)*b.experiment.Cycle)
+		wait(ctx, start)
+		b.struck = time.Time{}
+		err := b.strike(ctx, start)
+		wait(ctx, start.Add(b.experiment.Cycle))
+		b.mend()
+		if !b.struck.IsZero() {
+			after(b.struck, time.Now())
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func wait(ctx context.Context, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// strike brings about the faults of a cycle.
+func (b *bench) strike(ctx context.Context, start time.Time) error {
+	names := map[unit.GroupName]*strings.Replacer{}
+	for _, g := range b.groups {
+		r, err := b.names(g)
+		if err != nil {
+			return err
+		}
+		names[g] = r
+	}
+	for _, s := range b.experiment.Faults {
+		wait(ctx, start.Add(s.After+time.Duration(b.random.Float64()*float64(s.Jitter))))
+		for _, f := range b.faults(s, names) {
+			if b.struck.IsZero() {
+				b.struck = time.Now()
+			}
+			if err := b.deployment.Inject(f); err != nil {
+				return fmt.Errorf("%s: %w", f, err)
+			}
+			b.run.Strikes = append(b.run.Strikes, fmt.Sprintf("%v %s", time.Since(start).Round(time.Millisecond), f))
+			b.mends = append(b.mends, remedies(f)...)
+		}
+	}
+	return nil
+}
+
+// faults returns the strike's fault with its names filled in, once for each group
+// if it names what differs between groups.
+func (b *bench) faults(s Strike, names map[unit.GroupName]*strings.Replacer) []deployer.Fault {
+	ids := b.deployment.DaemonIDs()
+	drawn := string(ids[b.random.IntN(len(ids))])
+	fill := func(r *strings.Replacer) deployer.Fault {
+		f := s.Fault
+		f.Seed = b.run.Seed
+		daemon := string(f.Daemon)
+		for _, field := range []*string{&f.Target, &daemon, &f.From, &f.To} {
+			*field = strings.ReplaceAll(r.Replace(*field), "{daemon}", drawn)
+		}
+		f.Daemon = unit.DaemonID(daemon)
+		return f
+	}
+	var list []deployer.Fault
+	seen := map[string]bool{}
+	for _, g := range b.groups {
+		f := fill(names[g])
+		if !seen[f.String()] {
+			list = append(list, f)
+		}
+		seen[f.String()] = true
+	}
+	return list
+}
+
+// names returns what the names of a group stand for now.
+func (b *bench) names(group unit.GroupName) (*strings.Replacer, error) {
+	primary, err := b.deployment.Target("primary:" + string(group))
+	if err != nil {
+		return nil, err
+	}
+	pairs := []string{"{group}", string(group), "{primary}", string(primary.Name())}
+	at, _ := b.deployment.Instance(primary.Name())
+	other := ""
+	for _, d := range b.deployment.Profile.Domains {
+		if d.Name != at.Domain && other == "" {
+			other = string(d.Name)
+		}
+	}
+	replica := ""
+	for _, i := range b.deployment.Instances(group) {
+		if i.Name != primary.Name() && replica == "" {
+			replica = string(i.Name)
+		}
+	}
+	pairs = append(pairs, "{primary-domain}", string(at.Domain), "{other-domain}", other, "{replica}", replica)
+	return strings.NewReplacer(pairs...), nil
+}
+
+// remedies returns the faults that end f.
+func remedies(f deployer.Fault) []deployer.Fault {
+	switch f.Kind {
+	case deployer.StopTarget:
+		return []deployer.Fault{{Kind: deployer.StartTarget, Target: f.Target}}
+	case deployer.PauseTarget:
+		return []deployer.Fault{{Kind: deployer.ResumeTarget, Target: f.Target}}
+	case deployer.StopDaemon:
+		return []deployer.Fault{{Kind: deployer.StartDaemon, Daemon: f.Daemon}}
+	case deployer.PauseDaemon:
+		return []deployer.Fault{{Kind: deployer.ResumeDaemon, Daemon: f.Daemon}}
+	case deployer.Cut:
+		return []deployer.Fault{{Kind: deployer.Heal}}
+	case deployer.Lag:
+		return []deployer.Fault{{Kind: deployer.Lag, Target: f.Target, Receive: f.Receive}}
+	case deployer.PlatformDown, deployer.PlatformSlow, deployer.PlatformLoseAnswers:
+		return []deployer.Fault{{Kind: deployer.PlatformUp}}
+	}
+	return nil
+}
+
+// mend ends all faults. What is running already stays so.
+func (b *bench) mend() {
+	for _, f := range b.mends {
+		_ = b.deployment.Inject(f)
+	}
+	b.mends = nil
+}
+
+// excerpt keeps the timeline around the longest gap of the run so far.
+func (b *bench) excerpt(l *loader.Loader, from, to time.Time) {
+	group, begin, end := b.groups[0], time.Time{}, time.Time{}
+	for _, g := range b.groups {
+		if first, last := l.GapBounds(g, from, to); last.Sub(first) > end.Sub(begin) {
+			group, begin, end = g, first, last
+		}
+	}
+	if float64(end.Sub(begin))/float64(time.Millisecond) < quantile(b.run.Gaps, 1) {
+		return
+	}
+	b.run.Timeline = []string{fmt.Sprintf("%s last write acknowledged to callers of %s", begin.UTC().Format("15:04:05.000000"), group)}
+	for _, event := range b.deployment.Timeline(recorder.Time{Wall: begin.Add(-excerpt).UnixNano()}) {
+		if event.Time.Wall > end.Add(excerpt).UnixNano() || (event.Group != "" && event.Group != group) || event.Kind == recorder.WriteAcknowledged {
+			continue
+		}
+		if len(b.run.Timeline) < excerptLines {
+			b.run.Timeline = append(b.run.Timeline, event.String())
+		}
+	}
+	b.run.Timeline = append(b.run.Timeline, fmt.Sprintf("%s next write acknowledged", end.UTC().Format("15:04:05.000000")))
+}
--- a/tarragonbench/loader/caller.go
+++ b/tarragonbench/loader/caller.go
@@ -31,7 +31,6 @@
 	callers  []*caller
 	groups   map[unit.GroupName]*group
 	began    time.Time
-	faults   atomic.Int64 // When the first fault was noted, in nanoseconds after the beginning.
 
 	mu     sync.Mutex
 	report Report
@@ -94,7 +93,7 @@
 func New(settings Settings) *Loader {
 	l := &Loader{
 		settings: settings.withDefaults(), groups: map[unit.GroupName]*group{},
-		report: Report{Classes: map[Class]*Figures{}, Codes: map[string]int{}, Gaps: map[unit.GroupName]time.Duration{}},
+		report: Report{Classes: map[Class]*Figures{}, Codes: map[string]int{}},
 	}
 	for _, name := range l.settings.Groups {
 		l.groups[name] = &group{name: name, inserts: map[int64]historian.Outcome{}}
@@ -143,9 +142,17 @@
 	return err
 }
 
-// NoteFault tells that a fault strikes now. Gaps count from the first one.
-func (l *Loader) NoteFault() {
-	l.faults.CompareAndSwap(0, int64(time.Since(l.began)))
+// Gap returns the longest time between two acknowledged writes of a group, or
+// from one up to to, of which the second one was acknowledged after from.
+func (l *Loader) Gap(group unit.GroupName, from, to time.Time) time.Duration {
+	first, last := l.GapBounds(group, from, to)
+	return last.Sub(first)
+}
+
+// GapBounds returns when the longest gap began and ended.
+func (l *Loader) GapBounds(group unit.GroupName, from, to time.Time) (first, last time.Time) {
+	begin, end := l.groups[group].acks.gap(from.Sub(l.began), to.Sub(l.began))
+	return l.began.Add(begin), l.began.Add(end)
 }
 
 // Run puts the load on and returns when all requests have ended.
@@ -397,7 +404,6 @@
 			return Report{}, fmt.Errorf("loader: final state of %s: %w", g.name, err)
 		}
 		l.compare(g, items)
-		l.report.Gaps[g.name] = g.acks.gap(time.Duration(l.faults.Load()), l.settings.Duration)
 	}
 	done := 0
 	for _, f := range l.report.Classes {
--- a/tarragonbench/loader/loader.go
+++ b/tarragonbench/loader/loader.go
@@ -19,7 +19,7 @@
 // # Gap
 //
 // The failover gap of a group is the longest time between two acknowledged
-// writes of which the second one came after a fault.
+// writes of which the second one came after a fault, see [Loader.Gap].
 //
 // # Usage
 //
@@ -240,8 +240,6 @@
 	Classes map[Class]*Figures `json:"classes"`
 	// Codes counts requests that are not done by code.
 	Codes map[string]int `json:"codes"`
-	// Gaps are the longest times without an acknowledged write, by group.
-	Gaps map[unit.GroupName]time.Duration `json:"gaps"`
 	// Goodput is in done requests a second of the load's duration.
 	Goodput float64 `json:"goodput"`
 	// Violations tell of broken promises.
@@ -261,18 +259,27 @@
 }
 
 // gap returns the longest time between two acknowledged writes of which the
-// second one was acknowledged at from or later. A run that ends at end without a
-// further write counts up to there.
-func (a *acknowledgements) gap(from, end time.Duration) time.Duration {
+// second one was acknowledged from from to end. Without a write the gap lasts up to
+// end.
+func (a *acknowledgements) gap(from, end time.Duration) (first, last time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	sort.Slice(a.times, func(i, j int) bool { return a.times[i] < a.times[j] })
-	longest, last := time.Duration(0), time.Duration(0)
-	for _, t := range append(a.times, end) {
+	previous := time.Duration(0)
+	consider := func(t time.Duration) {
+		if t-previous > last-first {
+			first, last = previous, t
+		}
+	}
+	for _, t := range a.times {
+		if t > end {
+			break
+		}
 		if t >= from {
-			longest = max(longest, t-last)
+			consider(t)
 		}
-		last = t
+		previous = t
 	}
-	return longest
+	consider(end)
+	return first, last
 }
--- a/tarragonbench/loader/loader_test.go
+++ b/tarragonbench/loader/loader_test.go
@@ -40,8 +40,13 @@
 	for _, at := range []time.Duration{1, 100, 110, 90, 150} {
 		a.add(at * time.Millisecond)
 	}
-	is.Equal(a.gap(105*time.Millisecond, 160*time.Millisecond), 40*time.Millisecond)
-	is.Equal(a.gap(155*time.Millisecond, time.Second), 850*time.Millisecond) // No write came after.
+	gap := func(from, end time.Duration) time.Duration {
+		first, last := a.gap(from*time.Millisecond, end*time.Millisecond)
+		return last - first
+	}
+	is.Equal(gap(105, 160), 40*time.Millisecond)
+	is.Equal(gap(155, 1000), 850*time.Millisecond) // No write came after.
+	is.Equal(gap(50, 120), 89*time.Millisecond)    // What came after the end does not count.
 }
 
 func load(t *testing.T, mix []Share, primaryOnly bool) Report {
@@ -82,7 +87,7 @@
 		is.True(f.Done > 0 && f.Done == f.Arrived)
 		is.True(f.P50 > 0 && f.P50 <= f.P99 && f.P99 <= f.Max)
 	}
-	is.True(r.Goodput > 0 && r.Gaps["ledger"] > 0)
+	is.True(r.Goodput > 0)
 }
 
 // A replica that lags without end gives reads that miss acknowledged writes.
