--- a/standin/deployer/deployer.go
+++ b/standin/deployer/deployer.go
@@ -207,6 +207,9 @@
 	return names
 }
 
+// Group returns the group with the name as the manifest has it.
+func (d *Deployment) Group(name unit.GroupName) (manifest.Group, bool) { return d.manifest.Group(name) }
+
 // Target returns the target with an instance name or, as "primary:GROUP", the
 // primary with the highest term.
 func (d *Deployment) Target(name string) (*target.Target, error) { return d.target(name) }
--- a/tarragonbench/experimenter/run.go
+++ b/tarragonbench/experimenter/run.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"tarragonshed.example/recorder"
 	"tarragonshed.example/standin/deployer"
 	"tarragonshed.example/tarragonbench/historian"
@@ -81,7 +83,7 @@
 	run        *Run
 	// struck is when the first fault of the cycle struck.
 	struck time.Time
-	// noted is called when a fault strikes.
+	// mends are the faults that end those of the cycle.
 	mends []deployer.Fault
 }
 
@@ -205,7 +207,7 @@
 		wait(ctx, start.Add(b.experiment.Cycle))
 		b.mend()
 		if !b.struck.IsZero() {
-			after(b.struck, time.Now())
+			after(b.struck, start.Add(b.experiment.Cycle))
 		}
 		if err != nil {
 			return err
@@ -282,21 +284,25 @@
 	if err != nil {
 		return nil, err
 	}
-	pairs := []string{"{group}", string(group), "{primary}", string(primary.Name())}
-	at, _ := b.deployment.Instance(primary.Name())
-	other := ""
-	for _, d := range b.deployment.Profile.Domains {
-		if d.Name != at.Domain && other == "" {
-			other = string(d.Name)
+	described, _ := b.deployment.Group(group)
+	var at, other unit.DomainName
+	var replica unit.InstanceName
+	for _, i := range described.Instances {
+		if i.Name == primary.Name() {
+			at = i.Domain
+		} else {
+			replica = i.Name
 		}
 	}
-	replica := ""
-	for _, i := range b.deployment.Instances(group) {
-		if i.Name != primary.Name() && replica == "" {
-			replica = string(i.Name)
+	for _, d := range b.deployment.Profile.Domains {
+		if d.Name != at {
+			other = d.Name
 		}
 	}
-	pairs = append(pairs, "{primary-domain}", string(at.Domain), "{other-domain}", other, "{replica}", replica)
+	pairs := []string{
+		"{group}", string(group), "{primary}", string(primary.Name()), "{replica}", string(replica),
+		"{primary-domain}", string(at), "{other-domain}", string(other),
+	}
 	return strings.NewReplacer(pairs...), nil
 }
 
@@ -321,6 +327,31 @@
 	return nil
 }
 
+// replicaShares returns the shares of reads that replicas served, by class.
+func (b *bench) replicaShares() map[string]float64 {
+	shares := map[string]float64{}
+	for _, class := range []string{"session", "stale"} {
+		var replica, primary int64
+		for _, id := range b.deployment.DaemonIDs() {
+			if d, ok := b.deployment.Daemon(id); ok {
+				replica += counter(d.Metrics(), "entry.reads.replica."+class)
+				primary += counter(d.Metrics(), "entry.reads.primary."+class)
+			}
+		}
+		if replica+primary > 0 {
+			shares[class] = float64(replica) / float64(replica+primary)
+		}
+	}
+	return shares
+}
+
+func counter(registry metrics.Registry, name string) int64 {
+	if c, ok := registry.Get(name).(metrics.Counter); ok {
+		return c.Count()
+	}
+	return 0
+}
+
 // mend ends all faults. What is running already stays so.
 func (b *bench) mend() {
 	for _, f := range b.mends {
--- /dev/null
+++ b/tarragonbench/main.go
@@ -0,0 +1,213 @@
+// Command tarragonbench runs experiments on deployments of tarragonshed and
+// reports what callers see.
+//
+// # Usage
+//
+//	tarragonbench run experiments/failover-stop.toml --output results/
+//	tarragonbench sweep experiments/replica-reads.toml --over homes=1,2,4
+//	tarragonbench compare results/before.json results/after.json
+//	tarragonbench report results/*.json --html report.html
+//
+// Exit codes: 0 every run ended and broke no promise, 1 the command failed, 2 a
+// promise was broken or a run failed.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"tarragonshed.example/tarragonbench/experimenter"
+)
+
+const brokenExit = 2
+
+var errBroken = errors.New("a promise was broken or a run failed")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	err := command().Run(ctx, os.Args)
+	switch {
+	case errors.Is(err, errBroken):
+		fmt.Fprintln(os.Stderr, "tarragonbench:", err)
+		os.Exit(brokenExit)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "tarragonbench:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	output := &cli.StringFlag{Name: "output", Usage: "write results into the `DIRECTORY`", Value: "results"}
+	seeds := []cli.Flag{
+		output,
+		&cli.IntFlag{Name: "runs", Usage: "runs for each deployment, instead of the experiment's"},
+		&cli.Uint64Flag{Name: "seed", Usage: "first seed, instead of the experiment's"},
+		&cli.StringSliceFlag{Name: "set", Usage: "`KEY=VALUE` of the experiment to change"},
+	}
+	return &cli.Command{
+		Name:                  "tarragonbench",
+		Usage:                 "run experiments on deployments of tarragonshed",
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "run experiments", ArgsUsage: "EXPERIMENT.toml ...", Flags: seeds, Action: run},
+			{
+				Name: "sweep", Usage: "run an experiment for each value of a key", ArgsUsage: "EXPERIMENT.toml", Action: sweep,
+				Flags: append([]cli.Flag{&cli.StringFlag{Name: "over", Usage: "`KEY=VALUE,VALUE,...`", Required: true}}, seeds...),
+			},
+			{Name: "compare", Usage: "set two results side by side", ArgsUsage: "BEFORE.json AFTER.json", Action: compare},
+			{
+				Name: "report", Usage: "print results and write them as a page", ArgsUsage: "RESULT.json ...", Action: report,
+				Flags: []cli.Flag{&cli.StringFlag{Name: "html", Usage: "write one self-contained page to the `FILE`"}},
+			},
+		},
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return errors.New("no experiment is named")
+	}
+	passed := true
+	for _, path := range c.Args().Slice() {
+		ok, err := perform(ctx, c, path, "")
+		if err != nil {
+			return err
+		}
+		passed = passed && ok
+	}
+	return verdict(passed)
+}
+
+func sweep(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return errors.New("one experiment is to be named")
+	}
+	values, err := experimenter.ParseSweep(c.String("over"))
+	if err != nil {
+		return err
+	}
+	passed := true
+	for _, value := range values {
+		ok, err := perform(ctx, c, c.Args().First(), value.String(), value)
+		if err != nil {
+			return err
+		}
+		passed = passed && ok
+	}
+	return verdict(passed)
+}
+
+func verdict(passed bool) error {
+	if !passed {
+		return errBroken
+	}
+	return nil
+}
+
+// perform runs one experiment and reports whether it passed.
+func perform(ctx context.Context, c *cli.Command, path, variant string, overrides ...experimenter.Override) (bool, error) {
+	for _, text := range c.StringSlice("set") {
+		set, err := experimenter.ParseSweep(text)
+		if err != nil {
+			return false, err
+		}
+		overrides = append(overrides, set...)
+	}
+	e, err := experimenter.Read(path, overrides...)
+	if err != nil {
+		return false, err
+	}
+	if n := c.Int("runs"); n > 0 {
+		e.Runs = n
+	}
+	if seed := c.Uint64("seed"); seed > 0 {
+		e.FirstSeed = seed
+	}
+	if variant != "" {
+		e.Name += " " + variant
+	}
+	result, err := experimenter.Perform(ctx, e, func(line string) { _, _ = fmt.Fprintln(c.Root().ErrWriter, e.Name, line) })
+	if err != nil {
+		return false, err
+	}
+	if err := result.WriteTable(c.Root().Writer); err != nil {
+		return false, err
+	}
+	for _, r := range result.Runs {
+		for _, v := range r.Violations() {
+			_, _ = fmt.Fprintf(c.Root().Writer, "%s seed %d: %s\n", r.Deployment, r.Seed, v)
+		}
+	}
+	return result.Passed(), write(c.String("output"), e.Name, result)
+}
+
+func write(directory, name string, result experimenter.Result) error {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return err
+	}
+	document, err := json.MarshalIndent(result, "", "  ")
+	if err != nil {
+		return err
+	}
+	file := strings.NewReplacer(" ", "-", "=", "-", "/", "-").Replace(name) + ".json"
+	return os.WriteFile(filepath.Join(directory, file), document, 0o644)
+}
+
+func read(path string) (experimenter.Result, error) {
+	var result experimenter.Result
+	document, err := os.ReadFile(path)
+	if err != nil {
+		return result, err
+	}
+	if err := json.Unmarshal(document, &result); err != nil {
+		return result, fmt.Errorf("%s: %w", path, err)
+	}
+	return result, nil
+}
+
+func compare(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() != 2 {
+		return errors.New("two results are to be named")
+	}
+	before, err := read(c.Args().Get(0))
+	if err != nil {
+		return err
+	}
+	after, err := read(c.Args().Get(1))
+	if err != nil {
+		return err
+	}
+	return experimenter.WriteComparison(c.Root().Writer, before, after)
+}
+
+func report(_ context.Context, c *cli.Command) error {
+	var results []experimenter.Result
+	for _, path := range c.Args().Slice() {
+		result, err := read(path)
+		if err != nil {
+			return err
+		}
+		results = append(results, result)
+		if err := result.WriteTable(c.Root().Writer); err != nil {
+			return err
+		}
+	}
+	if c.String("html") == "" {
+		return nil
+	}
+	file, err := os.Create(c.String("html"))
+	if err != nil {
+		return err
+	}
+	return errors.Join(experimenter.WritePage(file, results), file.Close())
+}
