daemon: mount the operator API

settings: incarnation (the platform's, so that marks of its list apply) and peers.seeds. entry lists its sessions. A drain by the API ends the process; a daemon that was marked as leaving is not ready.

--- a/tarragonshed/daemon/daemon.go
+++ b/tarragonshed/daemon/daemon.go
@@ -70,6 +70,7 @@
 	servers   []*http.Server
 	draining  atomic.Bool
 	closeOnce sync.Once
+	done      chan struct{}
 }
 
 // Option changes a Daemon under construction.
@@ -98,6 +99,7 @@
 		logger:   log.Default(),
 		rec:      recorder.New(string(s.ID)),
 		registry: metrics.NewRegistry(),
+		done:     make(chan struct{}),
 	}
 	for _, option := range options {
 		option(d)
@@ -118,13 +120,16 @@
 	callers, operators, peers := listeners[0], listeners[1], listeners[2]
 	d.self = member.Daemon{
 		ID:              d.settings.ID,
-		Incarnation:     unit.Incarnation(time.Now().UnixNano()),
+		Incarnation:     d.settings.Incarnation,
 		Domain:          d.settings.Domain,
 		State:           member.Live,
 		CallerAddress:   first(d.settings.Callers.Advertise, callers.Addr().String()),
 		OperatorAddress: first(d.settings.Operator.Advertise, operators.Addr().String()),
 		PeerAddress:     first(d.settings.Peers.Advertise, peers.Addr().String()),
 	}
+	if d.self.Incarnation == 0 {
+		d.self.Incarnation = unit.Incarnation(time.Now().UnixNano())
+	}
 	d.holder = holder.New(member.View{Self: d.self.ID, Daemons: []member.Daemon{d.self}})
 	d.platform, err = platformer.New(d.settings.Platform.URL,
 		platformer.WithDialer(d.dial),
@@ -154,6 +159,8 @@
 		gossiper.WithDialer(d.dial),
 		gossiper.WithRecorder(d.rec),
 		gossiper.WithLogger(d.logger),
+		gossiper.WithMetrics(d.registry),
+		gossiper.WithSeeds(d.settings.Peers.Seeds...),
 	)
 	d.entry = entry.New(d.accept(callers), d.holder, d.lanes,
 		entry.WithLogger(d.logger),
@@ -186,6 +193,7 @@
 	mux.HandleFunc("GET /healthz", healthHandler)
 	mux.HandleFunc("GET /readyz", d.readyHandler)
 	mux.HandleFunc("GET /metrics", d.metricsHandler)
+	mux.Handle("/v1/", d.operatorAPI().Handler())
 	return mux
 }
 
@@ -201,17 +209,31 @@
 // Metrics returns the daemon's metrics.
 func (d *Daemon) Metrics() metrics.Registry { return d.registry }
 
-// Ready reports whether the daemon takes new work: it has a manifest in force
-// and is not draining.
+// Ready reports whether the daemon takes new work: it has a manifest in force,
+// is not draining, and nobody has marked it as leaving.
 func (d *Daemon) Ready() bool {
-	return !d.draining.Load() && d.holder.Current().Manifest != nil
+	select {
+	case <-d.gossip.Leaving():
+		return false
+	default:
+		return !d.draining.Load() && d.holder.Current().Manifest != nil
+	}
 }
 
+// Done is closed when the daemon has ended.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
 // Shutdown drains the daemon: it tells the others that it leaves, lets what is
-// in flight end until the context does, and closes.
+// in flight end until the context does, and closes. While it drains already, it
+// waits for the end.
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	if d.draining.Swap(true) {
-		return nil
+		select {
+		case <-d.done:
+			return nil
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		}
 	}
 	d.rec.Record(recorder.Event{Kind: recorder.DaemonDraining, Daemon: d.self.ID})
 	d.gossip.Leave()
@@ -242,6 +264,7 @@
 		if d.platform != nil {
 			d.platform.Close()
 		}
+		close(d.done)
 	})
 }
 
--- a/tarragonshed/entry/session.go
+++ b/tarragonshed/entry/session.go
@@ -33,6 +33,7 @@
 	entry    *Entry
 	id       unit.SessionID
 	conn     net.Conn
+	since    time.Time
 	reader   *framer.Reader
 	secret   [secretKeySize]byte
 	caller   unit.CallerName
@@ -74,6 +75,7 @@
 	s := &session{
 		entry:    e,
 		conn:     conn,
+		since:    time.Now(),
 		reader:   framer.New(conn, e.limits.MaxBatch),
 		caller:   unit.CallerName(parameters["user"]),
 		database: unit.GroupName(parameters["database"]),
--- /dev/null
+++ b/tarragonshed/entry/sessions.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tarragonshed.example/unit"
+)
+
+// Session describes a caller's session.
+type Session struct {
+	ID      unit.SessionID
+	Caller  unit.CallerName
+	Group   unit.GroupName
+	Address string
+	Since   time.Time
+	// Idle tells that the session waits for the caller, between transactions.
+	Idle bool
+}
+
+// Sessions returns the sessions, ordered by id.
+func (e *Entry) Sessions() []Session {
+	var described []Session
+	for _, s := range e.list() {
+		s.mu.Lock()
+		idle := s.idle
+		s.mu.Unlock()
+		described = append(described, Session{
+			ID: s.id, Caller: s.caller, Group: s.database, Address: s.conn.RemoteAddr().String(), Since: s.since, Idle: idle,
+		})
+	}
+	slices.SortFunc(described, func(a, b Session) int { return cmp.Compare(a.ID, b.ID) })
+	return described
+}
--- a/tarragonshed/main.go
+++ b/tarragonshed/main.go
@@ -128,8 +128,12 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	got := <-signals
-	logger.Info("draining", "signal", got.String())
+	select {
+	case got := <-signals:
+		logger.Info("draining", "signal", got.String())
+	case <-d.Done(): // An operator asked for the drain.
+		return nil
+	}
 	drainCtx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
 	go func() {
--- a/tarragonshed/settings/settings.go
+++ b/tarragonshed/settings/settings.go
@@ -63,14 +63,17 @@
 
 // Settings are the settings of one daemon.
 type Settings struct {
-	ID       unit.DaemonID   `toml:"id"`
-	Domain   unit.DomainName `toml:"domain"`
-	Callers  Callers         `toml:"callers"`
-	Peers    Peers           `toml:"peers"`
-	Operator Operator        `toml:"operator"`
-	Platform Platform        `toml:"platform"`
-	Targets  Targets         `toml:"targets"`
-	Log      Log             `toml:"log"`
+	ID unit.DaemonID `toml:"id"`
+	// Incarnation tells the lives of the VM apart, as the platform's list of VMs
+	// does. Zero takes the time of the start, to which marks of the list don't apply.
+	Incarnation unit.Incarnation `toml:"incarnation"`
+	Domain      unit.DomainName  `toml:"domain"`
+	Callers     Callers          `toml:"callers"`
+	Peers       Peers            `toml:"peers"`
+	Operator    Operator         `toml:"operator"`
+	Platform    Platform         `toml:"platform"`
+	Targets     Targets          `toml:"targets"`
+	Log         Log              `toml:"log"`
 }
 
 // Callers are the settings of the callers' side.
@@ -94,7 +97,9 @@
 	Advertise string `toml:"advertise"`
 	// Plaintext allows connections between daemons without TLS.
 	Plaintext bool `toml:"plaintext"`
-	TLS       TLS  `toml:"tls"`
+	// Seeds are peer addresses to ask while no other daemon is known.
+	Seeds []string `toml:"seeds"`
+	TLS   TLS      `toml:"tls"`
 }
 
 // Operator are the settings of the operator API, metrics and health checks.
