--- a/prober/entry.go
+++ b/prober/entry.go
@@ -23,6 +23,9 @@
 // maxFieldBytes bounds each name and address of an entry.
 const maxFieldBytes = 256
 
+// maxRefutation leaves room for refutations above each number that is taken in.
+const maxRefutation = 1 << 62
+
 // Entry is what is known of a daemon. The State of the embedded Daemon is not used;
 // [Entry.Member] derives it.
 type Entry struct {
@@ -43,7 +46,7 @@
 			return false
 		}
 	}
-	return e.ID != "" && e.PeerAddress != "" && e.Status <= Dead
+	return e.ID != "" && e.PeerAddress != "" && e.Status <= Dead && e.Refutation < maxRefutation
 }
 
 // Member returns the daemon with the state that follows from the entry.
--- a/tarragonctl/groups.go
+++ b/tarragonctl/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -17,24 +18,75 @@
 func groupsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "groups",
-		Usage: "show the groups as the asked daemon knows them",
+		Usage: "show the groups of the asked daemon's manifest, with the latest that any daemon knows",
 		Action: action(func(ctx context.Context, _ *cli.Command, s *session) error {
 			groups, err := s.daemon().Groups(ctx)
 			if err != nil {
 				return err
 			}
+			replies, err := client.All(ctx, s.client, s.Options.Daemon, func(ctx context.Context, d *client.Daemon) ([]*group.Group, error) {
+				return d.Groups(ctx)
+			})
+			if err != nil {
+				return err
+			}
+			for _, r := range replies {
+				improve(groups, r.Answer)
+			}
 			columns := printer.Columns("GROUP", "INSTANCE", "DOMAIN", "ROLE", "TERM", "LAST", "APPLIED", "STALENESS", "SLOTS", "CONNECTIONS", "HOMES")
-			return s.printer.Print(groups, columns, func(row printer.Row) {
+			err = s.printer.Print(groups, columns, func(row printer.Row) {
 				for _, g := range groups {
 					for _, i := range g.Instances {
 						row(g.Name, i.Name, i.Domain, role(i), number(i.Term), position(i.Last), position(i.Applied), milliseconds(i.StalenessMilliseconds), i.Slots, i.Connections, strings.Join(i.Homes, ","))
 					}
 				}
 			})
+			return errors.Join(err, client.Partial(replies))
 		}),
 	}
 }
 
+// improve takes over what another daemon knows better.
+func improve(groups, others []*group.Group) {
+	for _, g := range groups {
+		for _, other := range others {
+			if other.Name != g.Name {
+				continue
+			}
+			if other.Term > g.Term {
+				g.Primary, g.Term = other.Primary, other.Term
+			}
+			improveInstances(g.Instances, other.Instances)
+		}
+	}
+}
+
+func improveInstances(instances, others []*group.GroupInstance) {
+	for _, i := range instances {
+		for _, other := range others {
+			if other.Name == i.Name && fresher(other, i) {
+				homes := i.Homes
+				*i = *other
+				i.Homes = homes
+			}
+		}
+	}
+}
+
+// fresher reports whether a is known from a later report than b.
+func fresher(a, b *group.GroupInstance) bool {
+	if !a.Known || !b.Known {
+		return a.Known
+	}
+	if *a.Term != *b.Term {
+		return *a.Term > *b.Term
+	}
+	if a.Last.Index != b.Last.Index {
+		return a.Last.Index > b.Last.Index
+	}
+	return *a.StalenessMilliseconds < *b.StalenessMilliseconds
+}
+
 func role(i *group.GroupInstance) string {
 	text := "unknown"
 	if i.Role != nil {
--- /dev/null
+++ b/tarragonshed/gossiper/translator_test.go
@@ -0,0 +1,91 @@
+package gossiper
+
+import (
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+
+	"tarragonshed.example/adopter"
+	"tarragonshed.example/manifest"
+	"tarragonshed.example/member"
+	"tarragonshed.example/prober"
+	"tarragonshed.example/tarragonshed/holder"
+	"tarragonshed.example/wire/peer"
+)
+
+// still returns a Gossiper whose goroutines do not run.
+func still() *Gossiper {
+	self := member.Daemon{ID: "self", Incarnation: 5, Domain: "x", PeerAddress: "127.0.0.1:1"}
+	g := &Gossiper{
+		holder: holder.New(member.View{Self: self.ID}), logger: log.New(io.Discard), closed: true, leaving: make(chan struct{}),
+		calls: metrics.NilCounter{}, sent: metrics.NilCounter{}, received: metrics.NilCounter{},
+		prober:  prober.New(self, time.Now(), rand.New(rand.NewPCG(1, 1))),
+		adopter: adopter.New(time.Now()),
+	}
+	return g
+}
+
+func TestEntryOnTheWire(t *testing.T) {
+	is := is.New(t)
+	e := prober.Entry{
+		Daemon: member.Daemon{
+			ID: "d", Incarnation: 3, Domain: "x", State: member.Live, PeerAddress: "p", OperatorAddress: "o", CallerAddress: "c", Manifest: 4,
+		},
+		Refutation: 2, Status: prober.Suspect, Leaving: true, Earlier: 3,
+	}
+	is.Equal(entryOf(wireEntry(e)), e)
+	bad := wireEntry(e)
+	bad.Status = 9
+	is.True(!entryOf(bad).Valid())
+}
+
+func TestRecordOnTheWire(t *testing.T) {
+	is := is.New(t)
+	r := adopter.Record{Version: 3, Digest: manifest.Digest([]byte("x"))}
+	is.Equal(recordOf(wireRecord(r)), r)
+	is.True(wireRecord(adopter.Record{}) == nil)
+	is.True(!recordOf(&peer.ManifestRecord{Version: 3, Digest: []byte{1}}).Valid())
+}
+
+// FuzzNews feeds messages of other daemons. None of them may withdraw what this daemon
+// says of itself, or put a manifest in force without its document.
+func FuzzNews(f *testing.F) {
+	seed := func(news *peer.News) {
+		encoded, err := proto.Marshal(news)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	seed(&peer.News{})
+	seed(&peer.News{
+		Time:    &peer.HybridTime{Wall: 1 << 62, Counter: 1},
+		Sender:  &peer.Entry{Id: "d", PeerAddress: "p", Status: peer.Status_STATUS_DEAD},
+		Entries: []*peer.Entry{{Id: "self", Incarnation: 5, PeerAddress: "q", Status: peer.Status_STATUS_DEAD, Refutation: 1 << 63}},
+		Known:   &peer.ManifestRecord{Version: 1 << 63, Digest: make([]byte, 32)},
+		InForce: &peer.ManifestRecord{Version: 7, Digest: make([]byte, 31)},
+	})
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		var news peer.News
+		if proto.Unmarshal(encoded, &news) != nil {
+			return
+		}
+		g := still()
+		g.hear(&news)
+		g.hear(&news)
+		g.publish()
+		self := g.prober.Self()
+		if self.ID != "self" || self.Incarnation != 5 || self.PeerAddress != "127.0.0.1:1" || self.Status != prober.Live {
+			t.Fatalf("a message changed this daemon's own entry: %+v", self)
+		}
+		if g.adopter.InForce().Version != 0 || g.holder.Current().Manifest != nil {
+			t.Fatal("a message put a manifest in force")
+		}
+	})
+}
