--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -10,9 +10,10 @@
 // # Queue
 //
 // What can't be admitted waits in a bounded queue. A statement is refused at once
-// when the queue is full or when the expected wait passes its deadline: the
-// number of statements ahead of it, times the mean time that a statement takes,
-// over the slots. Statements of open transactions go first, because they hold
+// when the queue is full or when it is expected to end past its deadline: the
+// wait is the number of statements ahead of it, times the mean time that a
+// statement takes, over the slots. So is a statement whose turn comes too late.
+// Statements of open transactions go first, because they hold
 // connections and locks; then writes, reads that need the primary, and reads that
 // accept old data. Within a priority, callers take turns.
 //
@@ -63,6 +64,9 @@
 // statements take, as a divisor.
 const meanWeight = 16
 
+// maxOutlier bounds what one statement adds to the mean time, in mean times.
+const maxOutlier = 16
+
 // Limits are the bounds of one home of an instance.
 type Limits struct {
 	// Slots is the number of statements that run at once.
@@ -96,7 +100,7 @@
 	Caller   unit.CallerName
 	Priority Priority
 	Now      time.Time
-	// Deadline is when the request is to be admitted at the latest.
+	// Deadline is when the statement is to have ended.
 	Deadline time.Time
 }
 
@@ -208,7 +212,7 @@
 	if l.queued >= l.limits.Queue {
 		return []Effect{Refuse{ID: r.ID, Err: result.New(result.Overloaded, "%d statements wait already", l.queued)}}
 	}
-	if wait := l.Wait(r.Priority); r.Now.Add(wait).After(r.Deadline) {
+	if wait := l.Wait(r.Priority); r.Now.Add(wait + l.mean).After(r.Deadline) {
 		return []Effect{Refuse{ID: r.ID, Err: result.New(result.Overloaded, "a wait of %v is expected", wait)}}
 	}
 	l.queued++
@@ -223,7 +227,7 @@
 		for l.admissible(p) && l.queues[p].size > 0 {
 			r := l.queues[p].pop()
 			l.queued--
-			if !r.Deadline.After(now) {
+			if !r.Deadline.After(now.Add(l.mean)) {
 				effects = append(effects, passed(r))
 				continue
 			}
@@ -258,11 +262,11 @@
 }
 
 func (l *Limiter) learn(took time.Duration) {
-	if l.mean == 0 {
+	if l.mean <= 0 {
 		l.mean = took
 		return
 	}
-	l.mean += (took - l.mean) / meanWeight
+	l.mean += (min(took, maxOutlier*l.mean) - l.mean) / meanWeight
 }
 
 func (l *Limiter) withdraw(id ID) {
--- /dev/null
+++ b/tarragonshed/home/bench_test.go
@@ -0,0 +1,82 @@
+package home_test
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+
+	"tarragonshed.example/unit"
+	"tarragonshed.example/wire/peer"
+)
+
+func echoing(t testing.TB) *fake {
+	return newFake(t, func(b *pgproto3.Backend, _ int, message pgproto3.FrontendMessage) {
+		if _, ok := message.(*pgproto3.Query); ok {
+			b.Send(&pgproto3.ParameterStatus{Name: "tarragon_position", Value: "1:1:7"})
+			row(b, "price")
+		}
+	})
+}
+
+// BenchmarkHome runs one statement after the other through a home.
+func BenchmarkHome(b *testing.B) {
+	is := is.New(b)
+	h := newFakeHome(b, echoing(b))
+	l := h.Open()
+	defer l.Close()
+	o := read("a", unit.Position{Term: 1, Index: 7})
+	o.Batch = simple("SELECT price FROM stock")
+	request := &peer.CarryRequest{Kind: &peer.CarryRequest_Open{Open: o}}
+	b.ReportAllocs()
+	for b.Loop() {
+		is.NoErr(l.Send(request))
+		response, err := l.Receive()
+		is.NoErr(err)
+		is.True(response.GetSettled() != nil)
+	}
+}
+
+// BenchmarkRelay runs one statement after the other through a plain TCP relay.
+func BenchmarkRelay(b *testing.B) {
+	is := is.New(b)
+	f := echoing(b)
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer front.Close()
+	go func() {
+		near, err := front.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", f.Addr().String())
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(far, near) }()
+		_, _ = io.Copy(near, far)
+	}()
+	conn, err := net.Dial("tcp", front.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	frontend := pgproto3.NewFrontend(conn, conn)
+	frontend.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "demo"}})
+	ready := func() {
+		is.NoErr(frontend.Flush())
+		for {
+			message, err := frontend.Receive()
+			is.NoErr(err)
+			if _, ok := message.(*pgproto3.ReadyForQuery); ok {
+				return
+			}
+		}
+	}
+	ready()
+	b.ReportAllocs()
+	for b.Loop() {
+		frontend.Send(&pgproto3.Query{String: "SELECT price FROM stock"})
+		ready()
+	}
+}
