home, wire/peer: run requests with a key at most once

The key's row is written by the request's own transaction: before the batch when the home puts a transaction around it, after it when the batch begins one. A conflict answers with the recorded outcome. New code 4002 request-done.

--- a/result/codes.go
+++ b/result/codes.go
@@ -45,7 +45,8 @@
 
 // Codes of requests that ran.
 const (
-	AnswerCut Code = 4001
+	AnswerCut   Code = 4001
+	RequestDone Code = 4002
 )
 
 // Codes of manifests and of their acceptance. Nothing is accepted with any of them.
@@ -122,6 +123,7 @@
 	{StoreUnavailable, "store-unavailable", NotRun, "", "The platform's store did not answer; the manifest is not accepted."},
 	{PushReused, "push-reused", NotRun, "", "The push id was used for another manifest."},
 
+	{RequestDone, "request-done", Ran, "23505", "A transaction with the same request key has been committed before."},
 	{AnswerCut, "answer-cut", Ran, "08006", "The statement took effect but its answer could not be delivered whole."},
 })
 
--- a/tarragonshed/home/conn.go
+++ b/tarragonshed/home/conn.go
@@ -84,7 +84,7 @@
 	// onClosed is called once, when the connection can't be used any more.
 	onClosed func(*conn)
 	// injected receives the outcome of each query of the home's own.
-	injected chan error
+	injected chan injection
 
 	mu       sync.Mutex
 	answers  expected
@@ -100,14 +100,14 @@
 	heard, asked time.Time
 	// handling tells that a message is being passed on.
 	handling bool
-	failure  string // The last error of an injected query.
+	own      injection // The injected query in course.
 }
 
 func newConn(id pooler.Conn, e endpoint, hijacked *pgconn.HijackedConn, onClosed func(*conn)) *conn {
 	c := &conn{
 		id: id, endpoint: e, net: hijacked.Conn, frontend: hijacked.Frontend,
 		pid: hijacked.PID, secret: hijacked.SecretKey, onClosed: onClosed,
-		injected: make(chan error, 1), prepared: newPreparer(), heard: time.Now(),
+		injected: make(chan injection, 1), prepared: newPreparer(), heard: time.Now(),
 	}
 	go c.read()
 	return c
@@ -138,7 +138,7 @@
 	c.closed = true
 	c.mu.Unlock()
 	select {
-	case c.injected <- trace.Wrap(err, "home: connection lost"):
+	case c.injected <- injection{err: trace.Wrap(err, "home: connection lost")}:
 	default:
 	}
 	if !already {
@@ -196,30 +196,56 @@
 	return true, nil
 }
 
+// injection is what became of a query of the home's own.
+type injection struct {
+	row     []string // The last row.
+	seen    seen
+	wrote   bool
+	failure *queryError
+	err     error // The connection was lost.
+	// fresh tells that seen came with the message before this one.
+	fresh bool
+}
+
+// queryError is an error of the instance.
+type queryError struct{ code, message string }
+
+func (e *queryError) Error() string { return "home: " + e.message + " (SQLSTATE " + e.code + ")" }
+
 // run executes a query of the home's own and drops its answer.
 func (c *conn) run(ctx context.Context, query string) error {
+	_, err := c.inject(ctx, query)
+	return err
+}
+
+// inject executes a query of the home's own. The error is a queryError when the
+// instance answered with one.
+func (c *conn) inject(ctx context.Context, query string) (injection, error) {
 	select {
 	case <-c.injected:
 	default:
 	}
 	message, err := (&pgproto3.Query{String: query}).Encode(nil)
 	if err != nil {
-		return trace.Wrap(err, "home: encode a query")
+		return injection{}, trace.Wrap(err, "home: encode a query")
 	}
 	c.mu.Lock()
-	c.failure = ""
+	c.own = injection{}
 	c.push(owed{kind: 'Q', swallow: true})
 	c.prepared.dropUnnamed()
 	c.mu.Unlock()
 	if _, err := c.write(message); err != nil {
-		return err
+		return injection{}, err
 	}
 	select {
-	case err := <-c.injected:
-		return err
+	case done := <-c.injected:
+		if done.failure != nil {
+			return done, done.failure
+		}
+		return done, done.err
 	case <-ctx.Done():
 		c.close()
-		return trace.Wrap(ctx.Err(), "home: %s", query)
+		return injection{}, trace.Wrap(ctx.Err(), "home: %s", query)
 	}
 }
 
--- a/tarragonshed/home/handle.go
+++ b/tarragonshed/home/handle.go
@@ -46,9 +46,9 @@
 	// idle tells that no answer is owed after it.
 	idle bool
 	// done is set by the ReadyForQuery of an injected query.
-	done    bool
-	failure string
-	owner   *relay
+	done  bool
+	own   injection
+	owner *relay
 }
 
 // handle takes one message of the instance in. It runs on the reading goroutine.
@@ -62,7 +62,10 @@
 		return err
 	}
 	if v.done {
-		c.finishInjected(v.failure)
+		select {
+		case c.injected <- v.own:
+		default:
+		}
 		return nil
 	}
 	if !v.forward || v.owner == nil {
@@ -76,21 +79,13 @@
 	return err
 }
 
-func (c *conn) finishInjected(failure string) {
-	var err error
-	if failure != "" {
-		err = errors.New("home: " + failure)
-	}
-	select {
-	case c.injected <- err:
-	default:
-	}
-}
-
 // judge matches a message with the answer that is owed. The lock is held.
 func (c *conn) judge(message pgproto3.BackendMessage) (verdict, error) {
 	head, owes := c.answers.head()
 	v := verdict{forward: owes && !head.swallow, owner: c.owner}
+	if owes && head.swallow && head.kind == 'Q' {
+		c.own.take(message)
+	}
 	switch message := message.(type) {
 	case *pgproto3.ParameterStatus, *pgproto3.NoticeResponse:
 		return v, nil
@@ -129,7 +124,6 @@
 		return false // The connection is about to be closed.
 	}
 	if head.kind == 'Q' && head.swallow {
-		c.failure = message.Message
 		return false
 	}
 	for _, o := range c.answers.fail() {
@@ -147,11 +141,32 @@
 	}
 	c.answers.pop()
 	v.done = head.swallow && head.kind == 'Q'
-	v.failure = c.failure
+	v.own = c.own
 	v.idle = c.answers.empty()
 	return v, nil
 }
 
+// take takes one message of the answer to an injected query in.
+func (i *injection) take(message pgproto3.BackendMessage) {
+	switch message := message.(type) {
+	case *pgproto3.ParameterStatus:
+		if s, ok := parseSeen(message.Value); ok && message.Name == positionParameter {
+			i.seen, i.fresh = s, true
+		}
+		return
+	case *pgproto3.ReadyForQuery:
+		i.wrote = i.fresh
+	case *pgproto3.ErrorResponse:
+		i.failure = &queryError{code: message.Code, message: message.Message}
+	case *pgproto3.DataRow:
+		i.row = i.row[:0]
+		for _, value := range message.Values {
+			i.row = append(i.row, string(value))
+		}
+	}
+	i.fresh = false
+}
+
 // judgeTag notes statements that leave something behind on the connection.
 func (c *conn) judgeTag(message *pgproto3.CommandComplete) {
 	head, owes := c.answers.head()
--- a/tarragonshed/home/relay.go
+++ b/tarragonshed/home/relay.go
@@ -21,6 +21,7 @@
 	status   byte
 	seen     seen
 	wrote    bool
+	tag      string
 }
 
 // violation tells that the answer must not be given. The rest of it is dropped.
@@ -47,6 +48,10 @@
 	send    func(*peer.CarryResponse) error
 	events  chan event
 
+	// keepTag asks for the last command tag.
+	keepTag bool
+	tag     string
+
 	buffer []byte
 	// latest is the last position of the present batch, and of the transaction
 	// in the lack of one.
@@ -69,6 +74,9 @@
 		return nil
 	}
 	r.fresh = false
+	if complete, ok := message.(*pgproto3.CommandComplete); ok && r.keepTag {
+		r.tag = string(complete.CommandTag)
+	}
 	if r.dropping.Load() {
 		return nil
 	}
@@ -133,7 +141,7 @@
 	r.buffer = nil
 	wrote := r.fresh
 	r.fresh = false
-	r.events <- settlement{messages: messages, status: status, seen: r.latest, wrote: wrote}
+	r.events <- settlement{messages: messages, status: status, seen: r.latest, wrote: wrote, tag: r.tag}
 }
 
 func (r *relay) lost(err error) {
--- a/tarragonshed/home/run.go
+++ b/tarragonshed/home/run.go
@@ -43,6 +43,9 @@
 			return
 		}
 	}
+	if t.request.RequestKey != "" && !t.claimed && executes(b.Messages) && !t.claim(ctx, b) {
+		return
+	}
 	t.partial = !b.Last
 	sent, err := t.conn.send(b)
 	t.sent = t.sent || sent
@@ -115,6 +118,9 @@
 // settled ends a batch: the slot goes back, and so does the connection when the
 // transaction is over; then the answer is given, if it may be.
 func (t *transaction) settled(ctx context.Context, s settlement) {
+	if t.wraps != noWrap && !t.unwrap(ctx, &s) {
+		return
+	}
 	t.finishSlot()
 	t.sent, t.progressed = false, true
 	over := s.status == idleStatus
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -41,6 +41,10 @@
 	// come.
 	sent, progressed, partial bool
 	violated                  *result.Error
+	// claimed tells that the request key has been dealt with, wraps what is to
+	// be done about it when the batch is settled.
+	claimed bool
+	wraps   wrap
 }
 
 func newTransaction(l *lane, open *peer.Open) *transaction {
