entry: claim the key of a request whose outcome is unknown

Instead of an unknown outcome the caller gets the recorded answer, or that the request can't run any more. Until the claim is confirmed nothing is said not to have run.

--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -77,6 +77,9 @@
 	failed   map[unit.InstanceName]time.Time
 	// last is why the latest attempt failed.
 	last error
+	// claiming tells that the outcome of a request with a key is unknown, and
+	// that its key is claimed instead of running it again.
+	claiming bool
 }
 
 // newRun returns a run whose deadline begins now, and the function that ends it.
@@ -112,7 +115,7 @@
 	for attempt := 0; ; attempt++ {
 		use, err := r.choose()
 		if err != nil {
-			r.refuse(r.batch, r.plan, err)
+			r.refuse(r.batch, r.plan, r.undetermined(err))
 			return false, false
 		}
 		out := r.attempt(use)
@@ -121,7 +124,7 @@
 		}
 		r.last = out.err
 		if !r.again(use, out, attempt) {
-			r.refuse(r.batch, r.plan, r.giveUp(out))
+			r.refuse(r.batch, r.plan, r.undetermined(r.giveUp(out)))
 			return false, false
 		}
 		r.ready = r.ready[:0]
@@ -272,6 +275,8 @@
 		RequestId:           fmt.Sprintf("%d-%d", r.id, r.requests),
 		Settings:            r.options.settings,
 		RequestKey:          string(r.plan.key),
+		Begins:              r.plan.begins,
+		ClaimKey:            r.claiming,
 	}
 	if !r.plan.read {
 		return open
@@ -317,7 +322,7 @@
 func (r *run) conclude(lane carrier.Lane, use router.Use, out outcome) {
 	switch {
 	case out.settled != nil && out.settled.TransactionStatus != statusIdle:
-		r.pinned = &pin{instance: use.Instance, lane: lane, primary: use.Primary, read: r.plan.read}
+		r.pinned = &pin{instance: use.Instance, lane: lane, primary: use.Primary, read: r.plan.read, key: r.plan.key}
 	case out.broken:
 		r.setLane(nil)
 		lane.Close()
@@ -368,6 +373,10 @@
 	code := result.CodeOf(out.err)
 	// A read on the primary may call a function that writes.
 	read := r.plan.read && !use.Primary
+	if r.claims(out) {
+		r.claiming = true
+		return r.passOver(use, attempt)
+	}
 	if r.broken || r.ctx.Err() != nil || !retrier.Repeatable(code.Entry().Outcome, read, out.begun) {
 		return false
 	}
@@ -386,6 +395,11 @@
 	default:
 		return false
 	}
+	return r.passOver(use, attempt)
+}
+
+// passOver notes that an instance failed, and waits before the next attempt.
+func (r *run) passOver(use router.Use, attempt int) bool {
 	if r.failed == nil {
 		r.failed = make(map[unit.InstanceName]time.Time)
 	}
@@ -435,6 +449,9 @@
 	if !out.begun {
 		r.ready = r.ready[:0]
 	}
+	if r.claimsCommit(out) {
+		return
+	}
 	err := out.final()
 	if !r.plan.ends && result.OutcomeOf(err) == result.Unknown {
 		err = result.New(result.TransactionEnded, "%v", out.err)
--- a/tarragonshed/entry/session.go
+++ b/tarragonshed/entry/session.go
@@ -68,6 +68,7 @@
 	lane     carrier.Lane
 	primary  bool
 	read     bool
+	key      unit.RequestKey
 }
 
 func newSession(e *Entry, conn net.Conn, parameters map[string]string) (*session, error) {
