home: refill connections that are waited for on an unreachable instance

A request that came when the opening rate was used up by failed attempts waited until its deadline, because pools of unreachable instances were not ticked.

--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -116,7 +116,7 @@
 	t.control.check(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.stopped && t.reachable {
+	if !t.stopped && (t.reachable || t.pool.Waiting() > 0) {
 		t.apply(t.pool.Step(pooler.Tick{Now: now}))
 	}
 }
