--- a/tarragonbench/main.go
+++ b/tarragonbench/main.go
@@ -7,6 +7,7 @@
 //	tarragonbench sweep experiments/replica-reads.toml --over homes=1,2,4
 //	tarragonbench compare results/before.json results/after.json
 //	tarragonbench report results/*.json --html report.html
+//	tarragonbench spread --program ./tarragonshed --daemons 4 --daemons 12
 //
 // Exit codes: 0 every run ended and broke no promise, 1 the command failed, 2 a
 // promise was broken or a run failed.
@@ -64,6 +65,7 @@
 				Name: "sweep", Usage: "run an experiment for each value of a key", ArgsUsage: "EXPERIMENT.toml", Action: sweep,
 				Flags: append([]cli.Flag{&cli.StringFlag{Name: "over", Usage: "`KEY=VALUE,VALUE,...`", Required: true}}, seeds...),
 			},
+			spreadCommand(),
 			{Name: "compare", Usage: "set two results side by side", ArgsUsage: "BEFORE.json AFTER.json", Action: compare},
 			{
 				Name: "report", Usage: "print results and write them as a page", ArgsUsage: "RESULT.json ...", Action: report,
--- /dev/null
+++ b/tarragonbench/spread.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"tarragonshed.example/tarragonbench/spreader"
+)
+
+// spreadCommand measures how manifests spread and what control costs.
+func spreadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "spread",
+		Usage: "measure the time from acceptance of a manifest to in force on all daemons, and the cost of control at rest",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Usage: "`PATH` of the daemon's program", Required: true},
+			&cli.IntSliceFlag{Name: "daemons", Usage: "number of daemons; can be repeated", Value: []int{4, 12}},
+			&cli.IntSliceFlag{Name: "groups", Usage: "number of groups; can be repeated", Value: []int{0}},
+			&cli.IntFlag{Name: "pushes", Usage: "versions that are pushed", Value: 20},
+			&cli.BoolFlag{Name: "cut", Usage: "cut a failure domain off from the platform at each acceptance"},
+			&cli.DurationFlag{Name: "rest", Usage: "time over which costs are taken; zero for none", Value: 30 * time.Second},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			encoder := json.NewEncoder(os.Stdout)
+			for _, daemons := range c.IntSlice("daemons") {
+				for _, groups := range c.IntSlice("groups") {
+					fmt.Fprintf(os.Stderr, "%d daemons, %d groups\n", daemons, groups)
+					result, err := spreader.Run(ctx, spreader.Plan{
+						Program: c.String("program"), Daemons: daemons, Groups: groups,
+						Pushes: c.Int("pushes"), Cut: c.Bool("cut"), Rest: c.Duration("rest"),
+					})
+					if err != nil {
+						return err
+					}
+					if err := encoder.Encode(result); err != nil {
+						return err
+					}
+				}
+			}
+			return nil
+		},
+	}
+}
