--- a/tarragonshed/controller/controller_test.go
+++ b/tarragonshed/controller/controller_test.go
@@ -17,6 +17,8 @@
 	"tarragonshed.example/unit"
 )
 
+const listenQuery = "LISTEN tarragon_status; SELECT tarragon_status()"
+
 func TestConn(t *testing.T) {
 	t.Run("sends the documented calls", func(t *testing.T) {
 		is := is.New(t)
@@ -53,6 +55,16 @@
 		is.True(err != nil)
 		is.True(conn.Broken())
 	})
+	t.Run("a connection that the target closes is done", func(t *testing.T) {
+		is := is.New(t)
+		fake := newFake()
+		conn, err := controller.Dial(t.Context(), fake.dial, "127.0.0.1:1")
+		is.NoErr(err)
+		is.True(!conn.Broken())
+		fake.close()
+		<-conn.Done()
+		is.True(conn.Broken())
+	})
 	t.Run("a refused connection can be told apart", func(t *testing.T) {
 		is := is.New(t)
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -63,6 +75,23 @@
 	})
 }
 
+func TestReceiver(t *testing.T) {
+	is := is.New(t)
+	fake := newFake()
+	received := make(chan instance.Report, 4)
+	conn, err := controller.Dial(t.Context(), fake.dial, "127.0.0.1:1", controller.WithReceiver(func(r instance.Report) { received <- r }))
+	is.NoErr(err)
+	for range 20 {
+		_, err := conn.Status(t.Context()) // The waiting reader makes way.
+		is.NoErr(err)
+	}
+	is.Equal((<-received).Term, unit.Term(1))
+	is.Equal((<-received).Term, unit.Term(2))
+	is.Equal((<-received).Term, unit.Term(3))
+	conn.Close()
+	<-conn.Done()
+}
+
 func TestListen(t *testing.T) {
 	is := is.New(t)
 	fake := newFake()
@@ -77,7 +106,7 @@
 	})
 	is.True(err != nil)
 	is.Equal(terms, []uint64{1, 2, 3}) // The present report, then each pushed one.
-	fake.expect(t, "LISTEN tarragon_status", "SELECT tarragon_status()")
+	fake.expect(t, listenQuery)
 }
 
 // fakeTarget answers every query with its report, and pushes two more after
@@ -87,14 +116,16 @@
 	silent     bool
 	queries    chan string
 	parameters map[string]string
+	close      func()
 }
 
 func newFake() *fakeTarget {
-	return &fakeTarget{report: instance.Report{Instance: "a", Term: 1}, queries: make(chan string, 16)}
+	return &fakeTarget{report: instance.Report{Instance: "a", Term: 1}, queries: make(chan string, 64)}
 }
 
 func (f *fakeTarget) dial(context.Context, string, string) (net.Conn, error) {
 	client, server := net.Pipe()
+	f.close = func() { _ = server.Close() }
 	go f.serve(server)
 	return client, nil
 }
@@ -109,7 +140,6 @@
 	f.parameters = startup.(*pgproto3.StartupMessage).Parameters
 	backend.Send(&pgproto3.AuthenticationOk{})
 	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-	listening := false
 	for backend.Flush() == nil {
 		message, err := backend.Receive()
 		if err != nil {
@@ -124,11 +154,10 @@
 			continue
 		}
 		f.answer(backend)
-		if listening {
+		if query.String == listenQuery {
 			f.push(backend, 2)
 			f.push(backend, 3)
 		}
-		listening = query.String == "LISTEN tarragon_status"
 	}
 }
 
