--- a/tarragonbench/main.go
+++ b/tarragonbench/main.go
@@ -66,6 +66,7 @@
 				Flags: append([]cli.Flag{&cli.StringFlag{Name: "over", Usage: "`KEY=VALUE,VALUE,...`", Required: true}}, seeds...),
 			},
 			spreadCommand(),
+			placeCommand(),
 			{Name: "compare", Usage: "set two results side by side", ArgsUsage: "BEFORE.json AFTER.json", Action: compare},
 			{
 				Name: "report", Usage: "print results and write them as a page", ArgsUsage: "RESULT.json ...", Action: report,
