entry: refuse statements of a removed group at once

A session whose group had left the manifest waited out the statement timeout and was told that no primary was found (57P03 after 30 s). It is now refused with TS1003. Tests change homes, mark an instance as leaving and remove a group while callers write; no request is cut.

spreader: take ports below those of outgoing connections.

--- a/tarragonbench/spreader/deployment.go
+++ b/tarragonbench/spreader/deployment.go
@@ -30,6 +30,12 @@
 // secret is the verifier of an account that nobody uses.
 const secret = "SCRAM-SHA-256$4096:c2FsdA==$AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=:AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
 
+// The ports of daemons.
+const (
+	firstPort = 21_000
+	lastPort  = 25_000
+)
+
 // stopTimeout is the time that processes have to end.
 const stopTimeout = 10 * time.Second
 
@@ -43,6 +49,7 @@
 	targets   []*target.Target
 	daemons   []*process
 	manifest  manifest.Manifest
+	port      int
 	// cut cuts the last failure domain off from the platform.
 	cut atomic.Bool
 }
@@ -56,7 +63,7 @@
 }
 
 func deploy(ctx context.Context, plan Plan, folder string) (*deployment, error) {
-	d := &deployment{plan: plan, folder: folder, platform: platform.New()}
+	d := &deployment{plan: plan, folder: folder, platform: platform.New(), port: firstPort}
 	d.manifest.Callers = []manifest.Caller{{Name: "caller", SCRAMSecret: secret}}
 	if err := d.start(ctx); err != nil {
 		d.close()
@@ -141,12 +148,11 @@
 	id := fmt.Sprintf("daemon-%03d", n)
 	var addresses [3]string
 	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := d.freeAddress()
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		addresses[i] = listener.Addr().String()
-		defer listener.Close()
+		addresses[i] = address
 	}
 	settings := fmt.Sprintf("id = %q\nincarnation = 1\ndomain = %q\n[callers]\nlisten = %q\n[operator]\nlisten = %q\ntoken = %q\n[peers]\nlisten = %q\nplaintext = true\n[platform]\nurl = %q\n[log]\nlevel = \"error\"\n",
 		id, d.manifest.Domains[domain].Name, addresses[0], addresses[1], token, addresses[2], d.platformURL(domain))
@@ -165,7 +171,20 @@
 	return nil
 }
 
-// run starts the processes. The ports of their listeners are free by now.
+// freeAddress returns the next address that is free. Its port is below those that the
+// system gives to outgoing connections.
+func (d *deployment) freeAddress() (string, error) {
+	for d.port < lastPort {
+		d.port++
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", d.port))
+		if err == nil {
+			return listener.Addr().String(), listener.Close()
+		}
+	}
+	return "", trace.LimitExceeded("spreader: no port is free from %d to %d", firstPort, lastPort)
+}
+
+// run starts the processes.
 func (d *deployment) run() error {
 	for _, p := range d.daemons {
 		if err := p.command.Start(); err != nil {
--- a/tarragonshed/entry/group.go
+++ b/tarragonshed/entry/group.go
@@ -84,6 +84,17 @@
 	return g.known
 }
 
+// removed returns an error when the manifest in force does not have the group any
+// more.
+func (g *group) removed() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.refresh() {
+		return nil
+	}
+	return result.New(result.UnknownDatabase, "group %s is not in the manifest any more", g.name)
+}
+
 // staleness returns the staleness that the manifest grants to reads.
 func (g *group) staleness() time.Duration {
 	g.mu.Lock()
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -134,6 +134,9 @@
 
 // choose waits for an instance that can serve the batch.
 func (r *run) choose() (router.Use, error) {
+	if err := r.group.removed(); err != nil {
+		return router.Use{}, err
+	}
 	request := router.Request{
 		Write:        !r.plan.read,
 		MaxStaleness: r.plan.staleness,
@@ -156,6 +159,9 @@
 		if use, ok := effect.(router.Use); ok {
 			return use, r.late()
 		}
+		if err := r.group.removed(); err != nil {
+			return router.Use{}, err
+		}
 		select {
 		case <-news:
 		case <-r.ctx.Done():
