limiter, home: let open transactions pass when what runs waits for their locks

Twelve concurrent transactions of two writes each deadlocked for the whole statement timeout: every slot was held by a statement that waited for the lock of a transaction whose next statement waited for a slot. A statement of an open transaction that has waited 5 ms now passes over the slots.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -17,6 +17,13 @@
 // connections and locks; then writes, reads that need the primary, and reads that
 // accept old data. Within a priority, callers take turns.
 //
+// # Locks
+//
+// What runs may be waiting for a lock that an open transaction holds, and give
+// its slot back only when that transaction goes on. A statement of an open
+// transaction that is [Overdue] therefore passes over the slots; the number of
+// connections bounds how many do.
+//
 // # Usage
 //
 //	l := limiter.New(limiter.Limits{Slots: 2, Connections: 7, Queue: 200})
@@ -91,7 +98,7 @@
 }
 
 // Event is what happened: [Request], [Withdraw], [Finished],
-// [TransactionEnded], [Resize] or [Expire].
+// [TransactionEnded], [Overdue], [Resize] or [Expire].
 type Event interface{ event() }
 
 // Request asks for admission.
@@ -116,6 +123,10 @@
 // TransactionEnded tells that a transaction gave its connection back.
 type TransactionEnded struct{ Now time.Time }
 
+// Overdue tells that a request of an open transaction has waited for so long
+// that what runs may be waiting for its transaction.
+type Overdue struct{ ID ID }
+
 // Resize changes the limits.
 type Resize struct {
 	Limits
@@ -129,6 +140,7 @@
 func (Withdraw) event()         {}
 func (Finished) event()         {}
 func (TransactionEnded) event() {}
+func (Overdue) event()          {}
 func (Resize) event()           {}
 func (Expire) event()           {}
 
@@ -195,6 +207,8 @@
 	case TransactionEnded:
 		l.open--
 		return l.admit(event.Now)
+	case Overdue:
+		return l.passOver(event.ID)
 	case Resize:
 		l.limits = event.Limits
 		return l.admit(event.Now)
@@ -238,6 +252,16 @@
 	return effects
 }
 
+// passOver admits a waiting request of an open transaction.
+func (l *Limiter) passOver(id ID) []Effect {
+	for _, r := range l.queues[OpenTransaction].remove(func(r Request) bool { return r.ID == id }) {
+		l.queued--
+		l.take(r)
+		return []Effect{Admit{ID: r.ID}}
+	}
+	return nil
+}
+
 func (l *Limiter) take(r Request) {
 	l.running++
 	if r.Priority != OpenTransaction {
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -68,6 +68,18 @@
 	})
 }
 
+func TestOverdue(t *testing.T) {
+	l := limiter.New(limiter.Limits{Slots: 1, Connections: 9, Queue: 9})
+	expect(t, l, request(1, "x", limiter.Write), "admit 1") // It waits for a lock of the transaction of 2.
+	expect(t, l, request(2, "x", limiter.OpenTransaction))
+	expect(t, l, request(3, "x", limiter.Write))
+	expect(t, l, limiter.Overdue{ID: 3}) // It holds no locks.
+	expect(t, l, limiter.Overdue{ID: 2}, "admit 2")
+	expect(t, l, limiter.Overdue{ID: 2})
+	expect(t, l, finished(0)) // One slot is still in use.
+	expect(t, l, finished(0), "admit 3")
+}
+
 func TestRefusals(t *testing.T) {
 	t.Run("a full queue", func(t *testing.T) {
 		l := limiter.New(limiter.Limits{Slots: 1, Connections: 9, Queue: 1})
--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -199,6 +199,16 @@
 	return true
 }
 
+// overdue lets a request of an open transaction pass, because what runs may wait
+// for its locks.
+func (t *target) overdue(id limiter.ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, waiting := t.admits[id]; waiting {
+		t.limit(t.limiter.Step(limiter.Overdue{ID: id}))
+	}
+}
+
 // finish gives a slot back.
 func (t *target) finish(took time.Duration) {
 	t.mu.Lock()
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// lockPatience is how long a statement of an open transaction waits for a
+	// slot before it is taken to hold locks that what runs waits for.
+	lockPatience = 5 * time.Millisecond
 	// reportInterval is how often a lane's answers carry a report.
 	reportInterval = 20 * time.Millisecond
 	defaultTimeout = 5 * time.Second
@@ -152,6 +155,9 @@
 func (t *transaction) admit(ctx context.Context, p limiter.Priority) *result.Error {
 	asked := time.Now()
 	id, answer := t.target.admit(unit.CallerName(t.request.Caller), p, t.deadline)
+	if p == limiter.OpenTransaction {
+		defer time.AfterFunc(lockPatience, func() { t.target.overdue(id) }).Stop()
+	}
 	refusal, ok := await(ctx, t.lane, t.deadline, answer)
 	if !ok {
 		if t.target.withdraw(id) {
