--- a/tarragonshed/entry/entry_test.go
+++ b/tarragonshed/entry/entry_test.go
@@ -238,6 +238,53 @@
 	})
 }
 
+func TestSilentInstance(t *testing.T) {
+	t.Run("a read goes elsewhere", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		conn := b.connect("")
+		mustSelect(t, b, conn, "SELECT x") // Takes the read index.
+		b.fake.change("b", func(i *fakeInstance) { i.silent = true })
+		b.fake.change("c", func(i *fakeInstance) { i.unreachable = true })
+		is.Equal(mustSelect(t, b, conn, "SELECT x"), "a")
+	})
+	t.Run("a write that was not sent follows the primary", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		conn := b.connect("")
+		b.fake.change("a", func(i *fakeInstance) { i.silent = true })
+		done := make(chan error, 1)
+		go func() {
+			_, err := conn.Exec(b.context(), "INSERT x")
+			done <- err
+		}()
+		b.fake.promote("b")
+		is.NoErr(<-done)
+	})
+}
+
+// TestReadLostOnPrimary loses reads that may have written: only an instance that
+// writes nothing may repeat them.
+func TestReadLostOnPrimary(t *testing.T) {
+	for query, served := range map[string]bool{"SELECT x": true, "SELECT writing()": false} {
+		t.Run(query, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.fake.change("a", func(i *fakeInstance) { i.report.Last.Index, i.report.Applied.Index = 5, 5 })
+			conn := b.connect("&tarragon.position=1/5")
+			b.fake.change("a", func(i *fakeInstance) { i.sever = true })
+			_, err := conn.Exec(b.context(), query)
+			_, executed := b.fake.take()
+			is.Equal(executed, []string{query, query}) // On the primary and on a replica.
+			if served {
+				is.NoErr(err)
+				return
+			}
+			mustCode(t, err, result.HomeLost)
+		})
+	}
+}
+
 func TestReadThatWrites(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
--- a/tarragonshed/entry/fake_test.go
+++ b/tarragonshed/entry/fake_test.go
@@ -34,6 +34,8 @@
 	readOnly bool
 	// refuse refuses each Open.
 	refuse result.Code
+	// silent answers nothing.
+	silent bool
 	// sever breaks the lane once it has run a batch, or behind its first rows.
 	sever, severRows bool
 }
@@ -120,7 +122,7 @@
 func (f *fake) Report(ctx context.Context, name unit.InstanceName) (instance.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.instances[name].unreachable {
+	if i := f.instances[name]; i.unreachable || i.silent {
 		return instance.Report{}, result.New(result.HomeUnreachable, "no home of %s", name)
 	}
 	return f.instances[name].report, ctx.Err()
@@ -177,11 +179,19 @@
 			return nil
 		}
 	}
+	if request.GetCancel() != nil && l.instance.silent {
+		// Held back at the home.
+		l.responses <- &peer.CarryResponse{Kind: &peer.CarryResponse_Refused{Refused: &peer.Refused{Code: uint32(result.CancelledUnsent)}}}
+		return nil
+	}
 	if request.GetCancel() != nil {
 		l.answer, _ = sqlError("57014", "cancelled").Encode(nil)
 		l.settle(true)
 		return nil
 	}
+	if l.instance.silent {
+		return nil
+	}
 	return l.run(batch)
 }
 
@@ -221,6 +231,7 @@
 		l.responses <- &peer.CarryResponse{Kind: &peer.CarryResponse_Answer{Answer: &peer.Answer{Messages: l.answer}}}
 	}
 	if l.instance.sever || l.instance.severRows {
+		l.fake.replicate(l.instance.report.Instance)
 		l.Close()
 		return nil
 	}
--- a/tarragonshed/entry/group.go
+++ b/tarragonshed/entry/group.go
@@ -20,6 +20,9 @@
 	// not known.
 	pollInterval = 20 * time.Millisecond
 	pollJitter   = 5 * time.Millisecond
+	// observeInterval spaces the questions about instances that run a
+	// statement for long.
+	observeInterval = 100 * time.Millisecond
 	// reportTimeout bounds one question for a report.
 	reportTimeout = time.Second
 )
@@ -39,9 +42,11 @@
 	budget      retrier.Budget
 
 	// news is closed when a report has come in.
-	news    chan struct{}
-	seekers int
-	seeking bool
+	news chan struct{}
+	// seekers wait for a primary, observers watch long statements.
+	seekers   int
+	observers int
+	polling   bool
 
 	indexer  *tracker.Indexer
 	lastRead tracker.ReadID
@@ -114,11 +119,16 @@
 	if !g.refresh() {
 		return router.WaitForReports{}, g.news
 	}
+	return router.Choose(request, g.candidates(failed)), g.news
+}
+
+// candidates returns what is known of the instances. The caller holds the lock.
+func (g *group) candidates(failed map[unit.InstanceName]time.Time) []router.Candidate {
 	candidates := make([]router.Candidate, len(g.config.Instances))
 	for i, config := range g.config.Instances {
 		candidates[i] = g.candidate(config, failed)
 	}
-	return router.Choose(request, candidates), g.news
+	return candidates
 }
 
 func (g *group) candidate(config manifest.Instance, failed map[unit.InstanceName]time.Time) router.Candidate {
@@ -194,23 +204,36 @@
 // seek has the instances asked for reports until the returned function is
 // called. However many seek, each instance is asked by one poller.
 func (g *group) seek() (end func()) {
+	return g.count(&g.seekers)
+}
+
+// observe is seek with a longer interval.
+func (g *group) observe() (end func()) {
+	return g.count(&g.observers)
+}
+
+func (g *group) count(wanting *int) (end func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.seekers++
-	if !g.seeking {
-		g.seeking = true
+	*wanting++
+	if !g.polling {
+		g.polling = true
 		go g.poll()
 	}
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.seekers--
+		*wanting--
 	}
 }
 
 func (g *group) poll() {
 	asking := make(map[unit.InstanceName]*sync.Mutex)
-	for g.wanted() {
+	for {
+		interval, wanted := g.pollInterval()
+		if !wanted {
+			return
+		}
 		for _, name := range g.instances() {
 			busy := asking[name]
 			if busy == nil {
@@ -226,17 +249,21 @@
 			}()
 		}
 		select {
-		case <-time.After(pollInterval + rand.N(pollJitter)):
+		case <-time.After(interval + rand.N(pollJitter)):
 		case <-g.entry.ctx.Done():
 		}
 	}
 }
 
-func (g *group) wanted() bool {
+// pollInterval returns false when nobody wants reports any more.
+func (g *group) pollInterval() (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.seeking = g.seekers > 0 && g.entry.ctx.Err() == nil
-	return g.seeking
+	g.polling = g.seekers+g.observers > 0 && g.entry.ctx.Err() == nil
+	if g.seekers > 0 {
+		return pollInterval, g.polling
+	}
+	return observeInterval, g.polling
 }
 
 func (g *group) instances() []unit.InstanceName {
--- a/tarragonshed/entry/relay.go
+++ b/tarragonshed/entry/relay.go
@@ -14,7 +14,8 @@
 	// written together with ReadyForQuery.
 	holdSize = 32 << 10
 
-	sqlStateReadOnly = "25006"
+	sqlStateReadOnly  = "25006"
+	sqlStateCancelled = "57014"
 )
 
 // outcome is what became of a batch that was sent on a lane.
@@ -35,6 +36,8 @@
 	failed bool
 	// readOnly tells that the error is that the instance does not write.
 	readOnly bool
+	// cancelled tells that the error is that the statement was cancelled.
+	cancelled bool
 	// rolledBack tells that the last command was ROLLBACK.
 	rolledBack bool
 }
@@ -114,7 +117,9 @@
 		out.rolledBack = bytes.HasPrefix(body, []byte("ROLLBACK"))
 	case 'E':
 		out.failed = true
-		out.readOnly = errorCode(body) == sqlStateReadOnly
+		code := errorCode(body)
+		out.readOnly = code == sqlStateReadOnly
+		out.cancelled = code == sqlStateCancelled
 	case 'G', 'H', 'W':
 		out.err = result.New(result.CopyNotCarried, "the instance began COPY")
 	case 'D':
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"tarragonshed.example/instance"
@@ -77,6 +78,14 @@
 	failed   map[unit.InstanceName]time.Time
 	// last is why the latest attempt failed.
 	last error
+	// use is where the batch was sent.
+	use router.Use
+	// overtaken tells that the batch was cancelled because another instance
+	// has become the primary.
+	overtaken atomic.Bool
+	// uncertain is the error of a read that may have run on a primary. It can
+	// only be repeated by an instance that writes nothing.
+	uncertain error
 	// claiming tells that the outcome of a request with a key is unknown, and
 	// that its key is claimed instead of running it again.
 	claiming bool
@@ -150,7 +159,11 @@
 		request.Floor = floor
 	}
 	effect, _ := r.group.choose(request, r.failed)
-	if use, ok := effect.(router.Use); ok {
+	use, ok := effect.(router.Use)
+	switch {
+	case r.uncertain != nil && (!ok || use.Primary || !r.plan.read):
+		return use, r.uncertain
+	case ok:
 		return use, r.late()
 	}
 	defer r.group.seek()()
@@ -215,15 +228,21 @@
 	}
 	r.group.begin(use.Instance)
 	r.setLane(lane)
+	r.use = use
+	r.overtaken.Store(false)
 	sent := time.Now()
 	out := r.exchange(lane, use)
 	if out.report != nil {
 		r.group.note(reportOf(out.report), sent)
 	}
 	r.batch.shared = r.batch.shared || out.broken
-	if out.err == nil && r.wrongInstance(use, out) {
+	switch {
+	case out.err == nil && r.wrongInstance(use, out):
 		out.err = result.New(result.NotPrimary, "instance %s does not accept writes", use.Instance)
 		out.settled = nil
+	case r.undone(out):
+		out.err = result.New(result.NotPrimary, "instance %s is no longer the primary", use.Instance)
+		out.settled = nil
 	}
 	r.conclude(lane, use, out)
 	return out
@@ -242,6 +261,7 @@
 
 func (r *run) send(lane carrier.Lane, request *peer.CarryRequest) outcome {
 	defer r.watch(lane)()
+	defer r.supervise(lane)()
 	if err := r.transmit(lane, request); err != nil {
 		return outcome{err: laneError(err), broken: true}
 	}
@@ -324,6 +344,18 @@
 	return !use.Primary || !writable
 }
 
+// undone reports whether the batch was cancelled because of another primary, and
+// did not run or was rolled back.
+func (r *run) undone(out outcome) bool {
+	switch {
+	case !r.overtaken.Load() || out.begun || errors.Is(context.Cause(r.ctx), errCancelled):
+		return false
+	case out.err != nil:
+		return result.CodeOf(out.err) == result.CancelledUnsent
+	}
+	return out.cancelled && !r.plan.ends && out.settled.TransactionStatus == statusIdle
+}
+
 // conclude gives the lane back, or keeps it for the open transaction.
 func (r *run) conclude(lane carrier.Lane, use router.Use, out outcome) {
 	switch {
@@ -383,6 +415,11 @@
 		r.claiming = true
 		return r.passOver(use, attempt)
 	}
+	if r.becomesUncertain(out) {
+		r.uncertain = out.err
+		r.failed = nil // Replicas that were behind may have caught up.
+		return r.passOver(use, attempt)
+	}
 	if r.broken || r.ctx.Err() != nil || !retrier.Repeatable(code.Entry().Outcome, read, out.begun) {
 		return false
 	}
@@ -404,6 +441,19 @@
 	return r.passOver(use, attempt)
 }
 
+// becomesUncertain reports whether a read on the primary was lost, which a
+// replica may still be able to answer.
+func (r *run) becomesUncertain(out outcome) bool {
+	if !r.plan.read || r.plan.begins || !r.use.Primary || out.begun || r.broken || r.ctx.Err() != nil {
+		return false
+	}
+	switch result.CodeOf(out.err) {
+	case result.HomeLost, result.ConnectionLost:
+		return r.group.takeRetry()
+	}
+	return false
+}
+
 // passOver notes that an instance failed, and waits before the next attempt.
 func (r *run) passOver(use router.Use, attempt int) bool {
 	if r.failed == nil {
@@ -427,6 +477,9 @@
 
 // giveUp returns the error of a batch that is not sent again.
 func (r *run) giveUp(out outcome) error {
+	if r.uncertain != nil {
+		return r.uncertain
+	}
 	err := out.final()
 	if late := r.late(); late != nil && result.OutcomeOf(err) == result.NotRun {
 		return late
@@ -445,6 +498,7 @@
 
 // goOn runs a batch of an open transaction.
 func (r *run) goOn() {
+	r.use = router.Use{Instance: r.pinned.instance, Primary: r.pinned.primary}
 	request := &peer.CarryRequest{Kind: &peer.CarryRequest_Batch{Batch: r.wireBatch()}}
 	out := r.send(r.pinned.lane, request)
 	r.batch.shared = r.batch.shared || out.broken
