--- a/tarragonshed/daemon/daemon.go
+++ b/tarragonshed/daemon/daemon.go
@@ -35,6 +35,7 @@
 	"tarragonshed.example/member"
 	"tarragonshed.example/recorder"
 	"tarragonshed.example/tarragonshed/carrier"
+	"tarragonshed.example/tarragonshed/certifier"
 	"tarragonshed.example/tarragonshed/dialer"
 	"tarragonshed.example/tarragonshed/entry"
 	"tarragonshed.example/tarragonshed/gossiper"
@@ -57,6 +58,9 @@
 	logger   *log.Logger
 	rec      *recorder.Recorder
 	registry metrics.Registry
+	// dialLanes and dialGossip open connections to other daemons.
+	dialLanes, dialGossip dialer.Func
+	certifiers            []*certifier.Certifier
 
 	self     member.Daemon
 	holder   *holder.Holder
@@ -147,7 +151,19 @@
 		home.WithMetrics(d.registry),
 		home.WithCredentials(d.settings.Targets.User, d.settings.Targets.Password),
 	)
-	d.lanes = carrier.New(d.holder, d.home, carrier.WithDialer(d.dial))
+	peers, err = d.peerTLS(peers)
+	if err != nil {
+		return err
+	}
+	operators, err = d.operatorTLS(operators)
+	if err != nil {
+		return err
+	}
+	callerOptions, err := d.callerTLS()
+	if err != nil {
+		return err
+	}
+	d.lanes = carrier.New(d.holder, d.home, carrier.WithDialer(d.dialLanes))
 	d.watch = watcher.New(d.holder,
 		watcher.WithDialer(d.dial),
 		watcher.WithRecorder(d.rec),
@@ -156,13 +172,13 @@
 	)
 	d.gossip = gossiper.New(d.holder, d.self,
 		gossiper.WithPlatform(d.platform),
-		gossiper.WithDialer(d.dial),
+		gossiper.WithDialer(d.dialGossip),
 		gossiper.WithRecorder(d.rec),
 		gossiper.WithLogger(d.logger),
 		gossiper.WithMetrics(d.registry),
 		gossiper.WithSeeds(d.settings.Peers.Seeds...),
 	)
-	d.entry = entry.New(d.accept(callers), d.holder, d.lanes,
+	d.entry = entry.New(d.accept(callers), d.holder, d.lanes, append(callerOptions,
 		entry.WithLogger(d.logger),
 		entry.WithRecorder(d.rec),
 		entry.WithMetrics(d.registry),
@@ -173,7 +189,7 @@
 			StartupTimeout:   d.settings.Callers.StartupTimeout,
 			StatementTimeout: d.settings.Callers.StatementTimeout,
 		}),
-	)
+	)...)
 	d.serve(peers, d.peerHandler())
 	d.serve(operators, d.operatorHandler())
 	return nil
@@ -264,6 +280,9 @@
 		if d.platform != nil {
 			d.platform.Close()
 		}
+		for _, c := range d.certifiers {
+			c.Close()
+		}
 		close(d.done)
 	})
 }
