daemon, deployer: use TLS between daemons, for callers and operators

Dialers to other daemons check the certificate against the id that the view has at the address; the peer endpoint accepts certificates of the authorities whose name is a daemon of the view.

--- a/standin/deployer/deployer.go
+++ b/standin/deployer/deployer.go
@@ -69,6 +69,7 @@
 	homes            int
 	maxStaleness     time.Duration
 	serviceTime      time.Duration
+	authority        *Authority
 	seed             uint64
 	logger           *log.Logger
 	rec              *recorder.Recorder
@@ -120,6 +121,10 @@
 // WithServiceTime makes each statement hold its slot for a time.
 func WithServiceTime(t time.Duration) Option { return func(d *Deployment) { d.serviceTime = t } }
 
+// WithAuthority makes callers, daemons and operators use TLS with certificates of
+// the authority.
+func WithAuthority(a *Authority) Option { return func(d *Deployment) { d.authority = a } }
+
 // WithSeed sets the seed of everything random.
 func WithSeed(seed uint64) Option { return func(d *Deployment) { d.seed = seed } }
 
@@ -185,7 +190,11 @@
 
 // URL returns the connection string of a daemon for a group.
 func (d *Deployment) URL(id unit.DaemonID, group unit.GroupName) string {
-	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", Caller, Password, d.daemons[id].member.CallerAddress, group)
+	security := "sslmode=disable"
+	if d.authority != nil {
+		security = "sslmode=verify-full&sslrootcert=" + d.authority.path("authority")
+	}
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?%s", Caller, Password, d.daemons[id].member.CallerAddress, group, security)
 }
 
 // Daemons returns the daemons with their addresses, in the order of
--- a/standin/deployer/parts.go
+++ b/standin/deployer/parts.go
@@ -210,12 +210,10 @@
 	if running {
 		return fmt.Errorf("deployer: daemon %s runs already", id)
 	}
-	s := settings.Default()
-	s.ID, s.Domain = id, v.member.Domain
-	s.Callers.Listen, s.Operator.Listen, s.Peers.Listen = v.listeners[0], v.listeners[1], v.listeners[2]
-	s.Peers.Plaintext = true
-	s.Operator.Token = Token
-	s.Platform.URL = d.PlatformURL
+	s, err := d.daemonSettings(v)
+	if err != nil {
+		return err
+	}
 	started, err := daemon.New(s,
 		daemon.WithDialer(d.Network.Dialer(shaper.Name(id))),
 		daemon.WithCallerListener(func(l net.Listener) net.Listener {
@@ -235,6 +233,22 @@
 	return nil
 }
 
+func (d *Deployment) daemonSettings(v *vm) (settings.Settings, error) {
+	s := settings.Default()
+	s.ID, s.Domain = v.member.ID, v.member.Domain
+	s.Callers.Listen, s.Operator.Listen, s.Peers.Listen = v.listeners[0], v.listeners[1], v.listeners[2]
+	s.Operator.Token = Token
+	s.Platform.URL = d.PlatformURL
+	if d.authority == nil {
+		s.Peers.Plaintext = true
+		return s, nil
+	}
+	issued, err := d.authority.Issue(string(v.member.ID))
+	s.Callers.TLS, s.Peers.TLS, s.Operator.TLS = issued, issued, issued
+	s.Callers.RequireTLS = true
+	return s, err
+}
+
 // stopDaemon ends a daemon as a crash of its process does.
 func (d *Deployment) stopDaemon(id unit.DaemonID) error {
 	d.mu.Lock()
--- a/tarragonshed/daemon/daemon.go
+++ b/tarragonshed/daemon/daemon.go
@@ -122,7 +122,30 @@
 		return err
 	}
 	callers, operators, peers := listeners[0], listeners[1], listeners[2]
-	d.self = member.Daemon{
+	d.self = d.describe(callers, operators, peers)
+	d.holder = holder.New(member.View{Self: d.self.ID, Daemons: []member.Daemon{d.self}})
+	if peers, err = d.peerTLS(peers); err != nil {
+		return err
+	}
+	if operators, err = d.operatorTLS(operators); err != nil {
+		return err
+	}
+	callerOptions, err := d.callerTLS()
+	if err != nil {
+		return err
+	}
+	if err := d.startParts(); err != nil {
+		return err
+	}
+	d.entry = entry.New(d.accept(callers), d.holder, d.lanes, append(callerOptions, d.entryOptions()...)...)
+	d.serve(peers, d.peerHandler())
+	d.serve(operators, d.operatorHandler())
+	return nil
+}
+
+// describe returns the daemon as others see it.
+func (d *Daemon) describe(callers, operators, peers net.Listener) member.Daemon {
+	self := member.Daemon{
 		ID:              d.settings.ID,
 		Incarnation:     d.settings.Incarnation,
 		Domain:          d.settings.Domain,
@@ -131,10 +154,15 @@
 		OperatorAddress: first(d.settings.Operator.Advertise, operators.Addr().String()),
 		PeerAddress:     first(d.settings.Peers.Advertise, peers.Addr().String()),
 	}
-	if d.self.Incarnation == 0 {
-		d.self.Incarnation = unit.Incarnation(time.Now().UnixNano())
+	if self.Incarnation == 0 {
+		self.Incarnation = unit.Incarnation(time.Now().UnixNano())
 	}
-	d.holder = holder.New(member.View{Self: d.self.ID, Daemons: []member.Daemon{d.self}})
+	return self
+}
+
+// startParts starts the parts that callers are served with.
+func (d *Daemon) startParts() error {
+	var err error
 	d.platform, err = platformer.New(d.settings.Platform.URL,
 		platformer.WithDialer(d.dial),
 		platformer.WithTimeout(d.settings.Platform.Timeout),
@@ -151,18 +179,6 @@
 		home.WithMetrics(d.registry),
 		home.WithCredentials(d.settings.Targets.User, d.settings.Targets.Password),
 	)
-	peers, err = d.peerTLS(peers)
-	if err != nil {
-		return err
-	}
-	operators, err = d.operatorTLS(operators)
-	if err != nil {
-		return err
-	}
-	callerOptions, err := d.callerTLS()
-	if err != nil {
-		return err
-	}
 	d.lanes = carrier.New(d.holder, d.home, carrier.WithDialer(d.dialLanes))
 	d.watch = watcher.New(d.holder,
 		watcher.WithDialer(d.dial),
@@ -178,7 +194,11 @@
 		gossiper.WithMetrics(d.registry),
 		gossiper.WithSeeds(d.settings.Peers.Seeds...),
 	)
-	d.entry = entry.New(d.accept(callers), d.holder, d.lanes, append(callerOptions,
+	return nil
+}
+
+func (d *Daemon) entryOptions() []entry.Option {
+	return []entry.Option{
 		entry.WithLogger(d.logger),
 		entry.WithRecorder(d.rec),
 		entry.WithMetrics(d.registry),
@@ -189,10 +209,7 @@
 			StartupTimeout:   d.settings.Callers.StartupTimeout,
 			StatementTimeout: d.settings.Callers.StatementTimeout,
 		}),
-	)...)
-	d.serve(peers, d.peerHandler())
-	d.serve(operators, d.operatorHandler())
-	return nil
+	}
 }
 
 // peerHandler serves the other daemons.
--- a/tarragonshed/daemon/http.go
+++ b/tarragonshed/daemon/http.go
@@ -6,15 +6,13 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"tarragonshed.example/tarragonshed/carrier"
 )
 
 // readHeaderTimeout bounds how long a request's header may take.
 const readHeaderTimeout = 10 * time.Second
 
-// maxStreams is the number of streams that one connection from another daemon
-// may have open at once.
-const maxStreams = 10_000
-
 // healthHandler answers while the process lives.
 func healthHandler(w http.ResponseWriter, _ *http.Request) {
 	_, _ = w.Write([]byte("ok\n"))
@@ -37,16 +35,8 @@
 
 // serve runs an HTTP server on a listener until the daemon closes.
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{
-		Handler:           handler,
-		Protocols:         protocols,
-		ReadHeaderTimeout: readHeaderTimeout,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
-	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	carrier.Configure(server)
 	d.servers = append(d.servers, server)
 	go func() { _ = server.Serve(listener) }()
 }
