--- a/tarragonshed/daemon/http.go
+++ b/tarragonshed/daemon/http.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
 	"tarragonshed.example/tarragonshed/carrier"
@@ -35,7 +36,11 @@
 
 // serve runs an HTTP server on a listener until the daemon closes.
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog:          d.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
 	carrier.Configure(server)
 	d.servers = append(d.servers, server)
 	go func() { _ = server.Serve(listener) }()
