--- a/tarragonshed/home/home_test.go
+++ b/tarragonshed/home/home_test.go
@@ -38,6 +38,18 @@
 		is.Equal(a.refused, result.InstanceBehind)
 		is.True(!a.answered)
 	})
+	t.Run("a read on the primary is refused", func(t *testing.T) {
+		is := is.New(t)
+		a := query(t, l, read("a", unit.Position{}), "SELECT 1")
+		is.Equal(a.refused, result.InstanceBehind)
+	})
+	t.Run("reads run in read-only mode", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(query(t, l, read("b", unit.Position{}), "SHOW default_transaction_read_only").text, "T on SHOW;")
+		o := read("b", unit.Position{})
+		o.Settings = map[string]string{"application_name": "x"}
+		is.Equal(query(t, l, o, "SHOW default_transaction_read_only").text, "T on SHOW;")
+	})
 	t.Run("a transaction keeps its connection", func(t *testing.T) {
 		is := is.New(t)
 		is.Equal(query(t, l, write("a"), "BEGIN").status, byte('T'))
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"tarragonshed.example/instance"
@@ -117,6 +118,10 @@
 			}
 			return result.New(result.NotPrimary, "instance %s is %s in term %d", t.target.name, report.Role, report.Term)
 		}
+		if report.Role == instance.Primary {
+			// It shows what no majority may hold yet.
+			return result.New(result.InstanceBehind, "instance %s is the primary, where reads are withheld like writes", t.target.name)
+		}
 		if t.covered(report) {
 			return nil
 		}
@@ -184,7 +189,7 @@
 		if check && !answers(c) {
 			continue
 		}
-		if err := c.adjust(ctx, t.request.Settings); err != nil {
+		if err := c.adjust(ctx, t.settings()); err != nil {
 			if c.isClosed() {
 				return result.New(result.InstanceUnreachable, "instance %s: %v", t.target.name, err)
 			}
@@ -200,6 +205,23 @@
 	}
 }
 
+// readOnly are the settings of reads of sessions without settings. An instance
+// that has become the primary must not write for them.
+var readOnly = map[string]string{"default_transaction_read_only": "on"}
+
+// settings returns the settings for the connection.
+func (t *transaction) settings() map[string]string {
+	if !t.isRead() {
+		return t.request.Settings
+	}
+	if len(t.request.Settings) == 0 {
+		return readOnly
+	}
+	settings := maps.Clone(t.request.Settings)
+	maps.Copy(settings, readOnly)
+	return settings
+}
+
 // take waits for a connection.
 func (t *transaction) take(ctx context.Context) (c *conn, check bool, err *result.Error) {
 	ticket, answer := t.target.take()
