spec: model the protocol and check it with spin

Three instances, two or three proposers, delayed and lost calls, replication under way, sessions with and without a position, and request keys. Found: monotonic reads need the answer of a replica withheld while its last record is of an older term than its current one.

--- a/promoter/model_test.go
+++ b/promoter/model_test.go
@@ -108,7 +108,7 @@
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		leaders: make(map[unit.Term]unit.InstanceName), acknowledged: make(map[int]unit.Position),
 	}
-	w.latency = func() time.Duration { return time.Duration(8+w.random.IntN(3)) * time.Millisecond }
+	w.latency = usualLatency(w)
 	var members []promoter.Member
 	for _, name := range []unit.InstanceName{"a", "b", "c"} {
 		w.targets = append(w.targets, &target{name: name, role: instance.Detached, cut: make(map[string]bool)})
@@ -122,6 +122,10 @@
 	return w
 }
 
+func usualLatency(w *world) func() time.Duration {
+	return func() time.Duration { return time.Duration(8+w.random.IntN(3)) * time.Millisecond }
+}
+
 func (w *world) moment() promoter.Moment {
 	return promoter.Moment{At: w.now, Random: w.random.Float64()}
 }
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -187,11 +187,37 @@
 				g, n := pick(), name()
 				g.cut[n] = !g.cut[n]
 			},
-			"heal": func(*rapid.T) {
+			"heal": func(*rapid.T) { w.heal() },
+			"duel": func(t *rapid.T) {
+				for i := range w.promoters {
+					w.handle(i, promoter.Ranked{Moment: w.moment(), Rank: rapid.IntRange(0, 1).Draw(t, "rank")})
+				}
+			},
+			"isolate the primary, which goes on writing": func(*rapid.T) {
+				if g := w.primary(); g != nil {
+					w.isolate(g)
+					for range 4 {
+						w.write(g)
+					}
+					w.run(1500 * time.Millisecond)
+				}
+			},
+			"write to all and confirm": func(*rapid.T) {
 				for _, g := range w.targets {
-					g.down, g.paused = false, false
-					clear(g.cut)
+					w.write(g)
 				}
+				w.run(30 * time.Millisecond)
+			},
+			"crash the primary as the others return": func(*rapid.T) {
+				g := w.primary()
+				w.heal()
+				if g != nil {
+					g.down = true
+				}
+			},
+			"change the latency": func(t *rapid.T) {
+				limit := rapid.IntRange(1, 120).Draw(t, "milliseconds")
+				w.latency = func() time.Duration { return time.Duration(1+w.random.IntN(limit)) * time.Millisecond }
 			},
 			"lose":      func(*rapid.T) { w.lose() },
 			"write":     func(*rapid.T) { w.write(pick()) },
@@ -209,10 +235,8 @@
 				}
 			},
 		})
-		for _, g := range w.targets {
-			g.down, g.paused = false, false
-			clear(g.cut)
-		}
+		w.heal()
+		w.latency = usualLatency(w)
 		w.run(9 * time.Second)
 		if w.fault != "" {
 			t.Fatal(w.fault)
@@ -234,6 +258,20 @@
 	w.queue = kept
 }
 
+func (w *world) heal() {
+	for _, g := range w.targets {
+		g.down, g.paused = false, false
+		clear(g.cut)
+	}
+}
+
+// isolate cuts the instance from all others and from the promoters.
+func (w *world) isolate(g *target) {
+	for _, name := range append([]string{"a", "b", "c"}, w.names...) {
+		g.cut[name] = true
+	}
+}
+
 func (w *world) other(than *target) *target {
 	for _, g := range w.targets {
 		if g != than {
--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,64 @@
+#!/usr/bin/env bash
+# usage: spec/check.sh [jobs]
+# Checks spec/failover.pml with spin. Every part must hold in all its states and
+# every broken variant must yield a counterexample; otherwise the script fails.
+set -euo pipefail
+cd "$(dirname "$0")"
+jobs=${1:-4}
+memory_mb=2500
+seconds=170
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+for tool in spin gcc; do
+  command -v "$tool" >/dev/null || { echo "spec: $tool is not installed"; exit 1; }
+done
+
+# name, what is expected, definitions
+cases=(
+  "core holds -DMAXL=4"
+  "three-proposers holds -DPROPOSERS=3 -DWRITES=0"
+  "read-your-writes holds -DSESSION"
+  "monotonic-reads holds -DSESSION -DMONOTONIC"
+  "read-index holds -DROAM"
+  "request-keys holds -DKEYS -DWRITES=3"
+  "acknowledge-without-majority fails -DBROKEN_ACK_WITHOUT_MAJORITY"
+  "promote-without-majority fails -DBROKEN_PROMOTE_WITHOUT_MAJORITY"
+  "promote-by-position-alone fails -DBROKEN_PROMOTE_BY_INDEX"
+  "grant-twice-in-a-term fails -DBROKEN_GRANT_TWICE"
+  "hold-by-current-term-alone fails -DBROKEN_HOLD_BY_TERM"
+  "hold-by-record-alone fails -DBROKEN_HOLD_BY_RECORD"
+  "read-index-from-one-instance fails -DROAM -DBROKEN_INDEX_FROM_ONE"
+  "read-by-position-alone fails -DSESSION -DBROKEN_READ_BY_INDEX"
+  "leftover-at-its-own-position fails -DSESSION -DBROKEN_LEFTOVER_POSITION"
+  "primary-read-not-withheld fails -DSESSION -DMONOTONIC -DBROKEN_READ_UNCONFIRMED"
+  "replica-read-not-withheld fails -DSESSION -DMONOTONIC -DBROKEN_REPLICA_READ_UNCONFIRMED"
+  "claim-without-conflict fails -DKEYS -DWRITES=2 -DBROKEN_CLAIM_WITHOUT_CONFLICT"
+)
+
+# Runs one case. A search that is cut short by memory or time proves nothing and
+# counts as a failure.
+check() {
+  local name=$1 expected=$2 definitions=${*:3} found=incomplete
+  mkdir "$work/$name"
+  cp failover.pml "$work/$name"
+  cd "$work/$name"
+  # shellcheck disable=SC2086
+  spin -a $definitions failover.pml >spin.out 2>&1 || { cat spin.out; return 1; }
+  gcc -O2 -w -DSAFETY -DNOREDUCE -DCOLLAPSE -DMEMLIM="$memory_mb" -o pan pan.c
+  timeout "$seconds" ./pan -E -m100000 >pan.out 2>&1 || true
+  if grep -q "assertion violated" pan.out; then
+    found=fails
+  elif grep -q "errors: 0" pan.out && ! grep -qE "max search depth too small|out of memory|Search not completed" pan.out; then
+    found=holds
+  fi
+  local states time
+  states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' pan.out)
+  time=$(sed -n 's/.*elapsed time \([0-9.]*\) seconds.*/\1/p' pan.out)
+  printf '%-32s %-11s %10s states %7s s\n' "$name" "$found" "${states:--}" "${time:--}"
+  [ "$found" = "$expected" ] || { echo "spec: $name: expected that it $expected"; tail -20 pan.out; return 1; }
+}
+export -f check
+export work memory_mb seconds
+
+printf '%s\n' "${cases[@]}" | xargs -P "$jobs" -I{} bash -euo pipefail -c 'check {}'
+echo "spec: ${#cases[@]} cases as expected in ${SECONDS} s"
