deployer: take free ports from below the ephemeral range

A port that was free when the deployment was laid out could be taken by an outgoing connection before its daemon listened: TestHostileCallers failed once with 'address already in use'.

--- a/standin/deployer/deployer.go
+++ b/standin/deployer/deployer.go
@@ -24,6 +24,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -301,13 +302,30 @@
 	return list
 }
 
+// Free ports are taken from below the range that systems give to outgoing
+// connections, so that none takes a port between its choice and its use.
+const (
+	firstFreePort = 12_000
+	lastFreePort  = 32_000
+	portAttempts  = 100
+)
+
 // listen opens a loopback listener at a port, or at a free one when ports are
 // not fixed.
 func (d *Deployment) listen(port int) (net.Listener, error) {
-	if !d.fixedPorts {
-		port = 0
+	if d.fixedPorts {
+		return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	}
+	var last error
+	for range portAttempts {
+		port := firstFreePort + rand.IntN(lastFreePort-firstFreePort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return listener, nil
+		}
+		last = err
 	}
-	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	return nil, last
 }
 
 type nopWriter struct{}
