--- a/tarragonshed/entry/batch.go
+++ b/tarragonshed/entry/batch.go
@@ -95,7 +95,7 @@
 func (s *session) collectOne(b *batch) (bool, error) {
 	kind, body, err := s.reader.Next()
 	switch {
-	case result.CodeOf(err) == result.StatementTooLarge:
+	case err != nil && result.CodeOf(err) == result.StatementTooLarge:
 		b.refuse(err)
 		b.ended = kind == 'Q' || kind == 'F'
 		return true, nil
--- a/tarragonshed/entry/entry_test.go
+++ b/tarragonshed/entry/entry_test.go
@@ -24,13 +24,13 @@
 // bench is an Entry on loopback with three fake instances "a" (the primary), "b"
 // and "c".
 type bench struct {
-	t     *testing.T
+	t     testing.TB
 	fake  *fake
 	entry *Entry
 	addr  string
 }
 
-func newBench(t *testing.T, options ...Option) *bench {
+func newBench(t testing.TB, options ...Option) *bench {
 	t.Helper()
 	verifier, err := authenticator.Verifier("secret", []byte("0123456789abcdef"), 4096)
 	if err != nil {
--- /dev/null
+++ b/tarragonshed/entry/fuzz_test.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"tarragonshed.example/tarragonshed/entry/framer"
+)
+
+// FuzzBatch collects arbitrary messages. What is sent to the home must be whole
+// messages, and the plan must not fail on it.
+func FuzzBatch(f *testing.F) {
+	seed, _ := (&pgproto3.Parse{Name: "p", Query: "SELECT $1", ParameterOIDs: []uint32{25}}).Encode(nil)
+	seed = append(seed, executeMessages()...)
+	f.Add(seed)
+	query, _ := (&pgproto3.Query{String: "BEGIN; SET a = 'b'; RESET a; COMMIT"}).Encode(nil)
+	f.Add(query)
+	describe, _ := (&pgproto3.Describe{ObjectType: 'S', Name: "p"}).Encode(seed)
+	f.Add(append(describe, 'C', 0, 0, 0, 6, 'S', 0))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e := &Entry{limits: Limits{MaxBatch: 1 << 16}.withDefaults()}
+		s := &session{entry: e, status: statusIdle}
+		s.options.stalenessSet = true
+		b := newBatch(s)
+		framer.Walk(data, func(kind byte, body []byte) bool {
+			return b.add(kind, body) == nil && !b.ended
+		})
+		if b.fault == nil && !framer.Walk(b.messages, func(byte, []byte) bool { return true }) {
+			t.Fatalf("the messages for the home are not whole: %q", b.messages)
+		}
+		s.plan(b)
+	})
+}
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -17,13 +17,8 @@
 	"tarragonshed.example/wire/peer"
 )
 
-const (
-	// cancelGrace is how long an instance may take to end a statement that is
-	// cancelled at its deadline.
-	cancelGrace = 5 * time.Second
-	// promptRetries is the number of retries without a delay.
-	promptRetries = 2
-)
+// promptRetries is the number of retries without a delay.
+const promptRetries = 2
 
 // execute runs a batch and queues the end of its answer.
 func (s *session) execute(b *batch) {
@@ -260,7 +255,6 @@
 }
 
 func (r *run) send(lane carrier.Lane, request *peer.CarryRequest) outcome {
-	defer r.watch(lane)()
 	defer r.supervise(lane)()
 	if err := r.transmit(lane, request); err != nil {
 		return outcome{err: laneError(err), broken: true}
@@ -277,18 +271,6 @@
 	return result.New(result.HomeLost, "the lane to the home broke: %v", err)
 }
 
-// watch cancels what runs on the lane at the deadline.
-func (r *run) watch(lane carrier.Lane) (end func()) {
-	cancel := time.AfterFunc(time.Until(r.deadline), func() {
-		r.transmit(lane, &peer.CarryRequest{Kind: &peer.CarryRequest_Cancel{Cancel: &peer.Cancel{}}})
-	})
-	abandon := time.AfterFunc(time.Until(r.deadline)+cancelGrace, lane.Close)
-	return func() {
-		cancel.Stop()
-		abandon.Stop()
-	}
-}
-
 func (r *run) open(use router.Use) *peer.Open {
 	r.requests++
 	open := &peer.Open{
--- a/tarragonshed/entry/stream.go
+++ b/tarragonshed/entry/stream.go
@@ -15,7 +15,6 @@
 type stream struct {
 	*run
 	lane   carrier.Lane
-	use    router.Use
 	pinned bool
 	end    func()
 	done   chan outcome
@@ -80,6 +79,7 @@
 func (t *stream) open() error {
 	if pin := t.session.pinned; pin != nil {
 		t.lane, t.pinned = pin.lane, true
+		t.use = router.Use{Instance: pin.instance, Primary: pin.primary}
 		return t.sendPart(&peer.CarryRequest{Kind: &peer.CarryRequest_Batch{Batch: t.wireBatch()}})
 	}
 	t.group.countRequest()
@@ -120,8 +120,7 @@
 
 // relayParts passes the answers to all parts on, and an error at once.
 func (t *stream) relayParts() outcome {
-	end := t.watch(t.lane)
-	defer end()
+	defer t.supervise(t.lane)()
 	out := outcome{prompt: true}
 	t.relayInto(t.lane, &out)
 	if out.err != nil {
--- a/tarragonshed/entry/supervisor.go
+++ b/tarragonshed/entry/supervisor.go
@@ -17,18 +17,21 @@
 	// readSilence is how long an instance may leave questions for its report
 	// unanswered before a read on it is given up.
 	readSilence = time.Second
+	// cancelGrace is how long an instance may take to end a statement that is
+	// cancelled at its deadline.
+	cancelGrace = 5 * time.Second
 	// overtakenGrace is how long the home of a replaced primary may take to
 	// find out what became of a write.
 	overtakenGrace = time.Second
 )
 
-// supervise watches the instance of a batch that takes long. A read is given up
-// when its instance answers nothing any more. A write is cancelled when another
-// instance has become the primary: if it was not sent it is free to go there,
-// otherwise the home has a moment to find out its outcome.
+// supervise watches a batch that takes long. It is cancelled at its deadline. A
+// read is given up when its instance answers nothing any more. A write is
+// cancelled when another instance has become the primary: if it was not sent it is
+// free to go there, otherwise the home has a moment to find out its outcome.
 func (r *run) supervise(lane carrier.Lane) (end func()) {
 	done := make(chan struct{})
-	timer := time.AfterFunc(superviseAfter, func() { r.observe(lane, done) })
+	timer := time.AfterFunc(min(superviseAfter, time.Until(r.deadline)), func() { r.observe(lane, done) })
 	return func() {
 		timer.Stop()
 		close(done)
@@ -41,28 +44,33 @@
 	ticker := time.NewTicker(superviseInterval)
 	defer ticker.Stop()
 	for {
-		select {
-		case <-ticker.C:
-		case <-done:
-			return
-		}
 		switch {
+		case !time.Now().Before(r.deadline):
+			r.revoke(lane, cancelGrace, done)
+			return
 		case !r.use.Primary && r.group.silence(r.use.Instance, began) > readSilence:
 			lane.Close()
 			return
 		case r.use.Primary && r.group.replaced(r.use.Instance):
-			r.overtake(lane, done)
+			r.overtaken.Store(true)
+			r.revoke(lane, overtakenGrace, done)
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-done:
 			return
 		}
 	}
 }
 
-func (r *run) overtake(lane carrier.Lane, done <-chan struct{}) {
-	r.overtaken.Store(true)
+// revoke cancels what runs on the lane, and closes the lane if it goes on for
+// longer than the grace.
+func (r *run) revoke(lane carrier.Lane, grace time.Duration, done <-chan struct{}) {
 	// An error breaks the lane, of which the relay learns too.
 	_ = r.transmit(lane, &peer.CarryRequest{Kind: &peer.CarryRequest_Cancel{Cancel: &peer.Cancel{}}})
 	select {
-	case <-time.After(overtakenGrace):
+	case <-time.After(grace):
 		lane.Close()
 	case <-done:
 	}
