--- /dev/null
+++ b/tarragonshed/home/answers_test.go
@@ -0,0 +1,215 @@
+package home_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+
+	"tarragonshed.example/member"
+	"tarragonshed.example/result"
+	"tarragonshed.example/tarragonshed/holder"
+	"tarragonshed.example/tarragonshed/home"
+	"tarragonshed.example/unit"
+)
+
+// TestLateAnswer lets an answer come after its caller has gone: the next caller
+// must not get it.
+func TestLateAnswer(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	var asked atomic.Int32
+	f := newFake(t, func(b *pgproto3.Backend, _ int, message pgproto3.FrontendMessage) {
+		q, ok := message.(*pgproto3.Query)
+		if !ok {
+			return
+		}
+		switch q.String {
+		case "late":
+			asked.Add(1)
+			<-release
+			row(b, "late")
+		case "ROLLBACK":
+			b.Send(&pgproto3.CommandComplete{CommandTag: []byte("ROLLBACK")})
+			b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		default:
+			row(b, q.String)
+		}
+	})
+	h := newFakeHome(t, f)
+	for range 3 { // As many as there are slots.
+		gone := h.Open()
+		begin(t, gone, write("a"))
+		send(t, gone, simple("late"))
+		want := asked.Load() + 1
+		eventually(t, func() bool { return asked.Load() == want || asked.Load() == 3 })
+		gone.Close()
+	}
+	time.AfterFunc(20*time.Millisecond, func() { close(release) })
+	l := h.Open()
+	defer l.Close()
+	for range 10 {
+		is.Equal(query(t, l, write("a"), "mine").text, "T mine SELECT 1;")
+	}
+}
+
+// TestCrossedCallers races callers for few connections: each gets its own
+// answer, also those that pipeline.
+func TestCrossedCallers(t *testing.T) {
+	f := newFake(t, func(b *pgproto3.Backend, _ int, message pgproto3.FrontendMessage) {
+		if q, ok := message.(*pgproto3.Query); ok {
+			row(b, q.String)
+		}
+	})
+	h := newFakeHome(t, f)
+	var callers sync.WaitGroup
+	for n := range 30 {
+		callers.Go(func() {
+			l := h.Open()
+			defer l.Close()
+			for i := range 50 {
+				mine := string(rune('a'+n)) + string(rune('a'+i))
+				if got := query(t, l, write("a"), mine); got.text != "T "+mine+" SELECT 1;" {
+					t.Errorf("asked for %s and got %s (%v)", mine, got.text, got.refused)
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// TestHalfAnswer lets the instance die in the middle of a result.
+func TestHalfAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		rows     int
+		answered bool
+	}{"short": {1, false}, "long": {100, true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake(t, func(b *pgproto3.Backend, _ int, message pgproto3.FrontendMessage) {
+				if _, ok := message.(*pgproto3.Query); !ok {
+					return
+				}
+				for range c.rows {
+					b.Send(&pgproto3.DataRow{Values: [][]byte{make([]byte, 1000)}})
+				}
+			})
+			f.once = true
+			h := newFakeHome(t, f)
+			l := h.Open()
+			defer l.Close()
+			a := query(t, l, write("a"), "SELECT 1")
+			is.Equal(a.refused, result.ConnectionLost)
+			is.Equal(a.answered, c.answered)
+		})
+	}
+}
+
+// TestUnaskedAnswer sends more than was asked for: the connection must not be
+// handed on.
+func TestUnaskedAnswer(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t, func(b *pgproto3.Backend, n int, message pgproto3.FrontendMessage) {
+		if q, ok := message.(*pgproto3.Query); ok {
+			row(b, q.String)
+			if q.String == "twice" {
+				row(b, q.String)
+			}
+		}
+	})
+	h := newFakeHome(t, f)
+	l := h.Open()
+	defer l.Close()
+	is.Equal(query(t, l, write("a"), "twice").text, "T twice SELECT 1;")
+	for range 10 {
+		a := query(t, l, write("a"), "mine")
+		is.True(a.text == "T mine SELECT 1;" || a.refused != 0)
+	}
+}
+
+// TestConnectionLimit lets two daemons with differing views take themselves for
+// the home: the instance's limit holds and both go on.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	open, most := 0, 0
+	r := newRig(t)
+	second := holder.New(member.View{Self: "d2", Daemons: []member.Daemon{{ID: "d2", Domain: "lautoka-shed", State: member.Live}}})
+	second.AdoptManifest(r.manifest(1))
+	other := home.New(second)
+	defer other.Close()
+	var callers sync.WaitGroup
+	for n := range 40 {
+		callers.Go(func() {
+			h := r.home
+			if n%2 == 0 {
+				h = other
+			}
+			l := h.Open()
+			defer l.Close()
+			for range 5 {
+				if a := query(t, l, write("a"), "BEGIN; SELECT pg_sleep(0.002); COMMIT"); a.refused != 0 {
+					t.Errorf("refused with %v", a.refused)
+				}
+				mu.Lock()
+				open = r.a.Connections()
+				most = max(most, open)
+				mu.Unlock()
+			}
+		})
+	}
+	callers.Wait()
+	t.Logf("at most %d connections", most)
+	is.True(most > 8)
+	is.True(most <= 20)
+}
+
+// TestConnectionStorm brings an instance back under many callers: connections
+// are opened at a bounded rate.
+func TestConnectionStorm(t *testing.T) {
+	is := is.New(t)
+	var accepted atomic.Int32
+	f := newFake(t, func(b *pgproto3.Backend, _ int, message pgproto3.FrontendMessage) {
+		if q, ok := message.(*pgproto3.Query); ok {
+			row(b, q.String)
+		}
+	})
+	dial := (&net.Dialer{}).DialContext
+	refusing := atomic.Bool{}
+	refusing.Store(true)
+	h := newFakeHome(t, f, home.WithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if refusing.Load() {
+			return nil, errors.New("down")
+		}
+		accepted.Add(1)
+		return dial(ctx, network, address)
+	}))
+	var callers sync.WaitGroup
+	var done atomic.Int32
+	for range 60 {
+		callers.Go(func() {
+			l := h.Open()
+			defer l.Close()
+			eventually(t, func() bool {
+				a := query(t, l, read("a", unit.Position{}), "mine")
+				if a.refused != 0 && a.refused != result.InstanceUnreachable {
+					t.Errorf("refused with %v", a.refused)
+					return true
+				}
+				return a.refused == 0
+			})
+			done.Add(1)
+		})
+	}
+	time.AfterFunc(50*time.Millisecond, func() { refusing.Store(false) })
+	callers.Wait()
+	is.Equal(int(done.Load()), 60)
+	is.True(accepted.Load() < 60) // Connections and tries of the control connection.
+}
--- a/tarragonshed/home/failure_test.go
+++ b/tarragonshed/home/failure_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"tarragonshed.example/instance"
+	"tarragonshed.example/member"
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/home"
 	"tarragonshed.example/unit"
@@ -262,3 +263,18 @@
 		is.Equal(query(t, l, write("a"), "SELECT pg_sleep(0.5)").refused, result.Code(0))
 	})
 }
+
+func TestFormerHomesGiveConnectionsBack(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	l := r.home.Open()
+	defer l.Close()
+	is.Equal(query(t, l, write("a"), "BEGIN").status, byte('T'))
+	// All instances become those of a daemon in their own failure domain.
+	r.holder.AdoptView(member.View{Self: "d1", Daemons: []member.Daemon{
+		{ID: "d1", Domain: "suva-office", State: member.Live}, {ID: "d2", Domain: "lautoka-shed", State: member.Live},
+	}})
+	eventually(t, func() bool { return r.b.Connections() == 0 })
+	is.Equal(query(t, l, nil, "COMMIT").status, byte('I'))
+	eventually(t, func() bool { return r.a.Connections() == 0 })
+}
--- a/tarragonshed/home/fake_test.go
+++ b/tarragonshed/home/fake_test.go
@@ -18,6 +18,8 @@
 	net.Listener
 	// answer handles one message on a connection; n counts the connections.
 	answer func(b *pgproto3.Backend, n int, message pgproto3.FrontendMessage)
+	// once makes it close a connection after its first answer.
+	once bool
 }
 
 func newFake(t testing.TB, answer func(*pgproto3.Backend, int, pgproto3.FrontendMessage)) *fake {
@@ -59,6 +61,10 @@
 			return
 		}
 		f.answer(b, n, message)
+		if f.once {
+			_ = b.Flush()
+			_ = c.Close()
+		}
 	}
 }
 
--- a/tarragonshed/home/group.go
+++ b/tarragonshed/home/group.go
@@ -19,6 +19,8 @@
 	resolveFirst   = 20 * time.Millisecond
 	resolveLast    = 250 * time.Millisecond
 	resolveTimeout = 500 * time.Millisecond
+	// recordInterval is how often an acknowledged write is recorded.
+	recordInterval = 20 * time.Millisecond
 )
 
 // released is the outcome of a wait for a majority.
@@ -39,6 +41,9 @@
 	resolving bool
 	primary   unit.InstanceName
 	term      unit.Term
+	// recorded is the latest acknowledged write that an event tells of.
+	recorded   unit.Position
+	recordedAt time.Time
 }
 
 func newGroup(h *Home, g manifest.Group) *group {
@@ -75,6 +80,21 @@
 	return id, answer
 }
 
+// acknowledged records that a write was acknowledged: the first one of a term,
+// and one each recordInterval.
+func (g *group) acknowledged(name unit.InstanceName, p unit.Position) {
+	g.mu.Lock()
+	now := time.Now()
+	due := p.Term != g.recorded.Term || now.Sub(g.recordedAt) >= recordInterval
+	if due {
+		g.recorded, g.recordedAt = p, now
+	}
+	g.mu.Unlock()
+	if due {
+		g.home.recorder.Record(recorder.Event{Kind: recorder.WriteAcknowledged, Group: g.name, Instance: name, Term: p.Term, Position: p})
+	}
+}
+
 // abandon ends a wait that nobody needs any more.
 func (g *group) abandon(id acknowledger.WaitID) {
 	g.mu.Lock()
--- a/tarragonshed/home/home.go
+++ b/tarragonshed/home/home.go
@@ -59,8 +59,13 @@
 	"tarragonshed.example/wire/peer/peerconnect"
 )
 
-// tickInterval is how often pools are refilled and deadlines looked at.
-const tickInterval = 20 * time.Millisecond
+const (
+	// tickInterval is how often pools are refilled and deadlines looked at.
+	tickInterval = 20 * time.Millisecond
+	// sweepInterval is how often targets are looked for that this daemon is no
+	// home of any more and that have become unused.
+	sweepInterval = time.Second
+)
 
 // Home runs transactions on instances. It is safe for concurrent use.
 type Home struct {
@@ -126,8 +131,12 @@
 	go func() {
 		ticker := time.NewTicker(tickInterval)
 		defer ticker.Stop()
+		sweep := time.NewTicker(sweepInterval)
+		defer sweep.Stop()
 		for now := current.Current(); ; {
 			select {
+			case <-sweep.C:
+				h.sweep(now)
 			case <-now.Changed:
 				now = current.Current()
 				h.adopt(now)
@@ -203,34 +212,43 @@
 	if now.Manifest == nil {
 		return
 	}
-	wanted := make(map[unit.InstanceName]bool)
+	self, _ := now.View.Find(now.View.Self)
+	served := make(map[unit.DomainName]bool)
+	for _, d := range now.View.Daemons {
+		served[d.Domain] = served[d.Domain] || d.Usable()
+	}
 	for _, g := range now.Manifest.Groups {
 		for _, i := range g.Instances {
-			mine := placer.IsHome(now.View, i, placer.HomeCount(g, i))
-			if mine {
+			if i.Domain != self.Domain && served[i.Domain] {
+				continue // Its homes are in its own failure domain.
+			}
+			if placer.IsHome(now.View, i, placer.HomeCount(g, i)) {
 				h.target(now, g, i)
 			}
-			wanted[i.Name] = mine
 		}
 	}
-	h.drop(now, wanted)
+	h.sweep(now)
 }
 
-// drop closes what is no longer wanted. A target with open transactions stays
-// until they have ended.
-func (h *Home) drop(now holder.Snapshot, wanted map[unit.InstanceName]bool) {
+// sweep gives targets their limits, and closes those that this daemon is no home
+// of any more. A target with open transactions stays until they have ended.
+func (h *Home) sweep(now holder.Snapshot) {
+	if now.Manifest == nil {
+		return
+	}
 	h.mu.Lock()
 	var gone []*target
 	for name, t := range h.targets {
 		i, g, ok := now.Manifest.Instance(name)
-		moved := ok && i.Address != t.endpoint.address
-		if ok && !moved {
+		kept := ok && i.Address == t.endpoint.address
+		if kept {
 			t.resize(boundsOf(now, g, i))
 		}
-		if (moved || !wanted[name]) && t.unused() {
-			delete(h.targets, name)
-			gone = append(gone, t)
+		if kept && placer.IsHome(now.View, i, placer.HomeCount(g, i)) || !t.unused() {
+			continue
 		}
+		delete(h.targets, name)
+		gone = append(gone, t)
 	}
 	h.mu.Unlock()
 	for _, t := range gone {
--- a/tarragonshed/home/run.go
+++ b/tarragonshed/home/run.go
@@ -140,6 +140,9 @@
 	if over {
 		t.lane.open = nil
 	}
+	if s.wrote {
+		t.target.group.acknowledged(t.target.name, s.seen.position)
+	}
 	t.lane.settle(t, s)
 }
 
