--- a/tarragonshed/gossiper/gossiper.go
+++ b/tarragonshed/gossiper/gossiper.go
@@ -61,6 +61,8 @@
 	idlePollInterval = 30 * time.Second
 	fetchTimeout     = 4 * time.Second
 	idleTimeout      = 10 * time.Second
+	// minCompressedBytes is the size from which answers are compressed.
+	minCompressedBytes = 16 << 10
 	// farewells is the number of daemons that Leave tells directly.
 	farewells = 32
 )
@@ -163,7 +165,8 @@
 
 // Handler returns the path and the handler for other daemons.
 func (g *Gossiper) Handler() (string, http.Handler) {
-	return peerconnect.NewGossiperHandler(&server{g}, connect.WithReadMaxBytes(maxMessageBytes))
+	return peerconnect.NewGossiperHandler(&server{g},
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressedBytes))
 }
 
 // Leaving is closed when this daemon is marked as leaving, by whomever.
