adopter: keep several candidates, trust a version only with its document

A claimed version that nobody could deliver hid lower ones for ever, and a fresh daemon could take a peer's version below the one that the platform had named while the store failed. Daemons no longer pass on records that they don't have in force (wire/peer: News.known is gone).

operator: refuse a token without the word Bearer. pusher: read only the asked end of the history.

--- a/adopter/adopter.go
+++ b/adopter/adopter.go
@@ -16,9 +16,12 @@
 // answers, replayed messages and stale peers change nothing.
 //
 // A daemon keeps nothing over a restart. Its first manifest therefore comes from the
-// platform if that answers. If it doesn't answer for the time [DefaultSettle], the
-// first manifest is the highest that any peer offers, but never a lower one than peers
-// remember of the daemon's earlier incarnation.
+// platform if that answers, and is none lower than it says. If it doesn't answer for
+// the time [DefaultSettle], the first manifest is the highest that any peer offers, but
+// never a lower one than peers remember of the daemon's earlier incarnation.
+//
+// Versions are taken on trust until their document is there. One that no source can
+// deliver does not keep lower ones from being put in force.
 //
 // # Usage
 //
@@ -36,6 +39,7 @@
 package adopter
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -63,13 +67,12 @@
 // Event is something that an Adopter is told.
 type Event interface{ event() }
 
-// Heard tells that a source knows of an accepted version.
+// Heard tells that the platform has accepted a version, or that a daemon has it in force.
 type Heard struct {
 	Now    time.Time
 	Record Record
-	From   Source
-	// Holds tells that the source can deliver the document.
-	Holds bool
+	// From can deliver the document.
+	From Source
 }
 
 // Answered tells that the platform's row was read and that no manifest is accepted.
@@ -130,24 +133,31 @@
 func (Adopt) effect()  {}
 func (Reject) effect() {}
 
-// candidate is a version that is to be put in force.
+// candidate is a version that may be put in force.
 type candidate struct {
-	record   Record
-	sources  []Source
-	document []byte
-	manifest *manifest.Manifest
+	record  Record
+	sources []Source
 }
 
+// maxCandidates bounds the versions that are kept beside the one in force.
+const maxCandidates = 4
+
 // Adopter decides which manifest is in force. It is not safe for concurrent use.
 type Adopter struct {
-	settle   time.Duration
-	started  time.Time
+	settle     time.Duration
+	started    time.Time
+	inForce    Record
+	candidates []candidate // Ordered by falling version.
+	fetching   *Fetch
+	fetchStart time.Time
+	ready      *Adopt // Fetched, but not allowed to be put in force yet.
+	rejected   map[string]bool
+
+	// answered tells that the platform's row was read, and accepted what it said.
 	answered bool
-	floor    unit.ManifestVersion
-	inForce  Record
-	next     candidate
-	fetching time.Time
-	rejected map[string]bool
+	accepted unit.ManifestVersion
+	// remembered is what peers remember of an earlier incarnation.
+	remembered unit.ManifestVersion
 }
 
 // Option changes an Adopter under construction.
@@ -170,14 +180,6 @@
 // InForce returns the record in force. It is zero while there is none.
 func (a *Adopter) InForce() Record { return a.inForce }
 
-// Known returns the highest record that the daemon has heard of.
-func (a *Adopter) Known() Record {
-	if a.next.record.Version > a.inForce.Version {
-		return a.next.record
-	}
-	return a.inForce
-}
-
 // Step takes one event and returns what is to be done.
 func (a *Adopter) Step(e Event) []Effect {
 	switch e := e.(type) {
@@ -187,7 +189,7 @@
 		a.answered = true
 		return a.adopt(e.Now)
 	case Remembered:
-		a.floor = max(a.floor, e.Version)
+		a.remembered = max(a.remembered, e.Version)
 	case Fetched:
 		return a.fetched(e)
 	case FetchFailed:
@@ -199,31 +201,46 @@
 }
 
 func (a *Adopter) heard(e Heard) []Effect {
+	if !e.Record.Valid() {
+		return nil
+	}
 	if e.From == Platform {
 		a.answered = true
+		a.accepted = max(a.accepted, e.Record.Version)
 	}
-	if !e.Record.Valid() || a.rejected[e.Record.Digest] {
+	if a.rejected[e.Record.Digest] {
 		return nil
 	}
 	if e.Record.Version <= a.inForce.Version {
 		return a.contradiction(e, a.inForce)
 	}
-	switch {
-	case e.Record.Version < a.next.record.Version:
-		return nil
-	case e.Record.Version > a.next.record.Version:
-		a.next = candidate{record: e.Record}
-		a.fetching = time.Time{}
-	case e.Record.Digest != a.next.record.Digest && e.From == Platform:
-		a.next = candidate{record: e.Record} // The platform's word counts.
-		a.fetching = time.Time{}
-	case e.Record.Digest != a.next.record.Digest:
-		return a.contradiction(e, a.next.record)
+	effects := a.consider(e)
+	return append(append(effects, a.adopt(e.Now)...), a.fetch(e.Now)...)
+}
+
+// consider adds the source to the candidate of the version. Of two digests under one
+// version the platform's counts, and else the first one.
+func (a *Adopter) consider(e Heard) []Effect {
+	at, found := slices.BinarySearchFunc(a.candidates, e.Record.Version, func(c candidate, v unit.ManifestVersion) int {
+		return cmp.Compare(v, c.record.Version)
+	})
+	if !found {
+		a.candidates = slices.Insert(a.candidates, at, candidate{record: e.Record})
 	}
-	if e.Holds && !slices.Contains(a.next.sources, e.From) {
-		a.next.sources = append(a.next.sources, e.From)
+	c := &a.candidates[at]
+	if c.record.Digest != e.Record.Digest {
+		if e.From != Platform {
+			return a.contradiction(e, c.record)
+		}
+		*c = candidate{record: e.Record}
 	}
-	return append(a.adopt(e.Now), a.fetch(e.Now)...)
+	if !slices.Contains(c.sources, e.From) {
+		c.sources = append(c.sources, e.From)
+	}
+	if len(a.candidates) > maxCandidates {
+		a.candidates = a.candidates[:maxCandidates]
+	}
+	return nil
 }
 
 // contradiction rejects a record that has another digest than a known one of the
@@ -236,73 +253,103 @@
 	return []Effect{Reject{Record: e.Record, From: e.From, Reason: reason}}
 }
 
-// fetch asks the first source for the next document unless that is under way.
+// fetch asks for the document of the highest candidate unless that is under way.
 func (a *Adopter) fetch(now time.Time) []Effect {
-	if a.next.document != nil || len(a.next.sources) == 0 {
+	if a.fetching != nil && now.Sub(a.fetchStart) >= fetchTimeout {
+		a.giveUp(a.fetching.Record, a.fetching.From)
+	}
+	if len(a.candidates) == 0 {
 		return nil
 	}
-	if !a.fetching.IsZero() {
-		if now.Sub(a.fetching) < fetchTimeout {
-			return nil
-		}
-		a.dropSource(a.next.sources[0])
-		if len(a.next.sources) == 0 {
-			a.fetching = time.Time{}
-			return nil
-		}
+	best := a.candidates[0]
+	if a.fetching != nil && a.fetching.Record.Version >= best.record.Version {
+		return nil
 	}
-	a.fetching = now
-	return []Effect{Fetch{Record: a.next.record, From: a.next.sources[0]}}
+	if a.ready != nil && a.ready.Record.Version >= best.record.Version {
+		return nil
+	}
+	a.fetching = &Fetch{Record: best.record, From: best.sources[0]}
+	a.fetchStart = now
+	return []Effect{*a.fetching}
 }
 
-func (a *Adopter) dropSource(source Source) {
-	a.next.sources = slices.DeleteFunc(a.next.sources, func(s Source) bool { return s == source })
+// giveUp drops a source of a candidate, and the candidate with its last source. It is
+// considered again when it is heard of again.
+func (a *Adopter) giveUp(record Record, from Source) {
+	if a.fetching != nil && a.fetching.Record.Version == record.Version && a.fetching.From == from {
+		a.fetching = nil
+	}
+	for i := range a.candidates {
+		if a.candidates[i].record.Version != record.Version {
+			continue
+		}
+		c := &a.candidates[i]
+		c.sources = slices.DeleteFunc(c.sources, func(s Source) bool { return s == from })
+		if len(c.sources) == 0 {
+			a.candidates = slices.Delete(a.candidates, i, i+1)
+		}
+		return
+	}
 }
 
 func (a *Adopter) fetched(e Fetched) []Effect {
-	if e.Record.Version != a.next.record.Version || e.Record.Digest != a.next.record.Digest || a.next.document != nil {
-		return nil // Overtaken by a later version.
+	if a.fetching != nil && a.fetching.Record.Version == e.Record.Version {
+		a.fetching = nil
+	}
+	if !slices.ContainsFunc(a.candidates, func(c candidate) bool {
+		return c.record.Version == e.Record.Version && c.record.Digest == e.Record.Digest
+	}) {
+		return nil // Late.
 	}
 	if manifest.Digest(e.Document) != e.Record.Digest {
+		a.giveUp(e.Record, e.From)
 		reject := Reject{Record: e.Record, From: e.From, Reason: "the document does not have the digest of the record"}
-		return append([]Effect{reject}, a.fetchFailed(FetchFailed{Now: e.Now, Record: e.Record, From: e.From})...)
+		return append([]Effect{reject}, a.fetch(e.Now)...)
 	}
 	m, problems := manifest.Parse(e.Document)
 	if m == nil {
 		a.rejected[e.Record.Digest] = true
-		a.next = candidate{}
-		a.fetching = time.Time{}
-		return []Effect{Reject{Record: e.Record, From: e.From, Reason: problems.Err().Error()}}
+		a.forget(func(c candidate) bool { return c.record.Digest == e.Record.Digest })
+		reject := Reject{Record: e.Record, From: e.From, Reason: problems.Err().Error()}
+		return append([]Effect{reject}, a.fetch(e.Now)...)
 	}
 	m.Version = e.Record.Version
-	a.next.manifest, a.next.document = m, e.Document
-	return a.adopt(e.Now)
+	if a.ready == nil || a.ready.Record.Version < e.Record.Version {
+		a.ready = &Adopt{Manifest: m, Record: e.Record, Document: e.Document}
+	}
+	return append(a.adopt(e.Now), a.fetch(e.Now)...)
+}
+
+func (a *Adopter) forget(which func(candidate) bool) {
+	a.candidates = slices.DeleteFunc(a.candidates, which)
 }
 
 func (a *Adopter) fetchFailed(e FetchFailed) []Effect {
-	if e.Record.Version != a.next.record.Version || a.next.document != nil {
-		return nil
-	}
-	a.fetching = time.Time{}
-	a.dropSource(e.From)
+	a.giveUp(e.Record, e.From)
 	return a.fetch(e.Now)
 }
 
-// adopt puts the next manifest in force if that is allowed by now.
+// adopt puts the fetched manifest in force if that is allowed by now.
 func (a *Adopter) adopt(now time.Time) []Effect {
-	if a.next.document == nil {
-		return nil
-	}
-	first := a.inForce.Version == 0
-	if first && !a.answered && now.Sub(a.started) < a.settle {
-		return nil
-	}
-	if a.next.record.Version < a.floor {
+	if a.ready == nil || a.ready.Record.Version <= a.inForce.Version || !a.allowed(now) {
 		return nil
 	}
-	a.inForce = a.next.record
-	adopted := Adopt{Manifest: a.next.manifest, Record: a.next.record, Document: a.next.document}
-	a.next = candidate{}
-	a.fetching = time.Time{}
+	adopted := *a.ready
+	a.ready = nil
+	a.inForce = adopted.Record
+	a.forget(func(c candidate) bool { return c.record.Version <= a.inForce.Version })
 	return []Effect{adopted}
 }
+
+// allowed reports whether the fetched manifest may be put in force. That is in question
+// for the first one only.
+func (a *Adopter) allowed(now time.Time) bool {
+	version := a.ready.Record.Version
+	switch {
+	case a.inForce.Version > 0:
+		return true
+	case a.answered:
+		return version >= a.accepted
+	}
+	return version >= a.remembered && now.Sub(a.started) >= a.settle
+}
--- a/adopter/adopter_test.go
+++ b/adopter/adopter_test.go
@@ -21,7 +21,7 @@
 }
 
 func heard(version, second int, from adopter.Source) adopter.Heard {
-	return adopter.Heard{Now: at(second), Record: record(version), From: from, Holds: true}
+	return adopter.Heard{Now: at(second), Record: record(version), From: from}
 }
 
 func fetched(version, second int, from adopter.Source) adopter.Fetched {
@@ -74,10 +74,31 @@
 		steps(a, heard(5, 61, "other"), fetched(5, 61, "other"))
 		assertInForce(t, a, 5)
 	})
+	t.Run("a fresh daemon does not go behind what the platform said while the store fails", func(t *testing.T) {
+		a := adopter.New(epoch)
+		failed := adopter.FetchFailed{Now: at(1), Record: record(5), From: adopter.Platform}
+		steps(a, heard(5, 0, adopter.Platform), failed, heard(4, 1, "stale"), fetched(4, 1, "stale"), adopter.Tick{Now: at(60)})
+		assertInForce(t, a, 0)
+		steps(a, heard(5, 61, adopter.Platform), fetched(5, 61, adopter.Platform))
+		assertInForce(t, a, 5)
+	})
+	t.Run("a version that nobody can deliver does not hide lower ones", func(t *testing.T) {
+		a := adopter.New(epoch)
+		steps(a, heard(1, 0, adopter.Platform), fetched(1, 0, adopter.Platform))
+		failed := adopter.FetchFailed{Now: at(1), Record: record(9), From: "bad"}
+		steps(a, heard(9, 1, "bad"), heard(2, 1, adopter.Platform), failed, fetched(2, 1, adopter.Platform))
+		assertInForce(t, a, 2)
+	})
+	t.Run("what peers remember gives way to the platform", func(t *testing.T) {
+		a := adopter.New(epoch)
+		steps(a, adopter.Remembered{Version: 1 << 63}, heard(5, 0, adopter.Platform), fetched(5, 0, adopter.Platform))
+		assertInForce(t, a, 5)
+	})
 	t.Run("a late store answer and a replayed record change nothing", func(t *testing.T) {
 		is := is.New(t)
 		a := adopter.New(epoch)
 		steps(a, heard(1, 0, adopter.Platform), heard(2, 1, adopter.Platform), fetched(2, 1, adopter.Platform))
+		assertInForce(t, a, 2)
 		is.Equal(len(steps(a, fetched(1, 2, adopter.Platform))), 0)
 		is.Equal(len(steps(a, heard(1, 3, "replayed"))), 0)
 		assertInForce(t, a, 2)
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -68,7 +68,7 @@
 			_, err := client.Commit(ctx, nil, put(key, key))
 			is.NoErr(err)
 		}
-		rows, err := client.Scan(ctx, "t", "p/")
+		rows, err := client.Scan(ctx, "t", "p/", "")
 		is.NoErr(err)
 		is.Equal(len(rows), 2)
 		is.Equal(rows[0].Key, "p/1")
--- a/standin/platform/push_test.go
+++ b/standin/platform/push_test.go
@@ -69,9 +69,10 @@
 				is.Equal(record.Version, unit.ManifestVersion(n+1))
 			}
 		}
-		records, err := p.History(ctx)
+		records, err := p.History(ctx, 4)
 		is.NoErr(err)
-		is.Equal(len(records), 6)
+		is.Equal(len(records), 4)
+		is.Equal(int(records[3].Version), 3)
 		content, err := p.Document(ctx, records[0])
 		is.NoErr(err)
 		is.Equal(string(content), string(document(5)))
--- a/tarragonshed/gossiper/manifests.go
+++ b/tarragonshed/gossiper/manifests.go
@@ -32,19 +32,16 @@
 		g.logger.Error("manifest row can't be read", "err", err)
 		return
 	}
-	g.stepAdopter(adopter.Heard{Now: time.Now(), Record: record, From: adopter.Platform, Holds: true})
+	g.stepAdopter(adopter.Heard{Now: time.Now(), Record: record, From: adopter.Platform})
 }
 
-// hearManifest tells the adopter what another daemon knows.
+// hearManifest tells the adopter what another daemon has in force.
 func (g *Gossiper) hearManifest(from unit.DaemonID, news *peer.News, now time.Time) {
 	if from == "" {
 		return
 	}
 	if inForce := recordOf(news.GetInForce()); inForce.Valid() {
-		g.stepAdopter(adopter.Heard{Now: now, Record: inForce, From: adopter.Peer(from), Holds: true})
-	}
-	if known := recordOf(news.GetKnown()); known.Valid() {
-		g.stepAdopter(adopter.Heard{Now: now, Record: known, From: adopter.Peer(from)})
+		g.stepAdopter(adopter.Heard{Now: now, Record: inForce, From: adopter.Peer(from)})
 	}
 }
 
--- a/tarragonshed/gossiper/server.go
+++ b/tarragonshed/gossiper/server.go
@@ -108,7 +108,6 @@
 	news := &peer.News{
 		Time:    &peer.HybridTime{Wall: at.Wall, Counter: at.Counter},
 		Sender:  wireEntry(g.prober.Self()),
-		Known:   wireRecord(g.adopter.Known()),
 		InForce: wireRecord(g.adopter.InForce()),
 	}
 	for _, e := range g.prober.Updates(to) {
--- a/tarragonshed/gossiper/translator_test.go
+++ b/tarragonshed/gossiper/translator_test.go
@@ -68,8 +68,7 @@
 		Time:    &peer.HybridTime{Wall: 1 << 62, Counter: 1},
 		Sender:  &peer.Entry{Id: "d", PeerAddress: "p", Status: peer.Status_STATUS_DEAD},
 		Entries: []*peer.Entry{{Id: "self", Incarnation: 5, PeerAddress: "q", Status: peer.Status_STATUS_DEAD, Refutation: 1 << 63}},
-		Known:   &peer.ManifestRecord{Version: 1 << 63, Digest: make([]byte, 32)},
-		InForce: &peer.ManifestRecord{Version: 7, Digest: make([]byte, 31)},
+		InForce: &peer.ManifestRecord{Version: 1 << 63, Digest: make([]byte, 32)},
 	})
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		var news peer.News
--- a/tarragonshed/operator/manifest.go
+++ b/tarragonshed/operator/manifest.go
@@ -82,12 +82,12 @@
 	if s.pusher == nil {
 		return nil, missing("history")
 	}
-	records, err := s.pusher.History(ctx)
+	records, err := s.pusher.History(ctx, payload.Limit)
 	if err != nil {
 		return nil, refusal(err)
 	}
 	answer := &wiremanifest.HistoryResult{Records: []*types.ManifestRecord{}}
-	for _, record := range records[:min(len(records), payload.Limit)] {
+	for _, record := range records {
 		answer.Records = append(answer.Records, wireRecord(record))
 	}
 	return answer, nil
--- a/tarragonshed/operator/operator.go
+++ b/tarragonshed/operator/operator.go
@@ -154,9 +154,9 @@
 func (o *Operator) authorize(next http.Handler) http.Handler {
 	want := sha256.Sum256([]byte(o.token))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		given, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+		given, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
 		got := sha256.Sum256([]byte(given))
-		if o.token != "" && subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		if o.token != "" && (!ok || subtle.ConstantTimeCompare(got[:], want[:]) != 1) {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			http.Error(w, "the token is missing or wrong", http.StatusUnauthorized)
 			return
--- a/tarragonshed/platformer/services.go
+++ b/tarragonshed/platformer/services.go
@@ -50,11 +50,11 @@
 // scanPage is the number of rows that one call of Scan asks for.
 const scanPage = 1000
 
-// Scan returns all rows whose key starts with the prefix, ordered by key. Each page
-// of 1000 rows is consistent in itself. Errors: [ErrUnavailable].
-func (p *Platformer) Scan(ctx context.Context, tableName, prefix string) ([]Row, error) {
+// Scan returns all rows whose key starts with the prefix and comes behind after,
+// ordered by key. Each page of 1000 rows is consistent in itself. Errors:
+// [ErrUnavailable].
+func (p *Platformer) Scan(ctx context.Context, tableName, prefix, after string) ([]Row, error) {
 	var rows []Row
-	after := ""
 	for {
 		answer, err := p.read(ctx, func(ctx context.Context) (any, error) {
 			return p.tables.Scan()(ctx, &table.ScanPayload{Table: tableName, Prefix: &prefix, After: &after, Limit: scanPage})
--- a/tarragonshed/pusher/pusher.go
+++ b/tarragonshed/pusher/pusher.go
@@ -188,9 +188,17 @@
 	return record, unavailable(err)
 }
 
-// History returns the accepted records, latest first.
-func (p *Pusher) History(ctx context.Context) ([]adopter.Record, error) {
-	rows, err := p.platform.Scan(ctx, adopter.Table, adopter.HistoryPrefix)
+// History returns the latest accepted records, at most as many as limit, latest first.
+func (p *Pusher) History(ctx context.Context, limit int) ([]adopter.Record, error) {
+	current, err := p.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	after := adopter.HistoryPrefix
+	if current.Version > unit.ManifestVersion(limit) {
+		after = adopter.HistoryKey(current.Version - unit.ManifestVersion(limit))
+	}
+	rows, err := p.platform.Scan(ctx, adopter.Table, adopter.HistoryPrefix, after)
 	if err != nil {
 		return nil, unavailable(err)
 	}
