--- a/tarragonbench/spreader/spreader.go
+++ b/tarragonbench/spreader/spreader.go
@@ -82,7 +82,8 @@
 	CPU float64 `json:"cpu-share"`
 	// Memory is the resident size in MiB.
 	Memory float64 `json:"memory-mib"`
-	// GossipSent and GossipReceived are in bytes a second, without HTTP.
+	// GossipSent and GossipReceived are the bytes a second of the daemon's own calls,
+	// with HTTP. The calls that it answers cost as much on average.
 	GossipSent     float64 `json:"gossip-bytes-sent-per-second"`
 	GossipReceived float64 `json:"gossip-bytes-received-per-second"`
 	// GossipCalls is in calls a second.
--- a/tarragonshed/gossiper/client.go
+++ b/tarragonshed/gossiper/client.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
+	"github.com/rcrowley/go-metrics"
 
 	"tarragonshed.example/prober"
 	"tarragonshed.example/unit"
@@ -24,7 +25,6 @@
 
 // message is a message that carries news.
 type message interface {
-	proto.Message
 	GetNews() *peer.News
 }
 
@@ -35,15 +35,11 @@
 	ctx, cancel := context.WithTimeout(g.ctx, timeout)
 	defer cancel()
 	g.calls.Inc(1)
-	if m, ok := any(request).(message); ok {
-		g.sent.Inc(int64(proto.Size(m)))
-	}
 	response, err := method(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, err
 	}
 	if m, ok := any(response.Msg).(message); ok {
-		g.received.Inc(int64(proto.Size(m)))
 		g.hear(m.GetNews())
 	}
 	return response.Msg, nil
@@ -78,3 +74,31 @@
 	request := &peer.ExchangeRequest{News: g.news(id, nil), Digest: digest[:]}
 	_, _ = call(g, prober.ProbeTimeout, request, g.client(address).Exchange)
 }
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	sent, received metrics.Counter
+}
+
+// Read implements [net.Conn].
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Inc(int64(n))
+	return n, err
+}
+
+// Write implements [net.Conn].
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Inc(int64(n))
+	return n, err
+}
+
+func (g *Gossiper) dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := g.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{Conn: conn, sent: g.sent, received: g.received}, nil
+}
--- a/tarragonshed/gossiper/gossiper.go
+++ b/tarragonshed/gossiper/gossiper.go
@@ -129,7 +129,8 @@
 }
 
 // WithMetrics registers "gossip.calls", "gossip.bytes-sent" and
-// "gossip.bytes-received"; bytes are those of the messages without HTTP.
+// "gossip.bytes-received". They count the calls of this daemon, with HTTP and TLS; those
+// that it answers cost as much on average.
 func WithMetrics(registry metrics.Registry) Option {
 	return func(g *Gossiper) {
 		g.calls = metrics.GetOrRegisterCounter("gossip.calls", registry)
@@ -153,7 +154,7 @@
 		option(g)
 	}
 	g.http = &http.Client{Transport: &http.Transport{
-		DialContext: g.dial, TLSClientConfig: g.tls, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
+		DialContext: g.dialCounted, TLSClientConfig: g.tls, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
 	}}
 	h.AdoptView(g.prober.View())
 	g.start(func() { g.repeat(tickInterval, g.tick) })
--- a/tarragonshed/gossiper/server.go
+++ b/tarragonshed/gossiper/server.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/prober"
@@ -24,7 +23,7 @@
 func (s *server) Probe(_ context.Context, request *connect.Request[peer.ProbeRequest]) (*connect.Response[peer.ProbeResponse], error) {
 	sender := s.take(request.Msg)
 	response := &peer.ProbeResponse{News: s.news(sender, nil)}
-	return answer(s, response), nil
+	return connect.NewResponse(response), nil
 }
 
 // ProbeIndirect implements the service Gossiper.
@@ -38,7 +37,7 @@
 	probe := &peer.ProbeRequest{News: s.news(target, nil)}
 	_, err := call(s.Gossiper, prober.ProbeTimeout, probe, s.client(known.PeerAddress).Probe)
 	response := &peer.ProbeIndirectResponse{News: s.news(sender, nil), Reached: err == nil}
-	return answer(s, response), ctx.Err()
+	return connect.NewResponse(response), ctx.Err()
 }
 
 // Exchange implements the service Gossiper.
@@ -52,7 +51,7 @@
 		differing = s.prober.Differing(digest)
 		s.mu.Unlock()
 	}
-	return answer(s, &peer.ExchangeResponse{News: s.news(sender, differing)}), nil
+	return connect.NewResponse(&peer.ExchangeResponse{News: s.news(sender, differing)}), nil
 }
 
 // FetchManifest implements the service Gossiper.
@@ -66,23 +65,15 @@
 		return nil, connect.NewError(connect.CodeNotFound, errors.New("gossiper: the manifest is not in force here"))
 	}
 	response := &peer.FetchManifestResponse{News: s.news(sender, nil), Document: document}
-	return answer(s, response), nil
+	return connect.NewResponse(response), nil
 }
 
 // take takes in the news of a request and returns who sent it.
 func (s *server) take(m message) unit.DaemonID {
-	s.received.Inc(int64(proto.Size(m)))
 	s.hear(m.GetNews())
 	return unit.DaemonID(m.GetNews().GetSender().GetId())
 }
 
-func answer[A any](s *server, response *A) *connect.Response[A] {
-	if m, ok := any(response).(message); ok {
-		s.sent.Inc(int64(proto.Size(m)))
-	}
-	return connect.NewResponse(response)
-}
-
 // hear takes in news.
 func (g *Gossiper) hear(news *peer.News) {
 	if news == nil {
