--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"tarragonshed.example/instance"
@@ -13,6 +14,9 @@
 )
 
 const (
+	// lockPatience is how long a statement of an open transaction waits for a
+	// slot before it is taken to hold locks that what runs waits for.
+	lockPatience = 5 * time.Millisecond
 	// reportInterval is how often a lane's answers carry a report.
 	reportInterval = 20 * time.Millisecond
 	defaultTimeout = 5 * time.Second
@@ -114,6 +118,10 @@
 			}
 			return result.New(result.NotPrimary, "instance %s is %s in term %d", t.target.name, report.Role, report.Term)
 		}
+		if report.Role == instance.Primary {
+			// It shows what no majority may hold yet.
+			return result.New(result.InstanceBehind, "instance %s is the primary, where reads are withheld like writes", t.target.name)
+		}
 		if t.covered(report) {
 			return nil
 		}
@@ -152,6 +160,9 @@
 func (t *transaction) admit(ctx context.Context, p limiter.Priority) *result.Error {
 	asked := time.Now()
 	id, answer := t.target.admit(unit.CallerName(t.request.Caller), p, t.deadline)
+	if p == limiter.OpenTransaction {
+		defer time.AfterFunc(lockPatience, func() { t.target.overdue(id) }).Stop()
+	}
 	refusal, ok := await(ctx, t.lane, t.deadline, answer)
 	if !ok {
 		if t.target.withdraw(id) {
@@ -178,7 +189,7 @@
 		if check && !answers(c) {
 			continue
 		}
-		if err := c.adjust(ctx, t.request.Settings); err != nil {
+		if err := c.adjust(ctx, t.settings()); err != nil {
 			if c.isClosed() {
 				return result.New(result.InstanceUnreachable, "instance %s: %v", t.target.name, err)
 			}
@@ -194,6 +205,23 @@
 	}
 }
 
+// readOnly are the settings of reads of sessions without settings. An instance
+// that has become the primary must not write for them.
+var readOnly = map[string]string{"default_transaction_read_only": "on"}
+
+// settings returns the settings for the connection.
+func (t *transaction) settings() map[string]string {
+	if !t.isRead() {
+		return t.request.Settings
+	}
+	if len(t.request.Settings) == 0 {
+		return readOnly
+	}
+	settings := maps.Clone(t.request.Settings)
+	maps.Copy(settings, readOnly)
+	return settings
+}
+
 // take waits for a connection.
 func (t *transaction) take(ctx context.Context) (c *conn, check bool, err *result.Error) {
 	ticket, answer := t.target.take()
