--- a/tarragonshed/gossiper/gossiper.go
+++ b/tarragonshed/gossiper/gossiper.go
@@ -61,6 +61,8 @@
 	idlePollInterval = 30 * time.Second
 	fetchTimeout     = 4 * time.Second
 	idleTimeout      = 10 * time.Second
+	// minCompressedBytes is the size from which answers are compressed.
+	minCompressedBytes = 16 << 10
 	// farewells is the number of daemons that Leave tells directly.
 	farewells = 32
 )
@@ -127,7 +129,8 @@
 }
 
 // WithMetrics registers "gossip.calls", "gossip.bytes-sent" and
-// "gossip.bytes-received"; bytes are those of the messages without HTTP.
+// "gossip.bytes-received". They count the calls of this daemon, with HTTP and TLS; those
+// that it answers cost as much on average.
 func WithMetrics(registry metrics.Registry) Option {
 	return func(g *Gossiper) {
 		g.calls = metrics.GetOrRegisterCounter("gossip.calls", registry)
@@ -151,7 +154,7 @@
 		option(g)
 	}
 	g.http = &http.Client{Transport: &http.Transport{
-		DialContext: g.dial, TLSClientConfig: g.tls, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
+		DialContext: g.dialCounted, TLSClientConfig: g.tls, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout,
 	}}
 	h.AdoptView(g.prober.View())
 	g.start(func() { g.repeat(tickInterval, g.tick) })
@@ -163,7 +166,8 @@
 
 // Handler returns the path and the handler for other daemons.
 func (g *Gossiper) Handler() (string, http.Handler) {
-	return peerconnect.NewGossiperHandler(&server{g}, connect.WithReadMaxBytes(maxMessageBytes))
+	return peerconnect.NewGossiperHandler(&server{g},
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressedBytes))
 }
 
 // Leaving is closed when this daemon is marked as leaving, by whomever.
