resolver, home: decide what becomes of request keys in a core of its own

The decisions of home/keyed.go move into the core resolver, which home drives. Changed on the way: a repeated request that meets its key's row but can't look it up is now refused as KeyUndetermined. It was InstanceUnreachable, a not-run code, though the first attempt may have run.

--- a/tarragonshed/home/keyed.go
+++ b/tarragonshed/home/keyed.go
@@ -6,22 +6,17 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"tarragonshed.example/resolver"
 	"tarragonshed.example/result"
 	"tarragonshed.example/wire/peer"
 )
 
 // A request with a key leaves a row in tarragon_requests, written by the same
-// transaction. The key is the arbiter: of a request and a claim that it is
-// cancelled, or of two runs of a request, the one whose row is committed first
-// stands and the other one conflicts.
+// transaction. Package resolver decides what follows from it.
 
 const (
-	uniqueViolation  = "23505"
-	readOnlyError    = "25006"
-	doneOutcome      = "done"
-	cancelledOutcome = "cancelled"
-	// keyAttempts bounds how often a key is asked for that comes and goes.
-	keyAttempts = 3
+	uniqueViolation = "23505"
+	readOnlyError   = "25006"
 )
 
 // wrap is what is to be done about a request key when the batch is settled.
@@ -50,99 +45,109 @@
 	return false
 }
 
-func insertKey(key, outcome, tag string) string {
+func insertKey(key string, outcome resolver.Outcome, tag string) string {
 	return "INSERT INTO tarragon_requests (key, outcome, tag) VALUES (" +
-		quoteLiteral(key) + ", " + quoteLiteral(outcome) + ", " + quoteLiteral(tag) + ")"
+		quoteLiteral(key) + ", " + quoteLiteral(string(outcome)) + ", " + quoteLiteral(tag) + ")"
 }
 
-// claim writes the request key before the batch is sent. It returns false when
+// claim resolves the request key before the batch is sent. It returns false when
 // the request has been answered instead.
 func (t *transaction) claim(ctx context.Context, b *peer.Batch) bool {
 	t.claimed = true
-	switch {
-	case t.request.ClaimKey:
-		t.cancelKey(ctx, b)
-		return false
-	case t.request.Begins:
+	if t.request.Begins && !t.request.ClaimKey {
 		t.wraps = insertWrap
 		return true
 	}
-	for range keyAttempts {
-		_, err := t.query(ctx, "BEGIN; "+insertKey(t.request.RequestKey, doneOutcome, ""))
-		if err == nil {
+	purpose := resolver.Run
+	if t.request.ClaimKey {
+		purpose = resolver.Claim
+	}
+	r, effect := resolver.New(purpose)
+	return t.resolve(ctx, b, r, effect)
+}
+
+// resolve carries out what the resolver asks for. It returns true when the
+// request is to be executed in the transaction that holds the key.
+func (t *transaction) resolve(ctx context.Context, b *peer.Batch, r *resolver.Resolver, effect resolver.Effect) bool {
+	var s settlement
+	for {
+		switch e := effect.(type) {
+		case resolver.Insert:
+			effect = r.Step(t.insertRow(ctx, e.Outcome, &s))
+		case resolver.LookUp:
+			effect = r.Step(t.lookUp(ctx, &s))
+		case resolver.Confirm:
+			effect = r.Step(t.confirmRow(ctx, &s))
+		case resolver.Execute:
 			t.wraps = commitWrap
 			t.relay.keepTag = true
 			return true
-		}
-		if !conflicts(err) {
-			t.refuse(t.keyError(err))
-			return false
-		}
-		if t.recorded(ctx, b) {
+		case resolver.Answer:
+			t.answerKey(b, e, s)
 			return false
 		}
 	}
-	t.refuse(result.New(result.KeyUndetermined, "the request key comes and goes"))
-	return false
 }
 
-// cancelKey claims the key as cancelled, so that the request can't run any more,
-// or answers with what has been recorded.
-func (t *transaction) cancelKey(ctx context.Context, b *peer.Batch) {
-	for range keyAttempts {
-		done, err := t.query(ctx, insertKey(t.request.RequestKey, cancelledOutcome, ""))
-		if err == nil {
-			s := settlement{seen: done.seen, wrote: done.wrote}
-			if refusal := t.confirm(ctx, &s); refusal != nil {
-				t.refuse(result.New(result.KeyUndetermined, "the claim is not confirmed: %s", refusal.Detail))
-				return
-			}
-			t.refuse(result.New(result.RequestCancelled, "the request key was claimed before the request ran"))
-			return
-		}
-		if !conflicts(err) {
-			t.refuse(result.New(result.KeyUndetermined, "the request key could not be claimed: %v", err))
-			return
-		}
-		if t.recorded(ctx, b) {
-			return
-		}
+// insertRow writes the key's row: a claim commits it, a request leaves its
+// transaction open.
+func (t *transaction) insertRow(ctx context.Context, outcome resolver.Outcome, s *settlement) resolver.Event {
+	text := insertKey(t.request.RequestKey, outcome, "")
+	if outcome == resolver.Done {
+		text = "BEGIN; " + text
 	}
-	t.refuse(result.New(result.KeyUndetermined, "the request key comes and goes"))
+	done, err := t.query(ctx, text)
+	switch {
+	case err == nil:
+		*s = settlement{seen: done.seen, wrote: done.wrote}
+		return resolver.Inserted{}
+	case conflicts(err):
+		return resolver.Conflicted{}
+	}
+	return resolver.Failed{Err: err}
 }
 
-// recorded answers with the outcome that the key has. It returns false when the
-// key is gone.
-func (t *transaction) recorded(ctx context.Context, b *peer.Batch) bool {
+func (t *transaction) lookUp(ctx context.Context, s *settlement) resolver.Event {
 	if _, err := t.query(ctx, "ROLLBACK"); err != nil {
-		t.refuse(t.keyError(err))
-		return true
+		return resolver.Failed{Err: err}
 	}
 	found, err := t.query(ctx, "SELECT outcome, tag FROM tarragon_requests WHERE key = "+quoteLiteral(t.request.RequestKey))
-	if err != nil {
-		t.refuse(t.keyError(err))
-		return true
-	}
-	if len(found.row) != 2 {
-		return false
+	switch {
+	case err != nil:
+		return resolver.Failed{Err: err}
+	case len(found.row) != 2:
+		return resolver.Absent{}
 	}
-	s := settlement{seen: found.seen, status: idleStatus}
-	if refusal := t.confirm(ctx, &s); refusal != nil {
-		t.refuse(result.New(result.KeyUndetermined, "the recorded outcome is not confirmed: %s", refusal.Detail))
-		return true
+	*s = settlement{seen: found.seen, status: idleStatus}
+	return resolver.Found{Outcome: resolver.Outcome(found.row[0]), Tag: found.row[1]}
+}
+
+func (t *transaction) confirmRow(ctx context.Context, s *settlement) resolver.Event {
+	if refusal := t.confirm(ctx, s); refusal != nil {
+		return resolver.Failed{Err: refusal}
 	}
+	return resolver.Confirmed{}
+}
+
+// answerKey tells the caller what became of the request.
+func (t *transaction) answerKey(b *peer.Batch, a resolver.Answer, s settlement) {
 	switch {
-	case found.row[0] != doneOutcome:
+	case a.Verdict == resolver.Refused:
+		t.refuse(t.keyError(a.Err))
+	case a.Verdict == resolver.NotRun:
 		t.refuse(result.New(result.RequestCancelled, "the request key was claimed as cancelled"))
-	case t.request.Begins:
+	case a.Verdict == resolver.Ran && t.request.Begins:
 		t.refuse(result.New(result.RequestDone, "the transaction with the request key has been committed"))
-	default:
+	case a.Verdict == resolver.Ran:
 		t.release()
 		t.lane.open = nil
-		s.messages = replay(b.Messages, found.row[1])
+		s.messages = replay(b.Messages, a.Tag)
 		t.lane.settle(t, s)
+	case a.Err == nil:
+		t.refuse(result.New(result.KeyUndetermined, "the request key comes and goes"))
+	default:
+		t.refuse(result.New(result.KeyUndetermined, "the outcome of the request key is not known: %v", a.Err))
 	}
-	return true
 }
 
 // unwrap ends what was put around the batch. It returns false when the request
@@ -169,13 +174,26 @@
 
 // insert writes the key into the transaction that the batch has begun.
 func (t *transaction) insert(ctx context.Context) bool {
-	_, err := t.query(ctx, insertKey(t.request.RequestKey, doneOutcome, "COMMIT"))
+	_, err := t.query(ctx, insertKey(t.request.RequestKey, resolver.Done, "COMMIT"))
 	if err == nil {
 		return true
 	}
-	if !conflicts(err) || !t.recorded(ctx, nil) {
+	if !conflicts(err) {
 		t.refuse(t.keyError(err))
+		return false
+	}
+	var s settlement
+	r, _ := resolver.New(resolver.Run)
+	_ = r.Step(resolver.Conflicted{})
+	effect := r.Step(t.lookUp(ctx, &s))
+	if effect == (resolver.Confirm{}) {
+		effect = r.Step(t.confirmRow(ctx, &s))
+	}
+	if a, ok := effect.(resolver.Answer); ok {
+		t.answerKey(nil, a, s)
+		return false
 	}
+	t.refuse(t.keyError(err)) // The key is gone, and with it the transaction.
 	return false
 }
 
