--- a/tarragonshed/entry/entry_test.go
+++ b/tarragonshed/entry/entry_test.go
@@ -151,6 +151,22 @@
 	is.Equal(mustSelect(t, b, stale, "SHOW tarragon.max_staleness"), "5s")
 }
 
+func TestReplicasBehind(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.fake.change("a", func(i *fakeInstance) { i.report.Last.Index, i.report.Applied.Index = 9, 9 })
+	conn := b.connect("&tarragon.position=1/9")
+	for _, lanes := range []int{3, 1} { // Each replica is asked once whether it catches up.
+		_, err := conn.Exec(b.context(), "SELECT x")
+		is.NoErr(err)
+		opened, _ := b.fake.take()
+		is.Equal(len(opened), lanes)
+		is.Equal(opened[lanes-1].Instance, "a")
+	}
+	b.fake.replicate("a")
+	is.True(mustSelect(t, b, conn, "SELECT x") != "a") // Their reports say that they have.
+}
+
 func TestNoMajority(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, WithLimits(Limits{StatementTimeout: 200 * time.Millisecond}))
--- a/tarragonshed/entry/group.go
+++ b/tarragonshed/entry/group.go
@@ -39,6 +39,7 @@
 	known       bool
 	seen        map[unit.InstanceName]sighting
 	outstanding map[unit.InstanceName]int
+	behind      map[unit.InstanceName]backlog
 	budget      retrier.Budget
 
 	// news is closed when a report has come in.
@@ -67,6 +68,7 @@
 		name:        name,
 		seen:        make(map[unit.InstanceName]sighting),
 		outstanding: make(map[unit.InstanceName]int),
+		behind:      make(map[unit.InstanceName]backlog),
 		news:        make(chan struct{}),
 		indexer:     tracker.NewIndexer(0),
 		waiting:     make(map[tracker.ReadID]chan unit.Position),
@@ -147,6 +149,7 @@
 		Excluded:    excluded && !s.asked.After(failure),
 		Known:       known,
 		Report:      s.report,
+		Lag:         g.behind[config.Name].lag(),
 	}
 }
 
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -78,6 +78,8 @@
 	// overtaken tells that the batch was cancelled because another instance
 	// has become the primary.
 	overtaken atomic.Bool
+	// waited is how long replicas have let the read wait in vain.
+	waited time.Duration
 	// uncertain is the error of a read that may have run on a primary. It can
 	// only be repeated by an instance that writes nothing.
 	uncertain error
@@ -144,7 +146,7 @@
 	request := router.Request{
 		Write:        !r.plan.read,
 		MaxStaleness: r.plan.staleness,
-		WaitLimit:    r.entry.limits.ReplicaWait,
+		WaitLimit:    max(0, r.entry.limits.ReplicaWait-r.waited),
 	}
 	if r.plan.read {
 		floor, err := r.floor()
@@ -239,6 +241,10 @@
 		out.err = result.New(result.NotPrimary, "instance %s is no longer the primary", use.Instance)
 		out.settled = nil
 	}
+	if !use.Primary {
+		r.group.learnWait(use.Instance, out.err)
+		r.waited += time.Since(sent)
+	}
 	r.conclude(lane, use, out)
 	return out
 }
