--- a/standin/deployer/deployer.go
+++ b/standin/deployer/deployer.go
@@ -24,6 +24,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -69,6 +70,7 @@
 	homes            int
 	maxStaleness     time.Duration
 	serviceTime      time.Duration
+	authority        *Authority
 	seed             uint64
 	logger           *log.Logger
 	rec              *recorder.Recorder
@@ -120,6 +122,10 @@
 // WithServiceTime makes each statement hold its slot for a time.
 func WithServiceTime(t time.Duration) Option { return func(d *Deployment) { d.serviceTime = t } }
 
+// WithAuthority makes callers, daemons and operators use TLS with certificates of
+// the authority.
+func WithAuthority(a *Authority) Option { return func(d *Deployment) { d.authority = a } }
+
 // WithSeed sets the seed of everything random.
 func WithSeed(seed uint64) Option { return func(d *Deployment) { d.seed = seed } }
 
@@ -185,7 +191,11 @@
 
 // URL returns the connection string of a daemon for a group.
 func (d *Deployment) URL(id unit.DaemonID, group unit.GroupName) string {
-	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", Caller, Password, d.daemons[id].member.CallerAddress, group)
+	security := "sslmode=disable"
+	if d.authority != nil {
+		security = "sslmode=verify-full&sslrootcert=" + d.authority.path("authority")
+	}
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?%s", Caller, Password, d.daemons[id].member.CallerAddress, group, security)
 }
 
 // Daemons returns the daemons with their addresses, in the order of
@@ -292,13 +302,30 @@
 	return list
 }
 
+// Free ports are taken from below the range that systems give to outgoing
+// connections, so that none takes a port between its choice and its use.
+const (
+	firstFreePort = 12_000
+	lastFreePort  = 32_000
+	portAttempts  = 100
+)
+
 // listen opens a loopback listener at a port, or at a free one when ports are
 // not fixed.
 func (d *Deployment) listen(port int) (net.Listener, error) {
-	if !d.fixedPorts {
-		port = 0
+	if d.fixedPorts {
+		return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	}
+	var last error
+	for range portAttempts {
+		port := firstFreePort + rand.IntN(lastFreePort-firstFreePort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return listener, nil
+		}
+		last = err
 	}
-	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	return nil, last
 }
 
 type nopWriter struct{}
