carrier: end a closed lane at its home

The home did not learn that a lane from another daemon had been closed: the HTTP transport looks at a cancelled context only when the request's body gives something. A transaction whose caller vanished stayed open on the primary and blocked its writes. Close now ends the request's body. The test hangs up in the middle of a transaction and writes on another lane.

--- a/tarragonshed/carrier/lanes_test.go
+++ b/tarragonshed/carrier/lanes_test.go
@@ -122,6 +122,27 @@
 	}
 }
 
+// An open transaction ends with its lane: another one can write.
+func TestClosedLaneIsRolledBack(t *testing.T) {
+	near, far := newPair(t)
+	for name, d := range map[string]*daemon{"on the home": near, "from another daemon": far} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			lane, err := d.lanes.Open(within(t), "a")
+			is.NoErr(err)
+			_, refused := ask(t, lane, "BEGIN; INSERT INTO tarragon_requests (key) VALUES ('"+name+"')")
+			is.Equal(refused, result.Code(0))
+			lane.Close()
+			next, err := d.lanes.Open(within(t), "a")
+			is.NoErr(err)
+			// It would wait for the open transaction without end.
+			defer time.AfterFunc(10*time.Second, next.Close).Stop()
+			_, refused = ask(t, next, "INSERT INTO tarragon_requests (key) VALUES ('"+name+"')")
+			is.Equal(refused, result.Code(0))
+		})
+	}
+}
+
 func TestHomeThatIsGone(t *testing.T) {
 	near, far := newPair(t)
 	t.Run("breaks its lanes", func(t *testing.T) {
--- a/tarragonshed/carrier/stream.go
+++ b/tarragonshed/carrier/stream.go
@@ -107,8 +107,10 @@
 	return response, nil
 }
 
-// Close ends the lane.
+// Close ends the lane. The home learns of it by the end of the request's body: the
+// HTTP transport looks at the cancelled context only when the body gives something.
 func (s *streamLane) Close() {
 	s.fail()
 	s.stop()
+	_ = s.stream.CloseRequest()
 }
