home: hand a connection on only when its cancel request has been taken in

A request to cancel that arrived after its statement had ended could hit the next caller's statement on the same connection. Found by reading; TestLateCancel fails without the change.

--- a/tarragonshed/home/answers_test.go
+++ b/tarragonshed/home/answers_test.go
@@ -17,6 +17,7 @@
 	"tarragonshed.example/tarragonshed/holder"
 	"tarragonshed.example/tarragonshed/home"
 	"tarragonshed.example/unit"
+	"tarragonshed.example/wire/peer"
 )
 
 // TestLateAnswer lets an answer come after its caller has gone: the next caller
@@ -213,3 +214,54 @@
 	is.Equal(int(done.Load()), 60)
 	is.True(accepted.Load() < 60) // Connections and tries of the control connection.
 }
+
+// TestLateCancel lets a request to cancel arrive when the statement has ended:
+// the next caller's statement must not be hit.
+func TestLateCancel(t *testing.T) {
+	is := is.New(t)
+	var started, holding, hit atomic.Bool
+	dial := (&net.Dialer{}).DialContext
+	f := newFake(t, func(b *pgproto3.Backend, _ int, message pgproto3.FrontendMessage) {
+		if q, ok := message.(*pgproto3.Query); ok {
+			if q.String == "mine" && holding.Load() {
+				hit.Store(true)
+			}
+			if q.String == "theirs" {
+				started.Store(true)
+				for !holding.Load() {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			row(b, q.String)
+		}
+	})
+	f.single = true
+	h := newFakeHome(t, f, home.WithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		return &slowCancel{Conn: c, holding: &holding}, err
+	}))
+	l := h.Open()
+	defer l.Close()
+	begin(t, l, write("a"))
+	send(t, l, simple("theirs"))
+	eventually(t, started.Load)
+	is.NoErr(l.Send(&peer.CarryRequest{Kind: &peer.CarryRequest_Cancel{Cancel: &peer.Cancel{}}}))
+	receive(t, l)
+	is.Equal(query(t, l, write("a"), "mine").text, "T mine SELECT 1;")
+	is.True(!hit.Load())
+}
+
+// slowCancel delays requests to cancel, which are 16 bytes long.
+type slowCancel struct {
+	net.Conn
+	holding *atomic.Bool
+}
+
+func (c *slowCancel) Write(b []byte) (int, error) {
+	if len(b) == 16 && b[4] == 4 && b[5] == 0xd2 {
+		c.holding.Store(true)
+		time.Sleep(100 * time.Millisecond)
+		defer c.holding.Store(false)
+	}
+	return c.Conn.Write(b)
+}
--- a/tarragonshed/home/conn.go
+++ b/tarragonshed/home/conn.go
@@ -98,6 +98,8 @@
 	// heard is when the last message came, asked when the oldest owed answer
 	// was asked for.
 	heard, asked time.Time
+	// cancelling is closed when a request to cancel has been taken in.
+	cancelling chan struct{}
 	// handling tells that a message is being passed on.
 	handling bool
 	own      injection // The injected query in course.
@@ -167,10 +169,11 @@
 	return !c.closed
 }
 
-func (c *conn) isDirty() bool {
+// isClean reports whether the connection can be handed on as it is.
+func (c *conn) isClean() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.dirty
+	return !c.dirty && c.cancelling == nil
 }
 
 // waits returns since when the connection owes an answer without having said
@@ -258,6 +261,41 @@
 	return c.answers.push(o)
 }
 
+// startCancel asks the instance to cancel what runs on the connection. Until
+// endCancel has returned, the connection must not be used for anything else: the
+// request could hit that.
+func (c *conn) startCancel() {
+	done := make(chan struct{})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancelling != nil {
+		return
+	}
+	c.cancelling = done
+	go func() {
+		defer close(done)
+		c.cancel()
+	}()
+}
+
+// endCancel waits until a request to cancel has been taken in, and absorbs it if
+// it came too late.
+func (c *conn) endCancel(ctx context.Context) error {
+	c.mu.Lock()
+	done := c.cancelling
+	c.cancelling = nil
+	c.mu.Unlock()
+	if done == nil {
+		return nil
+	}
+	<-done
+	var late *queryError
+	if err := c.run(ctx, ""); err != nil && !errors.As(err, &late) {
+		return err
+	}
+	return nil
+}
+
 // cancel asks the instance to cancel what runs on the connection.
 func (c *conn) cancel() {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
@@ -306,9 +344,17 @@
 
 // reset undoes what a statement may have changed on the connection.
 func (c *conn) reset(ctx context.Context) error {
+	if err := c.endCancel(ctx); err != nil {
+		c.close()
+		return err
+	}
 	c.mu.Lock()
+	dirty := c.dirty
 	c.dirty = false
 	c.mu.Unlock()
+	if !dirty {
+		return nil
+	}
 	if err := c.run(ctx, "DISCARD ALL"); err != nil {
 		c.close()
 		return err
--- a/tarragonshed/home/fake_test.go
+++ b/tarragonshed/home/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -20,6 +21,9 @@
 	answer func(b *pgproto3.Backend, n int, message pgproto3.FrontendMessage)
 	// once makes it close a connection after its first answer.
 	once bool
+	// single makes it accept one data connection.
+	single   bool
+	accepted atomic.Int32
 }
 
 func newFake(t testing.TB, answer func(*pgproto3.Backend, int, pgproto3.FrontendMessage)) *fake {
@@ -52,6 +56,12 @@
 		_ = c.Close() // It offers no reports.
 		return
 	}
+	if _, first := startup.(*pgproto3.StartupMessage); first && f.single && f.accepted.Add(1) > 1 {
+		b.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "53300", Message: "too many connections"})
+		_ = b.Flush()
+		_ = c.Close()
+		return
+	}
 	b.Send(&pgproto3.AuthenticationOk{})
 	b.Send(&pgproto3.BackendKeyData{ProcessID: uint32(n + 1), SecretKey: []byte{1, 2, 3, 4}})
 	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
--- a/tarragonshed/home/run.go
+++ b/tarragonshed/home/run.go
@@ -94,7 +94,7 @@
 		}
 		if l.cancelled && !cancelling && l.open == t {
 			cancelling = true
-			go t.conn.cancel()
+			t.conn.startCancel()
 		}
 	}
 }
@@ -249,12 +249,12 @@
 	if t.sent && !t.drain(ctx) {
 		return false
 	}
-	return t.conn.run(ctx, "ROLLBACK") == nil
+	return t.conn.endCancel(ctx) == nil && t.conn.run(ctx, "ROLLBACK") == nil
 }
 
 // drain cancels what runs and waits for the end of its answer.
 func (t *transaction) drain(ctx context.Context) bool {
-	go t.conn.cancel()
+	t.conn.startCancel()
 	for {
 		select {
 		case event := <-t.relay.events:
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -251,7 +251,7 @@
 	if c := t.conn; c != nil {
 		t.conn = nil
 		c.begin(nil)
-		if c.isDirty() {
+		if !c.isClean() {
 			go func() {
 				ctx, stop := context.WithTimeout(context.Background(), checkTimeout)
 				defer stop()
