home: withhold reads that may show a replaced primary's tail

A read of class READ showed writes that no majority held, when the instance had been primary in its term: isSafe counted what the primary itself had applied, and a replaced primary that follows but can't reach the new one shows its tail. Now only what the instance had as a replica, or what a majority is known to hold, counts; a read on an instance not known to be a replica in the answer's term waits for a majority as reads at the primary do.

--- a/tarragonbench/experimenter/experimenter.go
+++ b/tarragonbench/experimenter/experimenter.go
@@ -18,7 +18,7 @@
 //
 // In the names of targets, daemons and sides of cuts, {group}, {primary},
 // {replica}, {primary-domain}, {other-domain} and {daemon} stand for those of the
-// group, as they were when the cycle began; {daemon} is drawn at random. A fault
+// group, as they were when the cycle began; {daemon} is drawn once for a cycle. A fault
 // that uses any of them but {daemon} strikes once for each group.
 //
 // # Usage
--- a/tarragonbench/experimenter/run.go
+++ b/tarragonbench/experimenter/run.go
@@ -81,6 +81,8 @@
 	groups     []unit.GroupName
 	random     *rand.Rand
 	run        *Run
+	// drawn is the cycle's daemon.
+	drawn string
 	// struck is when the first fault of the cycle struck.
 	struck time.Time
 	// mends are the faults that end those of the cycle.
@@ -227,6 +229,8 @@
 
 // strike brings about the faults of a cycle.
 func (b *bench) strike(ctx context.Context, start time.Time) error {
+	ids := b.deployment.DaemonIDs()
+	b.drawn = string(ids[b.random.IntN(len(ids))])
 	names := map[unit.GroupName]*strings.Replacer{}
 	for _, g := range b.groups {
 		r, err := b.names(g)
@@ -254,14 +258,12 @@
 // faults returns the strike's fault with its names filled in, once for each group
 // if it names what differs between groups.
 func (b *bench) faults(s Strike, names map[unit.GroupName]*strings.Replacer) []deployer.Fault {
-	ids := b.deployment.DaemonIDs()
-	drawn := string(ids[b.random.IntN(len(ids))])
 	fill := func(r *strings.Replacer) deployer.Fault {
 		f := s.Fault
 		f.Seed = b.run.Seed
 		daemon := string(f.Daemon)
 		for _, field := range []*string{&f.Target, &daemon, &f.From, &f.To} {
-			*field = strings.ReplaceAll(r.Replace(*field), "{daemon}", drawn)
+			*field = strings.ReplaceAll(r.Replace(*field), "{daemon}", b.drawn)
 		}
 		f.Daemon = unit.DaemonID(daemon)
 		return f
--- a/tarragonshed/home/group.go
+++ b/tarragonshed/home/group.go
@@ -36,6 +36,7 @@
 
 	mu        sync.Mutex
 	core      *acknowledger.Acknowledger
+	instances int
 	waits     map[acknowledger.WaitID]chan released
 	next      acknowledger.WaitID
 	resolving bool
@@ -49,7 +50,7 @@
 func newGroup(h *Home, g manifest.Group) *group {
 	return &group{
 		home: h, name: g.Name,
-		core:  acknowledger.New(len(g.Instances)),
+		core: acknowledger.New(len(g.Instances)), instances: len(g.Instances),
 		waits: make(map[acknowledger.WaitID]chan released),
 	}
 }
@@ -68,6 +69,13 @@
 	return g.core.Covers(p)
 }
 
+// size returns the number of instances of the group.
+func (g *group) size() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.instances
+}
+
 // await starts a wait. The channel receives one value.
 func (g *group) await(s seen, wrote bool, deadline time.Time) (acknowledger.WaitID, <-chan released) {
 	answer := make(chan released, 1)
@@ -232,5 +240,6 @@
 func (g *group) resize(instances int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.instances = instances
 	g.core.Resize(instances)
 }
--- a/tarragonshed/home/relay.go
+++ b/tarragonshed/home/relay.go
@@ -21,6 +21,8 @@
 	status   byte
 	seen     seen
 	wrote    bool
+	// doubtful tells that a read may have seen what no majority holds.
+	doubtful bool
 	tag      string
 }
 
@@ -43,6 +45,9 @@
 	// safe reports whether a read on an instance that has no record of its
 	// current term yet is known to be of confirmed records.
 	safe func(unit.Position) bool
+	// copied reports whether what a read saw is known to be on a majority or to be
+	// a replica's copy.
+	copied func(seen) bool
 	// confirm waits until a majority holds what was seen.
 	confirm func(seen) *result.Error
 	send    func(*peer.CarryResponse) error
@@ -58,6 +63,9 @@
 	latest seen
 	// fresh tells that latest came with the message before this one.
 	fresh bool
+	// doubtful tells that a read may have seen what no majority holds: the
+	// instance may be a primary that has been replaced.
+	doubtful bool
 	// answered tells that a part of an answer has been sent.
 	answered atomic.Bool
 	dropping atomic.Bool
@@ -107,7 +115,9 @@
 	}
 	if s.term != s.position.Term && !r.safe(s.position) {
 		r.drop(result.New(result.InstanceBehind, "the instance has no record of its term %d yet", s.term))
+		return
 	}
+	r.doubtful = !r.copied(s)
 }
 
 func (r *relay) drop(err *result.Error) {
@@ -123,7 +133,7 @@
 	if len(r.buffer) == 0 {
 		return
 	}
-	if r.class != peer.Class_CLASS_READ {
+	if r.class != peer.Class_CLASS_READ || r.doubtful {
 		if err := r.confirm(r.latest); err != nil {
 			r.drop(err)
 			return
@@ -141,7 +151,7 @@
 	r.buffer = nil
 	wrote := r.fresh
 	r.fresh = false
-	r.events <- settlement{messages: messages, status: status, seen: r.latest, wrote: wrote, tag: r.tag}
+	r.events <- settlement{messages: messages, status: status, seen: r.latest, wrote: wrote, doubtful: r.doubtful, tag: r.tag}
 }
 
 func (r *relay) lost(err error) {
--- a/tarragonshed/home/run.go
+++ b/tarragonshed/home/run.go
@@ -21,7 +21,7 @@
 
 func newRelay(ctx context.Context, t *transaction) *relay {
 	return &relay{
-		class: t.request.Class, floor: t.floor, safe: t.target.isSafe, send: t.lane.send,
+		class: t.request.Class, floor: t.floor, safe: t.target.isSafe, copied: t.target.isCopied, send: t.lane.send,
 		events: make(chan event, eventRoom),
 		confirm: func(s seen) *result.Error {
 			return t.confirmRead(ctx, s)
@@ -131,7 +131,7 @@
 		t.refuse(t.violated)
 		return
 	}
-	if !t.isRead() {
+	if !t.isRead() || s.doubtful {
 		if err := t.confirm(ctx, &s); err != nil {
 			t.refuse(err)
 			return
--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -54,7 +54,7 @@
 	reported  chan struct{} // Closed at the next report.
 	reachable bool
 	// safe is the highest position that the instance was known to have
-	// applied in the position's own term.
+	// applied as a replica in the position's own term.
 	safe unit.Position
 }
 
@@ -143,7 +143,7 @@
 		t.reported = make(chan struct{})
 	}
 	t.reachable = true
-	if r.Applied.Term == r.Term {
+	if r.Role == instance.Replica && r.Applied.Term == r.Term {
 		t.safe = t.safe.Max(r.Applied)
 	}
 	t.mu.Unlock()
@@ -166,11 +166,28 @@
 }
 
 // isSafe reports whether reads may show the position although the instance has no
-// record of its current term yet.
+// record of its current term yet. A primary that was replaced and now follows
+// may still show its tail, which is not.
 func (t *target) isSafe(p unit.Position) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.safe.AtLeast(p)
+	safe := t.safe
+	t.mu.Unlock()
+	if p.Term == safe.Term && p.Index <= safe.Index && t.group.size() <= 3 {
+		return true
+	}
+	return t.group.covers(p)
+}
+
+// isCopied reports whether a read that saw s can be answered at once. What a
+// replica has is on its primary too, which makes a majority of three; an instance
+// that is a replica in a term is never the primary of that term. What a primary
+// has may be lost, also when others know of a later one.
+func (t *target) isCopied(s seen) bool {
+	report, _, _ := t.last()
+	if report.Role == instance.Replica && report.Term == s.term && t.group.size() <= 3 {
+		return true
+	}
+	return t.group.covers(s.position)
 }
 
 // admit asks for a slot, and for the right to a connection unless the
