promoter, entry: detect silent primaries sooner, free their callers sooner

So accrual from 120 ms with the replicas' evidence is the default. Probes of a primary come each 200 ms instead of 250, a stall counts after 600 ms instead of 800.

An instance that answers nothing tells nothing in that second; what is committed is resolved in a few round trips. overtakenGrace is 250 ms now.

A planned change that is asked for right after another one was refused because the watcher's report of the target was old. It now waits up to the change's timeout until the target is known to follow; a test had failed for it on a loaded machine.

--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -186,7 +186,7 @@
 
 // Next returns when the next [Tick] is due.
 func (p *Promoter) Next() time.Time {
-	if p.attempt != nil || p.change != nil || p.suspicion.reason != noReason {
+	if p.attempt != nil || p.change != nil || p.wanted != nil || p.suspicion.reason != noReason {
 		return p.now.Add(activeInterval)
 	}
 	next := p.now.Add(p.timing.ProbeInterval)
--- a/promoter/change.go
+++ b/promoter/change.go
@@ -35,13 +35,37 @@
 	pollAt time.Time
 }
 
+// wanted is a change that was asked for and has not begun.
+type wanted struct {
+	target unit.InstanceName
+	until  time.Time
+}
+
 func (p *Promoter) changeAsked(e ChangeAsked) {
-	if err := p.beginChange(e.Target); err != nil {
-		p.do(ChangeEnded{Primary: p.primary, Err: err})
+	if p.wanted != nil || p.change != nil && p.change.asked {
+		p.do(ChangeEnded{Primary: p.primary, Err: errBusy})
 		return
 	}
-	if p.change != nil {
-		p.change.asked = true
+	p.wanted = &wanted{target: e.Target, until: p.now.Add(p.timing.ChangeTimeout)}
+}
+
+// advanceWanted begins the change that was asked for as soon as the group is
+// known to be ready for it.
+func (p *Promoter) advanceWanted() {
+	w := p.wanted
+	if w == nil {
+		return
+	}
+	err := p.beginChange(w.target)
+	switch {
+	case err == nil:
+		p.wanted = nil
+		if p.change != nil {
+			p.change.asked = true
+		}
+	case !p.now.Before(w.until):
+		p.wanted = nil
+		p.do(ChangeEnded{Primary: p.primary, Err: err})
 	}
 }
 
--- a/promoter/model_test.go
+++ b/promoter/model_test.go
@@ -93,7 +93,9 @@
 	leaders      map[unit.Term]unit.InstanceName
 	acknowledged map[int]unit.Position
 	writes       int
-	fault        string
+	// opening is added to the call that is being made.
+	opening time.Duration
+	fault   string
 }
 
 type message struct {
@@ -144,7 +146,7 @@
 	for _, effect := range w.promoters[i].Handle(event) {
 		switch e := effect.(type) {
 		case promoter.Probe:
-			w.call(i, e.Instance, promoter.ProbeCall, e.Timeout, func(*target) {})
+			w.probe(i, e)
 		case promoter.Grant:
 			w.call(i, e.Instance, promoter.GrantCall, e.Timeout, func(g *target) { g.grant(e.Term, e.Proposer) })
 		case promoter.Promote:
@@ -167,6 +169,19 @@
 	w.queue = append(w.queue, message{at: w.now.Add(d), do: do})
 }
 
+// probe makes a probe, on a fresh connection if asked to: two more round trips
+// and the time that the instance takes to open it.
+func (w *world) probe(i int, e promoter.Probe) {
+	w.opening = 0
+	if e.Fresh {
+		w.opening = connectDelay + w.latency() + w.latency() + w.latency() + w.latency()
+	}
+	w.call(i, e.Instance, promoter.ProbeCall, e.Timeout, func(*target) {})
+	w.opening = 0
+}
+
+const connectDelay = 10 * time.Millisecond
+
 // call carries a call to an instance and its answer, or the lack of one, back.
 func (w *world) call(i int, name unit.InstanceName, call promoter.Call, timeout time.Duration, effect func(*target)) {
 	g, start, answered := w.target(name), w.now, false
@@ -198,7 +213,7 @@
 			})
 		}
 	}
-	w.after(w.latency(), arrive)
+	w.after(w.opening+w.latency(), arrive)
 }
 
 func (w *world) followers(g *target) []instance.Follower {
--- a/promoter/peer.go
+++ b/promoter/peer.go
@@ -162,7 +162,7 @@
 		return p.timing.ProbeInterval
 	case primary != nil && q == primary:
 		return p.timing.Stagger / 2
-	case primary == nil, primary.missed > 0, p.suspicion.reason != noReason:
+	case primary == nil, p.wanted != nil, primary.missed > 0, p.suspicion.reason != noReason:
 		return p.timing.Stagger / 2
 	}
 	return p.timing.ReplicaInterval
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -29,7 +29,9 @@
 //	watching    probe due                           watching     Probe
 //	watching    primary suspected, delay passed     requesting   Grant T+1 of the others
 //	watching    no primary, or a term left behind   requesting   Grant T+1 of all
-//	watching    change asked, or primary leaving    quiescing    Quiesce the primary
+//	watching    change asked, or primary leaving,
+//	            and the candidate follows           quiescing    Quiesce the primary
+//	watching    change asked, no candidate in time  watching     ChangeEnded
 //	quiescing   primary quiesced, candidate has
 //	            its last position                   requesting   Grant T+1 of all
 //	quiescing   deadline                            watching     Quiesce for no time, ChangeEnded
@@ -99,6 +101,7 @@
 	confirmed unit.Term
 	suspicion suspicion
 	attempt   *attempt
+	wanted    *wanted
 	change    *change
 	failures  int
 	retryAt   time.Time
@@ -202,6 +205,7 @@
 	p.learn()
 	p.confirm()
 	p.advanceAttempt()
+	p.advanceWanted()
 	p.advanceChange()
 	p.suspect()
 	p.tellFollowers()
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -118,6 +118,20 @@
 		is.Equal(w.primary(), target)
 		is.True(len(target.log) >= 3)
 	})
+	t.Run("waits until the target is known to follow", func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(6, 1)
+		w.run(2 * time.Second)
+		target := w.other(w.primary())
+		target.cut["p0"] = true
+		w.run(2 * time.Second)
+		w.handle(0, promoter.ChangeAsked{Moment: w.moment(), Target: target.name})
+		clear(target.cut)
+		w.run(500 * time.Millisecond)
+		is.Equal(len(w.ended), 1)
+		is.NoErr(w.ended[0].Err)
+		is.Equal(w.primary(), target)
+	})
 	t.Run("gives up and lifts the quiet when the target lags", func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(7, 1)
@@ -151,7 +165,7 @@
 func TestJitterCausesNoPromotion(t *testing.T) {
 	for _, detection := range []promoter.Detection{
 		promoter.DefaultDetection,
-		promoter.Accrual{Deviations: 8, Floor: 120 * time.Millisecond, Ceiling: 250 * time.Millisecond},
+		promoter.Fixed{Timeout: 250 * time.Millisecond},
 	} {
 		t.Run(fmt.Sprintf("%T", detection), func(t *testing.T) {
 			is := is.New(t)
--- a/promoter/timing.go
+++ b/promoter/timing.go
@@ -52,11 +52,11 @@
 
 // DefaultTiming suits instances up to 10 ms apart.
 var DefaultTiming = Timing{
-	ProbeInterval:    250 * time.Millisecond,
+	ProbeInterval:    200 * time.Millisecond,
 	ReplicaInterval:  time.Second,
 	MissedProbes:     2,
 	AliveDelay:       300 * time.Millisecond,
-	StallTimeout:     800 * time.Millisecond,
+	StallTimeout:     600 * time.Millisecond,
 	RecoverDelay:     500 * time.Millisecond,
 	StartDelay:       300 * time.Millisecond,
 	Stagger:          150 * time.Millisecond,
@@ -89,7 +89,7 @@
 }
 
 // DefaultDetection is the detection of a [New] Promoter.
-var DefaultDetection Detection = Fixed{Timeout: 250 * time.Millisecond}
+var DefaultDetection Detection = Accrual{Deviations: 8, Floor: 120 * time.Millisecond, Ceiling: 250 * time.Millisecond}
 
 func (f Fixed) timeout(*history) time.Duration { return f.Timeout }
 
--- a/tarragonshed/entry/supervisor.go
+++ b/tarragonshed/entry/supervisor.go
@@ -22,7 +22,7 @@
 	cancelGrace = 5 * time.Second
 	// overtakenGrace is how long the home of a replaced primary may take to
 	// find out what became of a write.
-	overtakenGrace = time.Second
+	overtakenGrace = 250 * time.Millisecond
 )
 
 // supervise watches a batch that takes long. It is cancelled at its deadline. A
