--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,8 @@
 // per slot and by distance. Without an eligible one, the read waits at a replica
 // that is expected to catch up within [Request.WaitLimit], or goes to the primary.
 //
+// [Policy] replaces the choice among replicas, to measure what it is worth.
+//
 // Reports only pick the instance. Whether the answer may be given to the caller
 // is decided by the position that comes with the answer.
 //
@@ -27,6 +29,7 @@
 package router
 
 import (
+	"fmt"
 	"time"
 
 	"tarragonshed.example/instance"
@@ -43,6 +46,33 @@
 	OtherRegion
 )
 
+// Policy names a way to choose among the replicas that may serve a read.
+type Policy string
+
+// The policies.
+const (
+	// TwoChoices takes the less loaded and nearer one of two random choices.
+	// It is the default.
+	TwoChoices Policy = "two-choices"
+	// Random takes any.
+	Random Policy = "random"
+	// RoundRobin takes one after the other.
+	RoundRobin Policy = "round-robin"
+	// PrimaryOnly takes none: all reads go to the primary.
+	PrimaryOnly Policy = "primary-only"
+)
+
+// ParsePolicy returns the policy of the name. The empty name is TwoChoices.
+func ParsePolicy(name string) (Policy, error) {
+	switch p := Policy(name); p {
+	case "":
+		return TwoChoices, nil
+	case TwoChoices, Random, RoundRobin, PrimaryOnly:
+		return p, nil
+	}
+	return "", fmt.Errorf("router: no policy %q", name)
+}
+
 // Candidate is one instance of the group as the daemon knows it.
 type Candidate struct {
 	Instance unit.InstanceName
@@ -75,6 +105,10 @@
 	// WaitLimit is how long a read may wait for a replica to apply the floor
 	// before the primary is the better choice.
 	WaitLimit time.Duration
+	// Policy chooses among replicas. Empty is TwoChoices.
+	Policy Policy
+	// Turn counts requests, for RoundRobin.
+	Turn uint64
 	// Now is compared with the times of reports.
 	Now time.Time
 	// Random holds two random numbers in [0, 1).
@@ -146,6 +180,9 @@
 }
 
 func chooseReplica(request Request, candidates []Candidate, primary unit.InstanceName) (unit.InstanceName, time.Duration, bool) {
+	if request.Policy == PrimaryOnly {
+		return "", 0, false
+	}
 	var eligible, behind []Candidate
 	for _, c := range candidates {
 		switch {
@@ -157,10 +194,10 @@
 		}
 	}
 	if len(eligible) > 0 {
-		return better(eligible, request.Random).Instance, request.WaitLimit, true
+		return request.pick(eligible).Instance, request.WaitLimit, true
 	}
 	if len(behind) > 0 {
-		return better(behind, request.Random).Instance, request.WaitLimit, true
+		return request.pick(behind).Instance, request.WaitLimit, true
 	}
 	return "", 0, false
 }
@@ -172,6 +209,16 @@
 	return request.MaxStaleness == 0 || c.Report.Staleness(request.Now) <= request.MaxStaleness
 }
 
+func (r Request) pick(candidates []Candidate) Candidate {
+	switch n := len(candidates); r.Policy {
+	case Random:
+		return candidates[min(int(r.Random[0]*float64(n)), n-1)]
+	case RoundRobin:
+		return candidates[r.Turn%uint64(n)]
+	}
+	return better(candidates, r.Random)
+}
+
 // better returns the one of two random choices that costs less.
 func better(candidates []Candidate, random [2]float64) Candidate {
 	n := len(candidates)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -102,6 +102,20 @@
 		list[1].Leaving, list[2].Leaving = true, true
 		mustUse(t, Choose(floor, list), "a")
 	})
+	t.Run("by policy", func(t *testing.T) {
+		is := is.New(t)
+		r := floor
+		r.Policy = RoundRobin
+		mustUse(t, Choose(r, group()), "b")
+		r.Turn = 1
+		mustUse(t, Choose(r, group()), "c")
+		r.Policy, r.Random[0] = Random, 0.4
+		mustUse(t, Choose(r, group()), "b")
+		r.Policy = PrimaryOnly
+		mustUse(t, Choose(r, group()), "a")
+		_, err := ParsePolicy("unheard-of")
+		is.True(err != nil)
+	})
 	t.Run("no primary that has failed", func(t *testing.T) {
 		is := is.New(t)
 		list := group()
--- a/standin/deployer/deployer.go
+++ b/standin/deployer/deployer.go
@@ -40,6 +40,7 @@
 	"tarragonshed.example/standin/shaper"
 	"tarragonshed.example/standin/target"
 	"tarragonshed.example/tarragonshed/daemon"
+	"tarragonshed.example/tarragonshed/entry"
 	"tarragonshed.example/unit"
 )
 
@@ -68,6 +69,7 @@
 	fixedPorts       bool
 	withoutLatency   bool
 	homes            int
+	entryOptions     []entry.Option
 	maxStaleness     time.Duration
 	serviceTime      time.Duration
 	authority        *Authority
@@ -111,6 +113,11 @@
 // WithoutLatency leaves out latencies and connection delays.
 func WithoutLatency() Option { return func(d *Deployment) { d.withoutLatency = true } }
 
+// WithEntry adds options of the daemons' callers' side.
+func WithEntry(options ...entry.Option) Option {
+	return func(d *Deployment) { d.entryOptions = append(d.entryOptions, options...) }
+}
+
 // WithHomes sets the number of homes of each instance.
 func WithHomes(n int) Option { return func(d *Deployment) { d.homes = n } }
 
--- a/standin/deployer/parts.go
+++ b/standin/deployer/parts.go
@@ -221,6 +221,7 @@
 		}),
 		daemon.WithLogger(d.logger.With("daemon", string(id))),
 		daemon.WithRecorder(v.rec),
+		daemon.WithEntry(d.entryOptions...),
 	)
 	if err != nil {
 		return err
--- a/tarragonbench/experimenter/experimenter.go
+++ b/tarragonbench/experimenter/experimenter.go
@@ -39,6 +39,7 @@
 
 	"github.com/BurntSushi/toml"
 
+	"tarragonshed.example/router"
 	"tarragonshed.example/standin/deployer"
 	"tarragonshed.example/tarragonbench/historian"
 	"tarragonshed.example/tarragonbench/loader"
@@ -67,6 +68,11 @@
 	Groups      int           `toml:"groups" json:"groups"`
 	Homes       int           `toml:"homes" json:"homes"`
 	ServiceTime time.Duration `toml:"service-time" json:"service-time,omitempty"`
+	// Policy chooses replicas for reads, see [router.Policy].
+	Policy string `toml:"policy" json:"policy,omitempty"`
+	// ReplicaWait is how long a read waits for a replica before it goes to the
+	// primary. Nil is the daemon's default.
+	ReplicaWait *time.Duration `toml:"replica-wait" json:"replica-wait,omitempty"`
 	// Runs is the number of runs for each deployment, with seeds from FirstSeed.
 	Runs      int    `toml:"runs" json:"runs"`
 	FirstSeed uint64 `toml:"first-seed" json:"first-seed"`
@@ -172,6 +178,9 @@
 	if e.Mode != Load && e.Mode != History {
 		errs = append(errs, fmt.Errorf("experimenter: no mode %q", e.Mode))
 	}
+	if _, err := router.ParsePolicy(e.Policy); err != nil {
+		errs = append(errs, err)
+	}
 	for _, name := range e.Deployments {
 		if _, err := deployer.ProfileNamed(name); err != nil {
 			errs = append(errs, err)
--- a/tarragonbench/experimenter/run.go
+++ b/tarragonbench/experimenter/run.go
@@ -11,9 +11,11 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tarragonshed.example/recorder"
+	"tarragonshed.example/router"
 	"tarragonshed.example/standin/deployer"
 	"tarragonshed.example/tarragonbench/historian"
 	"tarragonshed.example/tarragonbench/loader"
+	"tarragonshed.example/tarragonshed/entry"
 	"tarragonshed.example/unit"
 )
 
@@ -104,6 +106,10 @@
 		deployer.WithProfile(profile), deployer.WithDaemons(e.Daemons), deployer.WithHomes(e.Homes),
 		deployer.WithServiceTime(e.ServiceTime), deployer.WithSeed(r.Seed),
 	}
+	options = append(options, deployer.WithEntry(entry.WithPolicy(router.Policy(e.Policy))))
+	if e.ReplicaWait != nil {
+		options = append(options, deployer.WithEntry(entry.WithReplicaWait(*e.ReplicaWait)))
+	}
 	if e.LocalGroups {
 		options = append(options, deployer.WithLocalGroups())
 	}
--- a/tarragonshed/daemon/daemon.go
+++ b/tarragonshed/daemon/daemon.go
@@ -58,6 +58,8 @@
 	logger   *log.Logger
 	rec      *recorder.Recorder
 	registry metrics.Registry
+	// callerOptions are options of the callers' side.
+	callerOptions []entry.Option
 	// dialLanes and dialGossip open connections to other daemons.
 	dialLanes, dialGossip dialer.Func
 	certifiers            []*certifier.Certifier
@@ -94,6 +96,11 @@
 // WithRecorder sets the recorder of the daemon's events.
 func WithRecorder(r *recorder.Recorder) Option { return func(d *Daemon) { d.rec = r } }
 
+// WithEntry adds options of the callers' side.
+func WithEntry(options ...entry.Option) Option {
+	return func(d *Daemon) { d.callerOptions = append(d.callerOptions, options...) }
+}
+
 // New starts a daemon. It serves callers once it has a manifest in force.
 func New(s settings.Settings, options ...Option) (*Daemon, error) {
 	d := &Daemon{
@@ -198,7 +205,7 @@
 }
 
 func (d *Daemon) entryOptions() []entry.Option {
-	return []entry.Option{
+	return append([]entry.Option{
 		entry.WithLogger(d.logger),
 		entry.WithRecorder(d.rec),
 		entry.WithMetrics(d.registry),
@@ -209,7 +216,7 @@
 			StartupTimeout:   d.settings.Callers.StartupTimeout,
 			StatementTimeout: d.settings.Callers.StatementTimeout,
 		}),
-	}
+	}, d.callerOptions...)
 }
 
 // peerHandler serves the other daemons.
--- a/tarragonshed/entry/entry.go
+++ b/tarragonshed/entry/entry.go
@@ -46,6 +46,7 @@
 	"github.com/charmbracelet/log"
 
 	"tarragonshed.example/recorder"
+	"tarragonshed.example/router"
 	"tarragonshed.example/tarragonshed/carrier"
 	"tarragonshed.example/tarragonshed/entry/authenticator"
 	"tarragonshed.example/tarragonshed/holder"
@@ -65,6 +66,8 @@
 	metrics       *figures
 	domain        unit.DomainName
 	limits        Limits
+	policy        router.Policy
+	replicaWait   time.Duration
 	tls           *tls.Config
 	tlsRequired   bool
 	authenticator *authenticator.Authenticator
@@ -92,6 +95,7 @@
 		carrier:       carrier,
 		logger:        discardLogger(),
 		limits:        Limits{}.withDefaults(),
+		replicaWait:   DefaultReplicaWait,
 		authenticator: authenticator.New(),
 		groups:        make(map[unit.GroupName]*group),
 		sessions:      make(map[unit.SessionID]*session),
--- a/tarragonshed/entry/group.go
+++ b/tarragonshed/entry/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tarragonshed.example/instance"
@@ -42,6 +43,8 @@
 	behind      map[unit.InstanceName]backlog
 	budget      retrier.Budget
 
+	// turn counts requests.
+	turn atomic.Uint64
 	// news is closed when a report has come in.
 	news chan struct{}
 	// seekers wait for a primary, observers watch long statements.
@@ -114,6 +117,7 @@
 // out until a report that was taken later has come in. It returns the channel
 // that announces the next report.
 func (g *group) choose(request router.Request, failed map[unit.InstanceName]time.Time) (router.Effect, <-chan struct{}) {
+	request.Policy, request.Turn = g.entry.policy, g.turn.Add(1)
 	request.Now = time.Now()
 	request.Random = [2]float64{rand.Float64(), rand.Float64()}
 	g.mu.Lock()
--- a/tarragonshed/entry/options.go
+++ b/tarragonshed/entry/options.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"tarragonshed.example/recorder"
+	"tarragonshed.example/router"
 	"tarragonshed.example/tarragonshed/entry/framer"
 	"tarragonshed.example/unit"
 )
@@ -39,9 +40,6 @@
 	WriteTimeout time.Duration
 	// Keepalive is the interval of TCP keepalive probes to a silent caller.
 	Keepalive time.Duration
-	// ReplicaWait is how long a read may wait for a replica to apply the
-	// position that it must see, before it goes to the primary.
-	ReplicaWait time.Duration
 }
 
 func (l Limits) withDefaults() Limits {
@@ -51,7 +49,6 @@
 	setDefault(&l.StatementTimeout, DefaultStatementTimeout)
 	setDefault(&l.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&l.Keepalive, DefaultKeepalive)
-	setDefault(&l.ReplicaWait, DefaultReplicaWait)
 	return l
 }
 
@@ -91,6 +88,17 @@
 	return func(e *Entry) { e.limits = limits.withDefaults() }
 }
 
+// WithPolicy sets how replicas are chosen for reads.
+func WithPolicy(policy router.Policy) Option {
+	return func(e *Entry) { e.policy = policy }
+}
+
+// WithReplicaWait sets how long a read may wait for a replica to apply the
+// position that it must see, before it goes to the primary. Zero means not at all.
+func WithReplicaWait(wait time.Duration) Option {
+	return func(e *Entry) { e.replicaWait = wait }
+}
+
 // WithTLS offers TLS to callers. If required is true, callers without TLS are
 // refused.
 func WithTLS(config *tls.Config, required bool) Option {
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -146,7 +146,7 @@
 	request := router.Request{
 		Write:        !r.plan.read,
 		MaxStaleness: r.plan.staleness,
-		WaitLimit:    max(0, r.entry.limits.ReplicaWait-r.waited),
+		WaitLimit:    max(0, r.entry.replicaWait-r.waited),
 	}
 	if r.plan.read {
 		floor, err := r.floor()
