--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -218,9 +218,18 @@
 	return nil
 }
 
+// Try admits a request of the priority if it does not have to wait, as [Request]
+// does, and reports whether it did.
+func (l *Limiter) Try(p Priority) bool {
+	if !l.admissible(p) || l.ahead(p) > 0 {
+		return false
+	}
+	l.take(p)
+	return true
+}
+
 func (l *Limiter) request(r Request) []Effect {
-	if l.admissible(r.Priority) && l.ahead(r.Priority) == 0 {
-		l.take(r)
+	if l.Try(r.Priority) {
 		return []Effect{Admit{ID: r.ID}}
 	}
 	if l.queued >= l.limits.Queue {
@@ -245,7 +254,7 @@
 				effects = append(effects, passed(r))
 				continue
 			}
-			l.take(r)
+			l.take(r.Priority)
 			effects = append(effects, Admit{ID: r.ID})
 		}
 	}
@@ -256,15 +265,15 @@
 func (l *Limiter) passOver(id ID) []Effect {
 	for _, r := range l.queues[OpenTransaction].remove(func(r Request) bool { return r.ID == id }) {
 		l.queued--
-		l.take(r)
+		l.take(r.Priority)
 		return []Effect{Admit{ID: r.ID}}
 	}
 	return nil
 }
 
-func (l *Limiter) take(r Request) {
+func (l *Limiter) take(p Priority) {
 	l.running++
-	if r.Priority != OpenTransaction {
+	if p != OpenTransaction {
 		l.open++
 	}
 }
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -265,15 +265,22 @@
 	return nil
 }
 
+// Try gives an idle connection if there is one, as [Take] does. A [Tick] is due
+// afterwards to keep warm ones.
+func (p *Pooler) Try(now time.Time) (Give, bool) {
+	n := len(p.idle)
+	if n == 0 {
+		return Give{}, false
+	}
+	last := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	p.used[last.conn] = true
+	return Give{Conn: last.conn, Check: now.Sub(last.since) > QuietSpell}, true
+}
+
 func (p *Pooler) take(t Take) []Effect {
-	if n := len(p.idle); n > 0 {
-		last := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		p.used[last.conn] = true
-		give := Give{Ticket: t.Ticket, Conn: last.conn, Check: t.Now.Sub(last.since) > QuietSpell}
-		if len(p.idle) >= p.limits.Warm {
-			return []Effect{give}
-		}
+	if give, ok := p.Try(t.Now); ok {
+		give.Ticket = t.Ticket
 		return append([]Effect{give}, p.grow(t.Now)...)
 	}
 	p.waiting = append(p.waiting, t.Ticket)
--- a/tarragonshed/carrier/lanes.go
+++ b/tarragonshed/carrier/lanes.go
@@ -193,7 +193,7 @@
 
 // homes returns the homes of the instance in the order in which they are to be
 // tried: this daemon first, those that could not be reached a moment ago last.
-// Other daemons start at different homes, so that the load is spread.
+// Other daemons start at different homes, in proportion to the homes' slots.
 func (l *Lanes) homes(name unit.InstanceName) ([]member.Daemon, unit.DaemonID, error) {
 	now := l.holder.Current()
 	if now.Manifest == nil {
@@ -207,11 +207,13 @@
 	if len(homes) == 0 {
 		return nil, "", result.New(result.HomeUnreachable, "no daemon is usable")
 	}
-	return l.order(homes, now.View.Self), now.View.Self, nil
+	// Homes have slots in turn, so the owner of a slot is as likely as it has slots.
+	slot := int(xxhash.Sum64String(string(now.View.Self)+"\x00"+string(name)) % uint64(max(1, i.Slots)))
+	return l.order(homes, now.View.Self, slot%len(homes)), now.View.Self, nil
 }
 
-func (l *Lanes) order(homes []member.Daemon, self unit.DaemonID) []member.Daemon {
-	start := int(xxhash.Sum64String(string(self)) % uint64(len(homes)))
+// order starts at the home with the rank start.
+func (l *Lanes) order(homes []member.Daemon, self unit.DaemonID, start int) []member.Daemon {
 	var first, rest, failed []member.Daemon
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/tarragonshed/home/relay.go
+++ b/tarragonshed/home/relay.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"context"
 	"sync/atomic"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -40,13 +41,10 @@
 	class peer.Class
 	// floor is what the answer's own position must reach.
 	floor unit.Position
-	// safe reports whether a read on an instance that has no record of its
-	// current term yet is known to be of confirmed records.
-	safe func(unit.Position) bool
-	// confirm waits until a majority holds what was seen.
-	confirm func(seen) *result.Error
-	send    func(*peer.CarryResponse) error
-	events  chan event
+	// transaction is asked for what does not change while answers come.
+	transaction *transaction
+	ctx         context.Context
+	events      chan event
 
 	// keepTag asks for the last command tag.
 	keepTag bool
@@ -105,7 +103,7 @@
 		r.drop(result.New(result.InstanceBehind, "the answer is of %v and had to be of %v", s.position, r.floor))
 		return
 	}
-	if s.term != s.position.Term && !r.safe(s.position) {
+	if s.term != s.position.Term && !r.transaction.target.isSafe(s.position) {
 		r.drop(result.New(result.InstanceBehind, "the instance has no record of its term %d yet", s.term))
 	}
 }
@@ -124,7 +122,7 @@
 		return
 	}
 	if r.class != peer.Class_CLASS_READ {
-		if err := r.confirm(r.latest); err != nil {
+		if err := r.transaction.confirmRead(r.ctx, r.latest); err != nil {
 			r.drop(err)
 			return
 		}
@@ -133,7 +131,7 @@
 	messages := r.buffer
 	r.buffer = nil
 	// A failed send means a lost lane, which ends the transaction elsewhere.
-	_ = r.send(&peer.CarryResponse{Kind: &peer.CarryResponse_Answer{Answer: &peer.Answer{Messages: messages}}})
+	_ = r.transaction.lane.send(&peer.CarryResponse{Kind: &peer.CarryResponse_Answer{Answer: &peer.Answer{Messages: messages}}})
 }
 
 func (r *relay) settle(status byte) {
--- a/tarragonshed/home/run.go
+++ b/tarragonshed/home/run.go
@@ -20,13 +20,7 @@
 )
 
 func newRelay(ctx context.Context, t *transaction) *relay {
-	return &relay{
-		class: t.request.Class, floor: t.floor, safe: t.target.isSafe, send: t.lane.send,
-		events: make(chan event, eventRoom),
-		confirm: func(s seen) *result.Error {
-			return t.confirmRead(ctx, s)
-		},
-	}
+	return &relay{class: t.request.Class, floor: t.floor, transaction: t, ctx: ctx, events: make(chan event, eventRoom)}
 }
 
 // run sends a batch. It returns when the batch is settled, or at once when more
--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -186,6 +186,24 @@
 	return id, answer
 }
 
+// tryAdmit is admit for a request that does not have to wait.
+func (t *target) tryAdmit(p limiter.Priority) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.Try(p)
+}
+
+// tryTake is take for a connection that is idle.
+func (t *target) tryTake() (gave, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return gave{}, false
+	}
+	give, ok := t.pool.Try(time.Now())
+	return gave{conn: t.conns[give.Conn], check: give.Check}, ok
+}
+
 // withdraw takes a request for a slot back. It reports whether the request was
 // still waiting.
 func (t *target) withdraw(id limiter.ID) bool {
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -159,6 +159,10 @@
 // admit waits for a slot.
 func (t *transaction) admit(ctx context.Context, p limiter.Priority) *result.Error {
 	asked := time.Now()
+	if t.target.tryAdmit(p) {
+		t.begin(asked)
+		return nil
+	}
 	id, answer := t.target.admit(unit.CallerName(t.request.Caller), p, t.deadline)
 	if p == limiter.OpenTransaction {
 		defer time.AfterFunc(lockPatience, func() { t.target.overdue(id) }).Stop()
@@ -173,10 +177,15 @@
 	if refusal != nil {
 		return refusal
 	}
+	t.begin(asked)
+	return nil
+}
+
+// begin notes that a slot is held.
+func (t *transaction) begin(asked time.Time) {
 	t.slot = true
 	t.begun = time.Now()
 	t.lane.home.metrics.slotWait.Update(t.begun.Sub(asked))
-	return nil
 }
 
 // connect gets a connection and gives it the session's settings.
@@ -224,6 +233,9 @@
 
 // take waits for a connection.
 func (t *transaction) take(ctx context.Context) (c *conn, check bool, err *result.Error) {
+	if g, ok := t.target.tryTake(); ok {
+		return g.conn, g.check, nil
+	}
 	ticket, answer := t.target.take()
 	g, ok := await(ctx, t.lane, t.deadline, answer)
 	if !ok {
