carrier, placer: try the standby when no home can be reached

The daemon that would be the next home serves at once, within the margin that connection shares keep for it; before, requests failed until the view of the daemons had changed. home: refuse at once while an instance's address can't be reached, instead of waiting for the time-out of a connection attempt.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -55,6 +55,25 @@
 	return first(rank(candidates, homeKind, string(instance.Name)), n)
 }
 
+// Standby returns the daemon that would become a home of the instance if its n
+// homes were gone.
+func Standby(view member.View, instance manifest.Instance, n int) (member.Daemon, bool) {
+	homes := Homes(view, instance, n+1)
+	if len(homes) > n {
+		return homes[n], true
+	}
+	var others []member.Daemon
+	for _, d := range usable(view) {
+		if !contains(homes, d.ID) {
+			others = append(others, d)
+		}
+	}
+	if len(others) == 0 {
+		return member.Daemon{}, false
+	}
+	return rank(others, homeKind, string(instance.Name))[0], true
+}
+
 // IsHome reports whether the view's own daemon is one of the first n homes of
 // the instance.
 func IsHome(view member.View, instance manifest.Instance, n int) bool {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -62,6 +62,25 @@
 	})
 }
 
+func TestStandbyIsTheNextHome(t *testing.T) {
+	one := manifest.Instance{Name: "pulp-ledger-1-a", Domain: "labasa-loft"}
+	for _, daemons := range []int{3, 12} { // With one daemon in the domain, and with four.
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			is := is.New(t)
+			v := view(daemons)
+			standby, ok := placer.Standby(v, one, 1)
+			is.True(ok)
+			home := placer.Homes(v, one, 1)[0]
+			for i := range v.Daemons {
+				if v.Daemons[i].ID == home.ID {
+					v.Daemons[i].State = member.Dead
+				}
+			}
+			is.Equal(placer.Homes(v, one, 1)[0], standby)
+		})
+	}
+}
+
 func TestWatchersAreOfDistinctDomains(t *testing.T) {
 	is := is.New(t)
 	seen := make(map[unit.DomainName]bool)
--- a/tarragonshed/carrier/lanes.go
+++ b/tarragonshed/carrier/lanes.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	// failurePause is how long a daemon that could not be reached is tried
 	// last.
 	failurePause = 500 * time.Millisecond
+	dialTimeout  = time.Second
 	// A connection that is silent for pingAfter is asked, and given up after
 	// pingTimeout more.
 	pingAfter   = 500 * time.Millisecond
@@ -95,6 +97,8 @@
 		Protocols:       protocols,
 		TLSClientConfig: s.tls,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, stop := context.WithTimeout(ctx, dialTimeout)
+			defer stop()
 			return s.dial(ctx, network, address)
 		},
 		HTTP2: &http.HTTP2Config{
@@ -192,7 +196,9 @@
 }
 
 // homes returns the homes of the instance in the order in which they are to be
-// tried: this daemon first, those that could not be reached a moment ago last.
+// tried: this daemon first, those that could not be reached a moment ago last. The
+// daemon that would be the next home is among them, to be tried after the others,
+// so that the loss of a home is no gap.
 // Other daemons start at different homes, in proportion to the homes' slots.
 func (l *Lanes) homes(name unit.InstanceName) ([]member.Daemon, unit.DaemonID, error) {
 	now := l.holder.Current()
@@ -203,26 +209,49 @@
 	if !ok {
 		return nil, "", result.New(result.InstanceLeaving, "the manifest has no instance %s", name)
 	}
-	homes := placer.Homes(now.View, i, placer.HomeCount(g, i))
+	count := placer.HomeCount(g, i)
+	homes := placer.Homes(now.View, i, count)
 	if len(homes) == 0 {
 		return nil, "", result.New(result.HomeUnreachable, "no daemon is usable")
 	}
 	// Homes have slots in turn, so the owner of a slot is as likely as it has slots.
 	slot := int(xxhash.Sum64String(string(now.View.Self)+"\x00"+string(name)) % uint64(max(1, i.Slots)))
-	return l.order(homes, now.View.Self, slot%len(homes)), now.View.Self, nil
+	start := slot % len(homes)
+	turned := slices.Concat(homes[start:], homes[:start])
+	ordered := l.order(turned, now.View.Self)
+	if standby, ok := placer.Standby(now.View, i, count); ok {
+		ordered = l.place(ordered, standby)
+	}
+	return ordered, now.View.Self, nil
 }
 
-// order starts at the home with the rank start.
-func (l *Lanes) order(homes []member.Daemon, self unit.DaemonID, start int) []member.Daemon {
+// place puts the standby behind the homes that can be reached, and before those
+// that failed a moment ago.
+func (l *Lanes) place(homes []member.Daemon, standby member.Daemon) []member.Daemon {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	works := 0
+	for works < len(homes) && !l.hasFailed(homes[works].ID) {
+		works++
+	}
+	return slices.Insert(homes, works, standby)
+}
+
+// hasFailed reports whether the daemon failed a moment ago. The lock is held.
+func (l *Lanes) hasFailed(id unit.DaemonID) bool {
+	return time.Since(l.failed[id]) < failurePause
+}
+
+// order puts the daemon first first, and those that failed a moment ago last.
+func (l *Lanes) order(homes []member.Daemon, self unit.DaemonID) []member.Daemon {
 	var first, rest, failed []member.Daemon
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for n := range homes {
-		d := homes[(start+n)%len(homes)]
+	for _, d := range homes {
 		switch {
 		case d.ID == self:
 			first = append(first, d)
-		case time.Since(l.failed[d.ID]) < failurePause:
+		case l.hasFailed(d.ID):
 			failed = append(failed, d)
 		default:
 			rest = append(rest, d)
--- a/tarragonshed/carrier/stream.go
+++ b/tarragonshed/carrier/stream.go
@@ -103,6 +103,10 @@
 		s.lanes.keepWire(kind.Settled.Report)
 	case *peer.CarryResponse_Refused:
 		s.lanes.keepWire(kind.Refused.Report)
+		if result.Code(kind.Refused.Code) == result.ShuttingDown {
+			s.lanes.fail(s.daemon)
+			s.broken.Store(true)
+		}
 	}
 	return response, nil
 }
--- a/tarragonshed/home/control.go
+++ b/tarragonshed/home/control.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -15,7 +17,7 @@
 // The timing of control connections.
 const (
 	retryFirst = 25 * time.Millisecond
-	retryLast  = time.Second
+	retryLast  = 250 * time.Millisecond
 	// askTimeout is how long an instance may take to answer for its status.
 	askTimeout = time.Second
 	// heartbeat is the silence after which a control connection is asked.
@@ -47,12 +49,20 @@
 	heardAt  time.Time
 	asking   bool
 	stop     context.CancelFunc
+	// failing tells that the instance's address could not be reached at the
+	// last try.
+	failing atomic.Bool
 }
 
 // newControl keeps a control connection until ctx ends.
 func newControl(ctx context.Context, e endpoint, receive func(instance.Report), lost func()) *control {
 	e.application = controller.ApplicationName
 	c := &control{endpoint: e, receive: receive, lost: lost}
+	c.endpoint.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := e.dial(ctx, network, address)
+		c.failing.Store(err != nil)
+		return conn, err
+	}
 	go func() {
 		wait := retryFirst
 		for ctx.Err() == nil {
--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -22,7 +22,7 @@
 	openingLimit = 3
 	// refillRate is in connections a second.
 	refillRate  = 50
-	openTimeout = 2 * time.Second
+	openTimeout = time.Second
 )
 
 // gave is the answer to a request for a connection.
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -110,7 +110,7 @@
 	for {
 		report, reachable, next := t.target.last()
 		if !reachable {
-			return nil // The connection or the answer will tell.
+			return t.unreachable()
 		}
 		if !t.isRead() {
 			if report.Role == instance.Primary {
@@ -131,6 +131,15 @@
 	}
 }
 
+// unreachable refuses at once when the instance's address could not be reached at
+// the last try. Otherwise the connection or the answer will tell.
+func (t *transaction) unreachable() *result.Error {
+	if t.target.control.failing.Load() {
+		return result.New(result.InstanceUnreachable, "instance %s can't be reached", t.target.name)
+	}
+	return nil
+}
+
 // covered reports whether reads see what the request asks for. A report that
 // meets the staleness raises the floor: the answer must not be older than it.
 func (t *transaction) covered(r instance.Report) bool {
