home: ask the instances when a wait for a majority gets no report

Cause: a daemon that is asked as a home and ceases to be one (the view changes a few times while daemons start) drops the instance once its transaction is over, but the answer is still withheld. When the control connection had not come about, nothing was known to be lost and nobody asked: the write ended as TS3002 after 30 s. Ruled out: a full connection limit, replicas that do not follow.

Change: a wait older than 250 ms makes the home ask all instances.

--- a/standin/deployer/deployer.go
+++ b/standin/deployer/deployer.go
@@ -88,8 +88,10 @@
 type vm struct {
 	member    member.Daemon
 	listeners [3]string
-	daemon    *daemon.Daemon
-	rec       *recorder.Recorder
+	// reserved are the listeners at these addresses until the first start.
+	reserved []net.Listener
+	daemon   *daemon.Daemon
+	rec      *recorder.Recorder
 }
 
 // Option changes a Deployment under construction.
@@ -288,6 +290,11 @@
 	for _, s := range d.servers {
 		s.Close()
 	}
+	for _, v := range d.daemons {
+		for _, l := range v.reserved {
+			l.Close()
+		}
+	}
 }
 
 func (d *Deployment) running() []*daemon.Daemon {
--- a/standin/deployer/parts.go
+++ b/standin/deployer/parts.go
@@ -159,7 +159,7 @@
 					return err
 				}
 				v.listeners[k] = listener.Addr().String()
-				listener.Close()
+				v.reserved = append(v.reserved, listener)
 			}
 			v.member = member.Daemon{
 				ID: id, Incarnation: 1, Domain: domain.Name, State: member.Live,
@@ -214,14 +214,19 @@
 	if err != nil {
 		return err
 	}
-	started, err := daemon.New(s,
+	options := []daemon.Option{
 		daemon.WithDialer(d.Network.Dialer(shaper.Name(id))),
 		daemon.WithCallerListener(func(l net.Listener) net.Listener {
 			return d.Network.Listener(l, shaper.Name(id), callersNode(v.member.Domain))
 		}),
 		daemon.WithLogger(d.logger.With("daemon", string(id))),
 		daemon.WithRecorder(v.rec),
-	)
+	}
+	if v.reserved != nil {
+		options = append(options, daemon.WithListeners(v.reserved[0], v.reserved[1], v.reserved[2]))
+		v.reserved = nil
+	}
+	started, err := daemon.New(s, options...)
 	if err != nil {
 		return err
 	}
--- a/tarragonshed/daemon/daemon.go
+++ b/tarragonshed/daemon/daemon.go
@@ -58,6 +58,8 @@
 	logger   *log.Logger
 	rec      *recorder.Recorder
 	registry metrics.Registry
+	// given are open listeners for callers, operators and peers.
+	given []net.Listener
 	// dialLanes and dialGossip open connections to other daemons.
 	dialLanes, dialGossip dialer.Func
 	certifiers            []*certifier.Certifier
@@ -88,6 +90,12 @@
 	return func(d *Daemon) { d.accept = wrap }
 }
 
+// WithListeners gives the daemon open listeners instead of the addresses of the
+// settings.
+func WithListeners(callers, operators, peers net.Listener) Option {
+	return func(d *Daemon) { d.given = []net.Listener{callers, operators, peers} }
+}
+
 // WithLogger sets the logger.
 func WithLogger(l *log.Logger) Option { return func(d *Daemon) { d.logger = l } }
 
@@ -117,7 +125,11 @@
 }
 
 func (d *Daemon) start() error {
-	listeners, err := listen(d.settings.Callers.Listen, d.settings.Operator.Listen, d.settings.Peers.Listen)
+	listeners := d.given
+	var err error
+	if listeners == nil {
+		listeners, err = listen(d.settings.Callers.Listen, d.settings.Operator.Listen, d.settings.Peers.Listen)
+	}
 	if err != nil {
 		return err
 	}
--- a/tarragonshed/home/group.go
+++ b/tarragonshed/home/group.go
@@ -19,6 +19,9 @@
 	resolveFirst   = 20 * time.Millisecond
 	resolveLast    = 250 * time.Millisecond
 	resolveTimeout = 500 * time.Millisecond
+	// waitPatience is the age of a wait from which on the instances are asked,
+	// also when no connection for reports is known to be lost.
+	waitPatience = 250 * time.Millisecond
 )
 
 // released is the outcome of a wait for a majority.
@@ -27,6 +30,12 @@
 	err      *result.Error
 }
 
+// wait is a wait for a majority.
+type wait struct {
+	answer chan released
+	since  time.Time
+}
+
 // group is the acknowledger of one group, under one lock.
 type group struct {
 	home *Home
@@ -34,7 +43,7 @@
 
 	mu        sync.Mutex
 	core      *acknowledger.Acknowledger
-	waits     map[acknowledger.WaitID]chan released
+	waits     map[acknowledger.WaitID]wait
 	next      acknowledger.WaitID
 	resolving bool
 	primary   unit.InstanceName
@@ -45,7 +54,7 @@
 	return &group{
 		home: h, name: g.Name,
 		core:  acknowledger.New(len(g.Instances)),
-		waits: make(map[acknowledger.WaitID]chan released),
+		waits: make(map[acknowledger.WaitID]wait),
 	}
 }
 
@@ -70,7 +79,7 @@
 	defer g.mu.Unlock()
 	g.next++
 	id := g.next
-	g.waits[id] = answer
+	g.waits[id] = wait{answer: answer, since: time.Now()}
 	g.apply(g.core.Step(acknowledger.Await{ID: id, Position: s.position, Term: s.term, Wrote: wrote, Deadline: deadline}))
 	return id, answer
 }
@@ -103,8 +112,15 @@
 func (g *group) expire(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.waits) > 0 {
-		g.apply(g.core.Step(acknowledger.Expire{Now: now}))
+	if len(g.waits) == 0 {
+		return
+	}
+	g.apply(g.core.Step(acknowledger.Expire{Now: now}))
+	for _, w := range g.waits {
+		if now.Sub(w.since) > waitPatience {
+			g.resolve()
+			return
+		}
 	}
 }
 
@@ -126,8 +142,8 @@
 }
 
 func (g *group) end(id acknowledger.WaitID, r released) {
-	if answer, ok := g.waits[id]; ok {
-		answer <- r
+	if w, ok := g.waits[id]; ok {
+		w.answer <- r
 		delete(g.waits, id)
 	}
 }
