--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -17,13 +17,8 @@
 	"tarragonshed.example/wire/peer"
 )
 
-const (
-	// cancelGrace is how long an instance may take to end a statement that is
-	// cancelled at its deadline.
-	cancelGrace = 5 * time.Second
-	// promptRetries is the number of retries without a delay.
-	promptRetries = 2
-)
+// promptRetries is the number of retries without a delay.
+const promptRetries = 2
 
 // execute runs a batch and queues the end of its answer.
 func (s *session) execute(b *batch) {
@@ -83,6 +78,8 @@
 	// overtaken tells that the batch was cancelled because another instance
 	// has become the primary.
 	overtaken atomic.Bool
+	// waited is how long replicas have let the read wait in vain.
+	waited time.Duration
 	// uncertain is the error of a read that may have run on a primary. It can
 	// only be repeated by an instance that writes nothing.
 	uncertain error
@@ -149,7 +146,7 @@
 	request := router.Request{
 		Write:        !r.plan.read,
 		MaxStaleness: r.plan.staleness,
-		WaitLimit:    r.entry.limits.ReplicaWait,
+		WaitLimit:    max(0, r.entry.limits.ReplicaWait-r.waited),
 	}
 	if r.plan.read {
 		floor, err := r.floor()
@@ -244,6 +241,10 @@
 		out.err = result.New(result.NotPrimary, "instance %s is no longer the primary", use.Instance)
 		out.settled = nil
 	}
+	if !use.Primary {
+		r.group.learnWait(use.Instance, out.err)
+		r.waited += time.Since(sent)
+	}
 	r.conclude(lane, use, out)
 	return out
 }
@@ -260,7 +261,6 @@
 }
 
 func (r *run) send(lane carrier.Lane, request *peer.CarryRequest) outcome {
-	defer r.watch(lane)()
 	defer r.supervise(lane)()
 	if err := r.transmit(lane, request); err != nil {
 		return outcome{err: laneError(err), broken: true}
@@ -277,18 +277,6 @@
 	return result.New(result.HomeLost, "the lane to the home broke: %v", err)
 }
 
-// watch cancels what runs on the lane at the deadline.
-func (r *run) watch(lane carrier.Lane) (end func()) {
-	cancel := time.AfterFunc(time.Until(r.deadline), func() {
-		r.transmit(lane, &peer.CarryRequest{Kind: &peer.CarryRequest_Cancel{Cancel: &peer.Cancel{}}})
-	})
-	abandon := time.AfterFunc(time.Until(r.deadline)+cancelGrace, lane.Close)
-	return func() {
-		cancel.Stop()
-		abandon.Stop()
-	}
-}
-
 func (r *run) open(use router.Use) *peer.Open {
 	r.requests++
 	open := &peer.Open{
--- a/tarragonshed/home/group.go
+++ b/tarragonshed/home/group.go
@@ -22,6 +22,8 @@
 	// waitPatience is the age of a wait from which on the instances are asked,
 	// also when no connection for reports is known to be lost.
 	waitPatience = 250 * time.Millisecond
+	// recordInterval is how often an acknowledged write is recorded.
+	recordInterval = 20 * time.Millisecond
 )
 
 // released is the outcome of a wait for a majority.
@@ -48,6 +50,9 @@
 	resolving bool
 	primary   unit.InstanceName
 	term      unit.Term
+	// recorded is the latest acknowledged write that an event tells of.
+	recorded   unit.Position
+	recordedAt time.Time
 }
 
 func newGroup(h *Home, g manifest.Group) *group {
@@ -84,6 +89,21 @@
 	return id, answer
 }
 
+// acknowledged records that a write was acknowledged: the first one of a term,
+// and one each recordInterval.
+func (g *group) acknowledged(name unit.InstanceName, p unit.Position) {
+	g.mu.Lock()
+	now := time.Now()
+	due := p.Term != g.recorded.Term || now.Sub(g.recordedAt) >= recordInterval
+	if due {
+		g.recorded, g.recordedAt = p, now
+	}
+	g.mu.Unlock()
+	if due {
+		g.home.recorder.Record(recorder.Event{Kind: recorder.WriteAcknowledged, Group: g.name, Instance: name, Term: p.Term, Position: p})
+	}
+}
+
 // abandon ends a wait that nobody needs any more.
 func (g *group) abandon(id acknowledger.WaitID) {
 	g.mu.Lock()
