--- a/tarragonshed/daemon/daemon.go
+++ b/tarragonshed/daemon/daemon.go
@@ -58,6 +58,10 @@
 	logger   *log.Logger
 	rec      *recorder.Recorder
 	registry metrics.Registry
+	// callerOptions are options of the callers' side.
+	callerOptions []entry.Option
+	// given are open listeners for callers, operators and peers.
+	given []net.Listener
 	// dialLanes and dialGossip open connections to other daemons.
 	dialLanes, dialGossip dialer.Func
 	certifiers            []*certifier.Certifier
@@ -88,12 +92,23 @@
 	return func(d *Daemon) { d.accept = wrap }
 }
 
+// WithListeners gives the daemon open listeners instead of the addresses of the
+// settings.
+func WithListeners(callers, operators, peers net.Listener) Option {
+	return func(d *Daemon) { d.given = []net.Listener{callers, operators, peers} }
+}
+
 // WithLogger sets the logger.
 func WithLogger(l *log.Logger) Option { return func(d *Daemon) { d.logger = l } }
 
 // WithRecorder sets the recorder of the daemon's events.
 func WithRecorder(r *recorder.Recorder) Option { return func(d *Daemon) { d.rec = r } }
 
+// WithEntry adds options of the callers' side.
+func WithEntry(options ...entry.Option) Option {
+	return func(d *Daemon) { d.callerOptions = append(d.callerOptions, options...) }
+}
+
 // New starts a daemon. It serves callers once it has a manifest in force.
 func New(s settings.Settings, options ...Option) (*Daemon, error) {
 	d := &Daemon{
@@ -117,7 +132,11 @@
 }
 
 func (d *Daemon) start() error {
-	listeners, err := listen(d.settings.Callers.Listen, d.settings.Operator.Listen, d.settings.Peers.Listen)
+	listeners := d.given
+	var err error
+	if listeners == nil {
+		listeners, err = listen(d.settings.Callers.Listen, d.settings.Operator.Listen, d.settings.Peers.Listen)
+	}
 	if err != nil {
 		return err
 	}
@@ -198,7 +217,7 @@
 }
 
 func (d *Daemon) entryOptions() []entry.Option {
-	return []entry.Option{
+	return append([]entry.Option{
 		entry.WithLogger(d.logger),
 		entry.WithRecorder(d.rec),
 		entry.WithMetrics(d.registry),
@@ -209,7 +228,7 @@
 			StartupTimeout:   d.settings.Callers.StartupTimeout,
 			StatementTimeout: d.settings.Callers.StatementTimeout,
 		}),
-	}
+	}, d.callerOptions...)
 }
 
 // peerHandler serves the other daemons.
