--- a/tarragonshed/home/relay.go
+++ b/tarragonshed/home/relay.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"context"
 	"sync/atomic"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -42,16 +43,10 @@
 	class peer.Class
 	// floor is what the answer's own position must reach.
 	floor unit.Position
-	// safe reports whether a read on an instance that has no record of its
-	// current term yet is known to be of confirmed records.
-	safe func(unit.Position) bool
-	// copied reports whether what a read saw is known to be on a majority or to be
-	// a replica's copy.
-	copied func(seen) bool
-	// confirm waits until a majority holds what was seen.
-	confirm func(seen) *result.Error
-	send    func(*peer.CarryResponse) error
-	events  chan event
+	// transaction is asked for what does not change while answers come.
+	transaction *transaction
+	ctx         context.Context
+	events      chan event
 
 	// keepTag asks for the last command tag.
 	keepTag bool
@@ -113,11 +108,11 @@
 		r.drop(result.New(result.InstanceBehind, "the answer is of %v and had to be of %v", s.position, r.floor))
 		return
 	}
-	if s.term != s.position.Term && !r.safe(s.position) {
+	if s.term != s.position.Term && !r.transaction.target.isSafe(s.position) {
 		r.drop(result.New(result.InstanceBehind, "the instance has no record of its term %d yet", s.term))
 		return
 	}
-	r.doubtful = !r.copied(s)
+	r.doubtful = !r.transaction.target.isCopied(s)
 }
 
 func (r *relay) drop(err *result.Error) {
@@ -134,7 +129,7 @@
 		return
 	}
 	if r.class != peer.Class_CLASS_READ || r.doubtful {
-		if err := r.confirm(r.latest); err != nil {
+		if err := r.transaction.confirmRead(r.ctx, r.latest); err != nil {
 			r.drop(err)
 			return
 		}
@@ -143,7 +138,7 @@
 	messages := r.buffer
 	r.buffer = nil
 	// A failed send means a lost lane, which ends the transaction elsewhere.
-	_ = r.send(&peer.CarryResponse{Kind: &peer.CarryResponse_Answer{Answer: &peer.Answer{Messages: messages}}})
+	_ = r.transaction.lane.send(&peer.CarryResponse{Kind: &peer.CarryResponse_Answer{Answer: &peer.Answer{Messages: messages}}})
 }
 
 func (r *relay) settle(status byte) {
