--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -15,6 +15,9 @@
 const (
 	serverVersion      = "17.0"
 	controlApplication = "tarragon-control"
+	// The setting is in milliseconds; zero means no limit.
+	idleTimeoutSetting = "idle_in_transaction_session_timeout"
+	defaultIdleTimeout = "5000"
 )
 
 // connection is a connection that stands still while the target is paused and
@@ -121,7 +124,7 @@
 	s := &session{
 		target: t, backend: backend, life: ctx, types: pgtype.NewMap(), settings: startSettings(startup), initial: startSettings(startup),
 		control:  startup.Parameters["application_name"] == controlApplication,
-		prepared: map[string]*prepared{}, portals: map[string]*portal{},
+		prepared: map[string]*prepared{}, portals: map[string]*portal{}, hangUp: conn.reset,
 	}
 	if !t.enter(s) {
 		backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: "53300", Message: "sorry, too many clients already"})
@@ -181,6 +184,7 @@
 		"server_version": serverVersion, "server_encoding": "UTF8", "client_encoding": "UTF8",
 		"datestyle": "ISO, MDY", "timezone": "UTC", "integer_datetimes": "on", "intervalstyle": "postgres",
 		"standard_conforming_strings": "on", "application_name": "", "default_transaction_read_only": "off",
+		idleTimeoutSetting:      defaultIdleTimeout,
 		"transaction_isolation": "read committed", "default_transaction_isolation": "read committed",
 	}
 	for name, value := range startup.Parameters {
--- a/standin/target/session.go
+++ b/standin/target/session.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jackc/pgx/v5/pgtype"
@@ -41,6 +44,14 @@
 	notifies bool
 	// owed tells that a notification waits for the transaction's end.
 	owed bool
+	// idle tells that no batch is under way.
+	idle bool
+	// batches counts the batches that are complete.
+	batches uint64
+	// idleTimer ends the session when it has been idle in a transaction too long.
+	idleTimer *time.Timer
+	// hangUp closes the connection.
+	hangUp func()
 
 	cancelMu sync.Mutex
 	cancel   context.CancelFunc
@@ -62,6 +73,7 @@
 		if !held {
 			s.mu.Lock()
 			held = true
+			s.idle = false
 		}
 		ready, err := s.handle(msg)
 		if err != nil {
@@ -71,6 +83,8 @@
 			if s.ready() != nil {
 				return
 			}
+			s.limitIdle()
+			s.idle = true
 			s.mu.Unlock()
 			held = false
 		}
@@ -123,6 +137,30 @@
 	return s.backend.Flush()
 }
 
+// limitIdle ends the session if it stays idle in a transaction for
+// idle_in_transaction_session_timeout: its caller may be gone without a trace. The
+// lock is held.
+func (s *session) limitIdle() {
+	s.batches++
+	if s.idleTimer != nil {
+		s.idleTimer.Stop()
+	}
+	limit, err := strconv.Atoi(strings.TrimSuffix(s.settings[idleTimeoutSetting], "ms"))
+	if err != nil || limit <= 0 || !s.tx.explicit {
+		return
+	}
+	batch := s.batches
+	s.idleTimer = time.AfterFunc(time.Duration(limit)*time.Millisecond, func() {
+		s.target.gate.pass(s.life)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.batches == batch && s.idle {
+			s.releaseTransaction()
+			s.hangUp()
+		}
+	})
+}
+
 // query carries out a simple Query.
 func (s *session) query(sql string) {
 	list := split(sql)
@@ -187,6 +225,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listens = false
+	if s.idleTimer != nil {
+		s.idleTimer.Stop()
+	}
 	s.releaseTransaction()
 }
 
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -359,3 +359,20 @@
 	g[1].SetApplyLag(0)
 	eventually(t, "applied", applied(g[1], unit.Position{Term: 1, Index: 3}))
 }
+
+func TestIdleTransactionsEnd(t *testing.T) {
+	is := is.New(t)
+	g := group(t)
+	writer := connect(t, g[0], "")
+	exec(t, writer, "CREATE TABLE t (k bigint)")
+	gone := connect(t, g[0], "")
+	exec(t, gone, "SET idle_in_transaction_session_timeout = 50")
+	exec(t, gone, "BEGIN")
+	exec(t, gone, "INSERT INTO t VALUES (1)")
+	g[0].Silence()
+	writer = connect(t, g[0], "")
+	exec(t, writer, "INSERT INTO t VALUES (2)") // Waits for the transaction that is open.
+	var n int
+	is.NoErr(writer.QueryRow(t.Context(), "SELECT count(*) FROM t").Scan(&n))
+	is.Equal(n, 1)
+}
