--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
+	"strings"
 	"time"
 
 	"tarragonshed.example/instance"
@@ -208,11 +210,7 @@
 			continue
 		}
 		if err := c.adjust(ctx, t.settings()); err != nil {
-			if c.isClosed() {
-				return result.New(result.InstanceUnreachable, "instance %s: %v", t.target.name, err)
-			}
-			t.target.put(c)
-			return result.New(result.MalformedOption, "instance %s refused the session's settings: %v", t.target.name, err)
+			return t.settingsError(c, err)
 		}
 		t.conn = c
 		t.relay = newRelay(ctx, t)
@@ -240,6 +238,30 @@
 	return settings
 }
 
+// settingsError gives the connection back or closes it, and tells whether the session's settings
+// are to blame. They are not when the connection was lost, or when a late cancel
+// request of an earlier statement hit.
+func (t *transaction) settingsError(c *conn, err error) *result.Error {
+	var failure *queryError
+	if !c.isClosed() && errors.As(err, &failure) && refusesSetting(failure.code) {
+		t.target.put(c)
+		return result.New(result.MalformedOption, "instance %s refused the session's settings: %v", t.target.name, err)
+	}
+	c.close()
+	return result.New(result.InstanceUnreachable, "instance %s: %v", t.target.name, err)
+}
+
+// refusesSetting reports whether an SQLSTATE is of the classes of invalid values,
+// unknown names, insufficient rights and unsupported features.
+func refusesSetting(code string) bool {
+	for _, class := range []string{"22", "42", "0A", "55"} {
+		if strings.HasPrefix(code, class) {
+			return true
+		}
+	}
+	return false
+}
+
 // take waits for a connection.
 func (t *transaction) take(ctx context.Context) (c *conn, check bool, err *result.Error) {
 	if g, ok := t.target.tryTake(); ok {
