--- a/tarragonbench/main.go
+++ b/tarragonbench/main.go
@@ -53,6 +53,7 @@
 		output,
 		&cli.IntFlag{Name: "runs", Usage: "runs for each deployment, instead of the experiment's"},
 		&cli.Uint64Flag{Name: "seed", Usage: "first seed, instead of the experiment's"},
+		&cli.StringFlag{Name: "commit", Usage: "`REVISION` under test, if the program does not know it"},
 		&cli.StringSliceFlag{Name: "set", Usage: "`KEY=VALUE` of the experiment to change"},
 	}
 	return &cli.Command{
@@ -143,6 +144,9 @@
 	if err != nil {
 		return false, err
 	}
+	if result.Commit == "" {
+		result.Commit = c.String("commit")
+	}
 	if err := result.WriteTable(c.Root().Writer); err != nil {
 		return false, err
 	}
