home: give up answers of an instance that can't be reached

A statement on a primary that was cut off waited until the cut healed or until its deadline, with its caller. Now the control connection is asked after 200 ms of silence while answers are owed; when it is lost, the group's other instances are asked, and a primary of a later term ends the wait with connection-lost, so that reads are repeated elsewhere and keys claimed. Without a new primary it ends after the suspicion time and a failed fresh connection.

A request that met a target which was just being closed could wait until its deadline for a connection that nobody opened: it is refused at once, and a target is closed after a second without use. TestWriteOutlivesHome waits for the first home's connections before it counts them, because the closing now takes longer than the first home takes to open its warm ones.

--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -27,7 +27,8 @@
 // asks the instance. If the instance answers and knows of nothing that runs on
 // the suspect, the suspect is closed, and so are idle connections that have not
 // been used since its silence began: what lost track of the suspect may
-// have lost track of them. If the statement still runs, nothing is closed.
+// have lost track of them. If the statement still runs, nothing is closed. If the
+// instance can't be reached at all, the suspect alone is closed.
 //
 // # Usage
 //
@@ -147,6 +148,8 @@
 	Silent time.Time
 	// Answered tells that the instance answered the fresh connection.
 	Answered bool
+	// Lost tells that the control connection to the instance is lost, too.
+	Lost bool
 	// Runs tells that the instance knows of a statement that runs on the
 	// suspect.
 	Runs bool
@@ -376,6 +379,10 @@
 
 func (p *Pooler) probed(e Probed) []Effect {
 	delete(p.probing, e.Conn)
+	if !e.Answered && e.Lost && p.used[e.Conn] {
+		delete(p.used, e.Conn)
+		return []Effect{Close{Conn: e.Conn}}
+	}
 	if !e.Answered || e.Runs || !p.used[e.Conn] {
 		return nil
 	}
--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -80,6 +80,11 @@
 		unanswered.Answered = false
 		expect(t, setUp(t), unanswered)
 	})
+	t.Run("closes the suspect alone when the instance can't be reached", func(t *testing.T) {
+		lost := probed
+		lost.Answered, lost.Lost = false, true
+		expect(t, setUp(t), lost, pooler.Close{Conn: 3})
+	})
 }
 
 func TestRefillIsBounded(t *testing.T) {
--- a/tarragonshed/home/control.go
+++ b/tarragonshed/home/control.go
@@ -19,9 +19,11 @@
 	retryFirst = 25 * time.Millisecond
 	retryLast  = 250 * time.Millisecond
 	// askTimeout is how long an instance may take to answer for its status.
-	askTimeout = time.Second
-	// heartbeat is the silence after which a control connection is asked.
-	heartbeat = time.Second
+	askTimeout = 500 * time.Millisecond
+	// heartbeat is the silence after which a control connection is asked,
+	// busyHeartbeat the one while data connections owe answers for as long.
+	heartbeat     = time.Second
+	busyHeartbeat = 200 * time.Millisecond
 )
 
 const (
@@ -85,7 +87,7 @@
 func (c *control) connect(ctx context.Context) (heard bool) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	dialing, done := context.WithTimeout(ctx, askTimeout)
+	dialing, done := context.WithTimeout(ctx, openTimeout)
 	hijacked, err := c.endpoint.connect(dialing)
 	done()
 	if err != nil {
@@ -205,9 +207,13 @@
 }
 
 // check ends a connection that does not answer and asks one that is silent.
-func (c *control) check(now time.Time) {
+func (c *control) check(now time.Time, busy bool) {
+	limit := heartbeat
+	if busy {
+		limit = busyHeartbeat
+	}
 	c.mu.Lock()
-	silent := c.send != nil && !c.asking && now.Sub(c.heardAt) > heartbeat
+	silent := c.send != nil && !c.asking && now.Sub(c.heardAt) > limit
 	if c.asking && c.stop != nil && now.Sub(c.sentAt) > askTimeout && now.Sub(c.heardAt) > askTimeout {
 		c.stop()
 	}
--- a/tarragonshed/home/failure_test.go
+++ b/tarragonshed/home/failure_test.go
@@ -278,3 +278,22 @@
 	is.Equal(query(t, l, nil, "COMMIT").status, byte('I'))
 	eventually(t, func() bool { return r.a.Connections() == 0 })
 }
+
+// TestForsakenPrimary pauses the primary under a statement: once another one
+// leads, its caller is told that the outcome is unknown.
+func TestForsakenPrimary(t *testing.T) {
+	is := is.New(t)
+	r := newRigWith(t, []home.Option{home.WithSuspicion(time.Hour)})
+	r.table(t)
+	l := r.home.Open()
+	defer l.Close()
+	is.Equal(query(t, l, write("a"), "SELECT 1").text, "T 1 SELECT 1;")
+	r.a.Pause()
+	defer r.a.Resume()
+	o := write("a")
+	o.TimeoutMicroseconds = 60e6
+	begin(t, l, o)
+	send(t, l, simple("INSERT INTO batches VALUES (1, 'one')"))
+	r.promote(t, 2, r.b, r.c)
+	is.Equal(receive(t, l).refused, result.ConnectionLost)
+}
--- a/tarragonshed/home/group.go
+++ b/tarragonshed/home/group.go
@@ -50,6 +50,8 @@
 	resolving bool
 	primary   unit.InstanceName
 	term      unit.Term
+	// stranded are the instances that can't be reached and owe answers.
+	stranded map[unit.InstanceName]bool
 	// recorded is the latest acknowledged write that an event tells of.
 	recorded   unit.Position
 	recordedAt time.Time
@@ -58,11 +60,35 @@
 func newGroup(h *Home, g manifest.Group) *group {
 	return &group{
 		home: h, name: g.Name,
-		core:  acknowledger.New(len(g.Instances)),
-		waits: make(map[acknowledger.WaitID]wait),
+		core:     acknowledger.New(len(g.Instances)),
+		waits:    make(map[acknowledger.WaitID]wait),
+		stranded: make(map[unit.InstanceName]bool),
 	}
 }
 
+// strand notes whether the target can't be reached and owes answers. If so, the
+// group's other instances are asked for a new primary; once there is one, the
+// answers are given up.
+func (g *group) strand(t *target, stranded bool) {
+	report, _, _ := t.last()
+	g.mu.Lock()
+	over := stranded && g.term > report.Term && g.primary != t.name
+	if stranded && !over {
+		g.stranded[t.name] = true
+		g.resolve()
+	} else {
+		delete(g.stranded, t.name)
+	}
+	g.mu.Unlock()
+	if over {
+		t.forsake()
+	}
+}
+
+// idle reports whether nobody needs the reports of other instances. The lock is
+// held.
+func (g *group) idle() bool { return len(g.waits) == 0 && len(g.stranded) == 0 }
+
 // known returns the primary as far as reports have told.
 func (g *group) known() unit.InstanceName {
 	g.mu.Lock()
@@ -168,9 +194,10 @@
 	}
 }
 
-// resolve asks the group's instances until no wait is left. The lock is held.
+// resolve asks the group's instances until nobody needs their reports any more.
+// The lock is held.
 func (g *group) resolve() {
-	if g.resolving || len(g.waits) == 0 {
+	if g.resolving || g.idle() {
 		return
 	}
 	g.resolving = true
@@ -192,7 +219,7 @@
 func (g *group) resolved() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.resolving = len(g.waits) > 0
+	g.resolving = !g.idle()
 	return !g.resolving
 }
 
--- a/tarragonshed/home/silence.go
+++ b/tarragonshed/home/silence.go
@@ -27,13 +27,30 @@
 // suspect looks for connections that owe an answer for long.
 func (t *target) suspect(now time.Time) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	busy := false
 	for id, c := range t.conns {
 		since, owes := c.waits()
+		busy = busy || owes && now.Sub(since) > busyHeartbeat
 		if owes && now.Sub(since) > t.home.suspicion {
 			t.apply(t.pool.Step(pooler.Suspect{Conn: id, Silent: since}))
 		}
 	}
+	stranded := busy && !t.reachable
+	t.mu.Unlock()
+	t.control.check(now, busy)
+	t.group.strand(t, stranded)
+}
+
+// forsake closes the connections that owe an answer: the instance can't be
+// reached and its term is over, so no answer could be given to the callers.
+func (t *target) forsake() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.conns {
+		if _, owes := c.waits(); owes {
+			c.close()
+		}
+	}
 }
 
 // probe asks the instance about a suspect by a fresh connection.
@@ -41,7 +58,7 @@
 	answered, runs := t.ask(p.Conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	effects := t.pool.Step(pooler.Probed{Conn: p.Conn, Silent: p.Silent, Answered: answered, Runs: runs})
+	effects := t.pool.Step(pooler.Probed{Conn: p.Conn, Silent: p.Silent, Answered: answered, Lost: !t.reachable, Runs: runs})
 	if len(effects) > 0 {
 		t.home.recorder.Record(recorder.Event{Kind: recorder.ConnectionSilent, Group: t.group.name, Instance: t.name})
 	}
--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -23,6 +23,8 @@
 	// refillRate is in connections a second.
 	refillRate  = 50
 	openTimeout = time.Second
+	// keepUnused is how long a daemon that is no home keeps its connections.
+	keepUnused = time.Second
 )
 
 // gave is the answer to a request for a connection.
@@ -49,6 +51,7 @@
 	gives    map[pooler.Ticket]chan gave
 	next     uint64
 	stopped  bool
+	used     time.Time // When a slot was last asked for.
 
 	report    instance.Report
 	reported  chan struct{} // Closed at the next report.
@@ -113,7 +116,6 @@
 
 // tick lets time pass.
 func (t *target) tick(now time.Time) {
-	t.control.check(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.stopped && (t.reachable || t.pool.Waiting() > 0) {
@@ -181,6 +183,10 @@
 	defer t.mu.Unlock()
 	t.next++
 	id := limiter.ID(t.next)
+	if t.stopped {
+		answer <- t.givenUp()
+		return id, answer
+	}
 	t.admits[id] = answer
 	t.limit(t.limiter.Step(limiter.Request{ID: id, Caller: caller, Priority: p, Now: time.Now(), Deadline: deadline}))
 	return id, answer
@@ -190,7 +196,8 @@
 func (t *target) tryAdmit(p limiter.Priority) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.Try(p)
+	t.used = time.Now()
+	return !t.stopped && t.limiter.Try(p)
 }
 
 // tryTake is take for a connection that is idle.
@@ -204,6 +211,11 @@
 	return gave{conn: t.conns[give.Conn], check: give.Check}, ok
 }
 
+// givenUp is the error of requests that find the target closed.
+func (t *target) givenUp() *result.Error {
+	return result.New(result.HomeUnreachable, "the daemon is no home of instance %s any more", t.name)
+}
+
 // withdraw takes a request for a slot back. It reports whether the request was
 // still waiting.
 func (t *target) withdraw(id limiter.ID) bool {
@@ -262,6 +274,10 @@
 	defer t.mu.Unlock()
 	t.next++
 	ticket := pooler.Ticket(t.next)
+	if t.stopped {
+		answer <- gave{err: t.givenUp()}
+		return ticket, answer
+	}
 	t.gives[ticket] = answer
 	t.apply(t.pool.Step(pooler.Take{Ticket: ticket, Now: time.Now()}))
 	return ticket, answer
@@ -312,7 +328,7 @@
 
 func (t *target) give(g pooler.Give) gave {
 	if t.stopped {
-		return gave{err: result.New(result.ShuttingDown, "the daemon gives instance %s up", t.name)}
+		return gave{err: t.givenUp()}
 	}
 	return gave{conn: t.conns[g.Conn], check: g.Check}
 }
@@ -358,9 +374,9 @@
 	}
 }
 
-// unused reports whether no transaction is open.
+// unused reports whether no transaction has been open for a while.
 func (t *target) unused() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limiter.Open() == 0 && t.limiter.Queued() == 0
+	return t.limiter.Open() == 0 && t.limiter.Queued() == 0 && time.Since(t.used) > keepUnused
 }
--- a/tarragonshed/home/unheard_test.go
+++ b/tarragonshed/home/unheard_test.go
@@ -48,6 +48,7 @@
 	held.AdoptManifest(r.manifest(1))
 	second := home.New(held, home.WithDialer(dial))
 	t.Cleanup(second.Close)
+	eventually(t, func() bool { return r.a.Connections() == 5 }) // The first home's control and warm ones.
 	r.b.Pause()
 	r.c.Pause()
 	connections, last := r.a.Connections(), r.a.Report().Last.Index
