--- a/tarragonshed/home/relay.go
+++ b/tarragonshed/home/relay.go
@@ -22,6 +22,8 @@
 	status   byte
 	seen     seen
 	wrote    bool
+	// doubtful tells that a read may have seen what no majority holds.
+	doubtful bool
 	tag      string
 }
 
@@ -56,6 +58,9 @@
 	latest seen
 	// fresh tells that latest came with the message before this one.
 	fresh bool
+	// doubtful tells that a read may have seen what no majority holds: the
+	// instance may be a primary that has been replaced.
+	doubtful bool
 	// answered tells that a part of an answer has been sent.
 	answered atomic.Bool
 	dropping atomic.Bool
@@ -105,7 +110,9 @@
 	}
 	if s.term != s.position.Term && !r.transaction.target.isSafe(s.position) {
 		r.drop(result.New(result.InstanceBehind, "the instance has no record of its term %d yet", s.term))
+		return
 	}
+	r.doubtful = !r.transaction.target.isCopied(s)
 }
 
 func (r *relay) drop(err *result.Error) {
@@ -121,7 +128,7 @@
 	if len(r.buffer) == 0 {
 		return
 	}
-	if r.class != peer.Class_CLASS_READ {
+	if r.class != peer.Class_CLASS_READ || r.doubtful {
 		if err := r.transaction.confirmRead(r.ctx, r.latest); err != nil {
 			r.drop(err)
 			return
@@ -139,7 +146,7 @@
 	r.buffer = nil
 	wrote := r.fresh
 	r.fresh = false
-	r.events <- settlement{messages: messages, status: status, seen: r.latest, wrote: wrote, tag: r.tag}
+	r.events <- settlement{messages: messages, status: status, seen: r.latest, wrote: wrote, doubtful: r.doubtful, tag: r.tag}
 }
 
 func (r *relay) lost(err error) {
