--- a/tarragonbench/experimenter/page.go
+++ b/tarragonbench/experimenter/page.go
@@ -10,8 +10,8 @@
 
 // The measures of a plot, in pixels.
 const (
-	plotWidth  = 720
-	plotLeft   = 210
+	plotWidth  = 820
+	plotLeft   = 320
 	plotRow    = 26
 	plotBottom = 28
 )
@@ -132,12 +132,12 @@
 </style></head><body>
 <h1>tarragonbench report</h1>
 {{range .Plots}}<h2>{{.Title}}</h2>
-<svg width="{{.Width}}" height="{{.Height}}" viewBox="0 0 1100 {{.Height}}" style="width:100%;height:auto" role="img">
+<svg width="{{.Width}}" height="{{.Height}}" viewBox="0 0 1160 {{.Height}}" style="width:100%;height:auto" role="img">
 {{$h := .Height}}{{range .Ticks}}<line x1="{{.X}}" x2="{{.X}}" y1="0" y2="{{$h}}" stroke="#dbe3ec"/><text x="{{.X}}" y="{{$h}}" dy="-6" text-anchor="middle">{{.Label}}</text>{{end}}
 {{range .Strips}}<text x="0" y="{{.Y}}" dy="4">{{.Label}}</text>
 {{range .Marks}}<circle cx="{{.X}}" cy="{{.Y}}" r="3" fill="#2b6cb0" fill-opacity=".45"/>{{end}}
 <rect x="{{.Median}}" y="{{.Y}}" width="2" height="16" transform="translate(-1,-8)" fill="#c05621"/>
-<text x="735" y="{{.Y}}" dy="4">{{.Text}}</text>{{end}}
+<text x="835" y="{{.Y}}" dy="4">{{.Text}}</text>{{end}}
 </svg>{{end}}
 {{range .Results}}<h2>{{.Experiment.Name}}</h2><p>{{.Experiment.About}}</p>
 <p>Commit {{.Commit}}, begun {{.Began.Format "2006-01-02 15:04:05"}} UTC; {{.Experiment.Daemons}} daemons in each failure domain, {{.Experiment.Groups}} groups under load, {{.Experiment.Homes}} homes.</p>
--- a/tarragonbench/historian/check.go
+++ b/tarragonbench/historian/check.go
@@ -61,6 +61,8 @@
 	Operations map[Kind]map[Outcome]int `json:"operations"`
 	// Codes counts the operations that are not done by code.
 	Codes map[string]int `json:"codes"`
+	// Details holds the first detail of each code.
+	Details map[string]string `json:"details"`
 }
 
 // Passed reports whether everything was decided and nothing violated.
@@ -76,7 +78,7 @@
 
 // Check checks the history after Settle.
 func (h *History) Check() Verdict {
-	verdict := Verdict{Operations: map[Kind]map[Outcome]int{}, Codes: map[string]int{}}
+	verdict := Verdict{Operations: map[Kind]map[Outcome]int{}, Codes: map[string]int{}, Details: map[string]string{}}
 	byGroup := map[unit.GroupName][]Operation{}
 	for _, o := range h.Operations() {
 		byGroup[o.Group] = append(byGroup[o.Group], o)
@@ -86,6 +88,9 @@
 		verdict.Operations[o.Kind][o.Outcome]++
 		if o.Outcome != Done {
 			verdict.Codes[o.Code]++
+			if verdict.Details[o.Code] == "" {
+				verdict.Details[o.Code] = o.String()
+			}
 		}
 	}
 	h.mu.Lock()
