prober: let a daemon's own messages count in the view

A daemon that came back from isolation spread its claims that the others are dead, and each healthy daemon showed others as dead until they had refuted that. The view now shows a daemon as usable for 2 s after its own last message.

--- a/prober/entry.go
+++ b/prober/entry.go
@@ -107,6 +107,11 @@
 	return e == f
 }
 
+// shows reports whether e and f look the same in a view, but for the state.
+func (e Entry) shows(f Entry) bool {
+	return e.Daemon == f.Daemon
+}
+
 // Buckets is the number of parts of a [Digest].
 const Buckets = 16
 
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -17,6 +17,13 @@
 // none of them reaches it. A suspicion that is not refuted in time ends in death. When the
 // daemon itself was paused, it gives up what it waited for and suspects nobody for that.
 //
+// # What the view shows
+//
+// A daemon that rejoins after it was cut off spreads suspicions and deaths of daemons
+// that it could not reach. They are refuted within a message or two, but must not move
+// work in the meantime. The view therefore goes on showing a daemon as usable for
+// [ContactTrust] after a message of its own.
+//
 // # Spreading
 //
 // Each message carries a few changed entries, each a bounded number of times. Exchanges
@@ -63,6 +70,9 @@
 	// SuspicionTime is the time for refutation among ten daemons. It grows with the
 	// logarithm of their number.
 	SuspicionTime = 3 * time.Second
+	// ContactTrust is the time for which a daemon's own message counts for more than
+	// what others say of it.
+	ContactTrust = 2 * time.Second
 	// ForgetTime is the time after which a dead daemon is forgotten.
 	ForgetTime = 10 * time.Minute
 	// pauseGap is the time between two ticks that tells of a pause of this daemon.
@@ -160,6 +170,10 @@
 	Entry
 	suspectSince time.Time
 	deadSince    time.Time
+	// heardAt is when the daemon itself was last heard of.
+	heardAt time.Time
+	// state is what the view shows.
+	state member.State
 	// transmissions counts how often the entry has been sent since it changed.
 	transmissions int
 }
@@ -194,7 +208,7 @@
 // New returns the Prober of the daemon self, which starts now.
 func New(self member.Daemon, now time.Time, rng *rand.Rand) *Prober {
 	entry := Entry{Daemon: self, Leaving: self.State == member.Leaving}
-	k := &known{Entry: entry}
+	k := &known{Entry: entry, state: entry.Member().State}
 	return &Prober{
 		rng: rng, self: k, entries: map[unit.DaemonID]*known{self.ID: k},
 		pending: make(map[uint64]pending), listed: make(map[unit.DaemonID]unit.Incarnation),
@@ -238,6 +252,7 @@
 func (p *Prober) received(e Received) {
 	if e.Sender.Valid() {
 		p.merge(e.Now, e.Sender)
+		p.contact(e.Now, e.Sender)
 	}
 	for _, entry := range e.Entries {
 		if entry.Valid() {
@@ -246,6 +261,26 @@
 	}
 }
 
+// contact notes a message of a daemon itself.
+func (p *Prober) contact(now time.Time, sender Entry) {
+	if k, ok := p.entries[sender.ID]; ok && k.Incarnation == sender.Incarnation {
+		k.heardAt = now
+		p.show(now, k)
+	}
+}
+
+// show settles what the view shows of a daemon.
+func (p *Prober) show(now time.Time, k *known) {
+	shown := k.Entry
+	if k != p.self && now.Sub(k.heardAt) < ContactTrust {
+		shown.Status = Live
+	}
+	if state := shown.Member().State; state != k.state {
+		k.state = state
+		p.changed = true
+	}
+}
+
 // merge merges one entry into what is known.
 func (p *Prober) merge(now time.Time, heard Entry) {
 	k, ok := p.entries[heard.ID]
@@ -262,7 +297,11 @@
 	if k.Entry == before {
 		return
 	}
-	p.changed = true
+	if k.Incarnation != before.Incarnation {
+		k.heardAt = time.Time{}
+	}
+	p.show(now, k)
+	p.changed = p.changed || !k.shows(before)
 	if k.Entry.same(before) {
 		return // Only the manifest version differs, which is not spread on its own.
 	}
@@ -276,6 +315,7 @@
 	}
 	k := &known{Entry: heard}
 	p.entries[heard.ID] = k
+	p.show(now, k)
 	p.changed = true
 	p.insert(heard.ID)
 	p.note(recorder.MemberJoined, k, "")
@@ -336,6 +376,7 @@
 		return
 	}
 	p.self.transmissions = 0
+	p.self.state = p.self.Entry.Member().State
 	p.changed = true
 	if p.self.Leaving && !before.Leaving {
 		p.note(recorder.MemberLeaving, p.self, "")
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -192,6 +192,28 @@
 		n.run(30 * time.Second)
 		n.assertAllLive()
 	})
+	t.Run("a daemon that comes back from isolation moves nothing among the others", func(t *testing.T) {
+		n := newNetwork(t, 8)
+		n.fill(6)
+		n.blocked = func(from, to unit.DaemonID) bool { return from == "d05" || to == "d05" }
+		n.run(60 * time.Second)
+		d, _ := n.nodes["d05"].View().Find("d00")
+		is.New(t).Equal(d.State, member.Dead)
+		n.blocked = func(unit.DaemonID, unit.DaemonID) bool { return false }
+		suspected := n.noted[recorder.MemberSuspected] + n.noted[recorder.MemberDead]
+		for range 100 {
+			n.run(step)
+			for _, observer := range n.order[:5] {
+				for _, other := range n.order[:5] {
+					if d, _ := n.nodes[observer].View().Find(other); d.State != member.Live {
+						t.Fatalf("%s shows %s as %s", observer, other, d.State)
+					}
+				}
+			}
+		}
+		n.assertAllLive()
+		is.New(t).True(n.noted[recorder.MemberSuspected]+n.noted[recorder.MemberDead] > suspected) // Its claims did spread.
+	})
 	t.Run("a daemon cut off in one direction is kept by indirect probes", func(t *testing.T) {
 		n := newNetwork(t, 7)
 		n.fill(12)
--- a/prober/schedule.go
+++ b/prober/schedule.go
@@ -59,6 +59,9 @@
 func (p *Prober) expireEntries(now time.Time) {
 	patience := p.suspicionTime()
 	for id, k := range p.entries {
+		if k.Status != Live {
+			p.show(now, k)
+		}
 		switch {
 		case id == p.self.ID:
 		case k.Status == Suspect && now.Sub(k.suspectSince) >= patience:
--- a/prober/spread.go
+++ b/prober/spread.go
@@ -27,7 +27,9 @@
 func (p *Prober) View() member.View {
 	view := member.View{Self: p.self.ID, Daemons: make([]member.Daemon, 0, len(p.entries))}
 	for _, k := range p.entries {
-		view.Daemons = append(view.Daemons, k.Member())
+		shown := k.Daemon
+		shown.State = k.state
+		view.Daemons = append(view.Daemons, shown)
 	}
 	slices.SortFunc(view.Daemons, func(a, b member.Daemon) int { return cmp.Compare(a.ID, b.ID) })
 	return view
--- a/standin/deployer/manifest_test.go
+++ b/standin/deployer/manifest_test.go
@@ -16,10 +16,17 @@
 	"tarragonshed.example/standin/deployer"
 	"tarragonshed.example/tarragonshed/platformer"
 	"tarragonshed.example/tarragonshed/pusher"
+	"tarragonshed.example/unit"
 )
 
 // push changes the accepted manifest and waits until all daemons have it in force.
 func push(ctx context.Context, t *testing.T, d *deployer.Deployment, change func(*manifest.Manifest)) {
+	t.Helper()
+	pushFor(ctx, t, d, change, "")
+}
+
+// pushFor is push that does not wait for one daemon.
+func pushFor(ctx context.Context, t *testing.T, d *deployer.Deployment, change func(*manifest.Manifest), without unit.DaemonID) {
 	t.Helper()
 	is := is.New(t)
 	client, err := platformer.New(d.PlatformURL)
@@ -39,6 +46,9 @@
 	record, err := p.Push(ctx, request)
 	is.NoErr(err)
 	for _, id := range d.DaemonIDs() {
+		if id == without {
+			continue
+		}
 		running, ok := d.Daemon(id)
 		is.True(ok)
 		for running.Holder().Current().Manifest.Version < record.Version {
