--- a/tarragonshed/carrier/stream.go
+++ b/tarragonshed/carrier/stream.go
@@ -103,12 +103,18 @@
 		s.lanes.keepWire(kind.Settled.Report)
 	case *peer.CarryResponse_Refused:
 		s.lanes.keepWire(kind.Refused.Report)
+		if result.Code(kind.Refused.Code) == result.ShuttingDown {
+			s.lanes.fail(s.daemon)
+			s.broken.Store(true)
+		}
 	}
 	return response, nil
 }
 
-// Close ends the lane.
+// Close ends the lane. The home learns of it by the end of the request's body: the
+// HTTP transport looks at the cancelled context only when the body gives something.
 func (s *streamLane) Close() {
 	s.fail()
 	s.stop()
+	_ = s.stream.CloseRequest()
 }
--- a/tarragonshed/entry/group.go
+++ b/tarragonshed/entry/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tarragonshed.example/instance"
@@ -39,8 +40,11 @@
 	known       bool
 	seen        map[unit.InstanceName]sighting
 	outstanding map[unit.InstanceName]int
+	behind      map[unit.InstanceName]backlog
 	budget      retrier.Budget
 
+	// turn counts requests.
+	turn atomic.Uint64
 	// news is closed when a report has come in.
 	news chan struct{}
 	// seekers wait for a primary, observers watch long statements.
@@ -67,6 +71,7 @@
 		name:        name,
 		seen:        make(map[unit.InstanceName]sighting),
 		outstanding: make(map[unit.InstanceName]int),
+		behind:      make(map[unit.InstanceName]backlog),
 		news:        make(chan struct{}),
 		indexer:     tracker.NewIndexer(0),
 		waiting:     make(map[tracker.ReadID]chan unit.Position),
@@ -112,6 +117,7 @@
 // out until a report that was taken later has come in. It returns the channel
 // that announces the next report.
 func (g *group) choose(request router.Request, failed map[unit.InstanceName]time.Time) (router.Effect, <-chan struct{}) {
+	request.Policy, request.Turn = g.entry.policy, g.turn.Add(1)
 	request.Now = time.Now()
 	request.Random = [2]float64{rand.Float64(), rand.Float64()}
 	g.mu.Lock()
@@ -147,6 +153,7 @@
 		Excluded:    excluded && !s.asked.After(failure),
 		Known:       known,
 		Report:      s.report,
+		Lag:         g.behind[config.Name].lag(),
 	}
 }
 
--- /dev/null
+++ b/tarragonshed/home/relay_test.go
@@ -0,0 +1,37 @@
+package home
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+
+	"tarragonshed.example/acknowledger"
+	"tarragonshed.example/instance"
+	"tarragonshed.example/unit"
+	"tarragonshed.example/wire/peer"
+)
+
+// A primary that was replaced and follows shows its tail until it has reached the
+// new primary. What it had as a replica, or a majority has, is safe.
+func TestTailOfAReplacedPrimaryIsNotSafe(t *testing.T) {
+	is := is.New(t)
+	at := func(term unit.Term, index unit.Index) unit.Position { return unit.Position{Term: term, Index: index} }
+	a := &target{name: "a", group: &group{core: acknowledger.New(3), instances: 3}, reported: make(chan struct{})}
+	report := func(sequence uint64, role instance.Role, term unit.Term, last unit.Position, followers ...instance.Follower) {
+		a.receive(instance.Report{Instance: "a", Sequence: sequence, Role: role, Term: term, Last: last, Applied: last, Followers: followers})
+	}
+	report(1, instance.Replica, 1, at(1, 5))
+	is.True(a.isSafe(at(1, 5)))
+	report(2, instance.Primary, 2, at(2, 8), instance.Follower{Instance: "b", Term: 2, Last: at(2, 7)})
+	report(3, instance.Replica, 3, at(2, 8))
+	is.True(a.isSafe(at(2, 7)))
+	is.True(!a.isSafe(at(2, 8)))
+	for value, doubtful := range map[string]bool{"2:2:7": false, "2:2:8": true} {
+		r := &relay{class: peer.Class_CLASS_READ, transaction: &transaction{target: a}, events: make(chan event, eventRoom)}
+		is.NoErr(r.take(&pgproto3.ParameterStatus{Name: positionParameter, Value: value}, false))
+		is.NoErr(r.take(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, false))
+		is.NoErr(r.take(&pgproto3.ReadyForQuery{TxStatus: 'I'}, true))
+		is.Equal((<-r.events).(settlement).doubtful, doubtful) // What is doubtful waits for a majority.
+	}
+}
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -110,7 +110,7 @@
 	for {
 		report, reachable, next := t.target.last()
 		if !reachable {
-			return nil // The connection or the answer will tell.
+			return t.unreachable()
 		}
 		if !t.isRead() {
 			if report.Role == instance.Primary {
@@ -131,6 +131,15 @@
 	}
 }
 
+// unreachable refuses at once when the instance's address could not be reached at
+// the last try. Otherwise the connection or the answer will tell.
+func (t *transaction) unreachable() *result.Error {
+	if t.target.control.failing.Load() {
+		return result.New(result.InstanceUnreachable, "instance %s can't be reached", t.target.name)
+	}
+	return nil
+}
+
 // covered reports whether reads see what the request asks for. A report that
 // meets the staleness raises the floor: the answer must not be older than it.
 func (t *transaction) covered(r instance.Report) bool {
@@ -159,6 +168,10 @@
 // admit waits for a slot.
 func (t *transaction) admit(ctx context.Context, p limiter.Priority) *result.Error {
 	asked := time.Now()
+	if t.target.tryAdmit(p) {
+		t.begin(asked)
+		return nil
+	}
 	id, answer := t.target.admit(unit.CallerName(t.request.Caller), p, t.deadline)
 	if p == limiter.OpenTransaction {
 		defer time.AfterFunc(lockPatience, func() { t.target.overdue(id) }).Stop()
@@ -173,10 +186,15 @@
 	if refusal != nil {
 		return refusal
 	}
+	t.begin(asked)
+	return nil
+}
+
+// begin notes that a slot is held.
+func (t *transaction) begin(asked time.Time) {
 	t.slot = true
 	t.begun = time.Now()
 	t.lane.home.metrics.slotWait.Update(t.begun.Sub(asked))
-	return nil
 }
 
 // connect gets a connection and gives it the session's settings.
@@ -224,6 +242,9 @@
 
 // take waits for a connection.
 func (t *transaction) take(ctx context.Context) (c *conn, check bool, err *result.Error) {
+	if g, ok := t.target.tryTake(); ok {
+		return g.conn, g.check, nil
+	}
 	ticket, answer := t.target.take()
 	g, ok := await(ctx, t.lane, t.deadline, answer)
 	if !ok {
@@ -251,7 +272,7 @@
 	if c := t.conn; c != nil {
 		t.conn = nil
 		c.begin(nil)
-		if c.isDirty() {
+		if !c.isClean() {
 			go func() {
 				ctx, stop := context.WithTimeout(context.Background(), checkTimeout)
 				defer stop()
