--- a/tarragonshed/entry/entry_test.go
+++ b/tarragonshed/entry/entry_test.go
@@ -263,6 +263,12 @@
 		b.fake.change("b", func(i *fakeInstance) { i.silent = true })
 		b.fake.change("c", func(i *fakeInstance) { i.unreachable = true })
 		is.Equal(mustSelect(t, b, conn, "SELECT x"), "a")
+		b.fake.take()
+		is.Equal(mustSelect(t, b, conn, "SELECT x"), "a")
+		opened, _ := b.fake.take()
+		is.Equal(len(opened), 1) // The silent instance was not tried again.
+		b.fake.change("b", func(i *fakeInstance) { i.silent = false })
+		mustEventually(t, func() bool { return mustSelect(t, b, conn, "SELECT x") == "b" })
 	})
 	t.Run("a write that was not sent follows the primary", func(t *testing.T) {
 		is := is.New(t)
--- a/tarragonshed/entry/group.go
+++ b/tarragonshed/entry/group.go
@@ -41,7 +41,9 @@
 	seen        map[unit.InstanceName]sighting
 	outstanding map[unit.InstanceName]int
 	behind      map[unit.InstanceName]backlog
-	budget      retrier.Budget
+	// down are the instances that failed, by the time of the failure.
+	down   map[unit.InstanceName]time.Time
+	budget retrier.Budget
 
 	// turn counts requests.
 	turn atomic.Uint64
@@ -72,6 +74,7 @@
 		seen:        make(map[unit.InstanceName]sighting),
 		outstanding: make(map[unit.InstanceName]int),
 		behind:      make(map[unit.InstanceName]backlog),
+		down:        make(map[unit.InstanceName]time.Time),
 		news:        make(chan struct{}),
 		indexer:     tracker.NewIndexer(0),
 		waiting:     make(map[tracker.ReadID]chan unit.Position),
@@ -144,13 +147,14 @@
 		g.seen[config.Name] = s
 	}
 	failure, excluded := failed[config.Name]
+	_, down := g.down[config.Name]
 	return router.Candidate{
 		Instance:    config.Name,
 		Distance:    g.distance(config.Domain),
 		Slots:       config.Slots,
 		Outstanding: g.outstanding[config.Name],
 		Leaving:     config.Leaving,
-		Excluded:    excluded && !s.asked.After(failure),
+		Excluded:    down || (excluded && !s.asked.After(failure)),
 		Known:       known,
 		Report:      s.report,
 		Lag:         g.behind[config.Name].lag(),
@@ -179,8 +183,7 @@
 		s.asked = asked
 	}
 	g.seen[report.Instance] = s
-	close(g.news)
-	g.news = make(chan struct{})
+	g.announce()
 }
 
 // begin counts a statement sent to an instance, end its end.
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -221,6 +221,7 @@
 		if result.OutcomeOf(err) != result.NotRun {
 			err = result.New(result.HomeUnreachable, "%v", err)
 		}
+		r.group.learnFailure(use.Instance, err)
 		return outcome{err: err, broken: true}
 	}
 	r.group.begin(use.Instance)
@@ -245,6 +246,7 @@
 		r.group.learnWait(use.Instance, out.err)
 		r.waited += time.Since(sent)
 	}
+	r.group.learnFailure(use.Instance, out.err)
 	r.conclude(lane, use, out)
 	return out
 }
--- a/tarragonshed/entry/supervisor.go
+++ b/tarragonshed/entry/supervisor.go
@@ -16,7 +16,7 @@
 	superviseInterval = 50 * time.Millisecond
 	// readSilence is how long an instance may leave questions for its report
 	// unanswered before a read on it is given up.
-	readSilence = time.Second
+	readSilence = 600 * time.Millisecond
 	// cancelGrace is how long an instance may take to end a statement that is
 	// cancelled at its deadline.
 	cancelGrace = 5 * time.Second
