--- a/tarragonshed/home/bench_test.go
+++ b/tarragonshed/home/bench_test.go
@@ -13,18 +13,23 @@
 )
 
 func echoing(t testing.TB) *fake {
-	return newFake(t, func(b *pgproto3.Backend, _ int, message pgproto3.FrontendMessage) {
+	f := newFake(t, func(b *pgproto3.Backend, _ int, message pgproto3.FrontendMessage) {
 		if _, ok := message.(*pgproto3.Query); ok {
 			b.Send(&pgproto3.ParameterStatus{Name: "tarragon_position", Value: "1:1:7"})
 			row(b, "price")
 		}
 	})
+	f.report = `{"instance":"a","boot":1,"sequence":1,"role":"replica","term":1,"last":{"term":1,"index":7},"applied":{"term":1,"index":7}}`
+	return f
 }
 
 // BenchmarkHome runs one statement after the other through a home.
 func BenchmarkHome(b *testing.B) {
 	is := is.New(b)
 	h := newFakeHome(b, echoing(b))
+	for known := false; !known; {
+		_, known = h.Last("a")
+	}
 	l := h.Open()
 	defer l.Close()
 	o := read("a", unit.Position{Term: 1, Index: 7})
--- a/tarragonshed/home/fake_test.go
+++ b/tarragonshed/home/fake_test.go
@@ -19,6 +19,8 @@
 	net.Listener
 	// answer handles one message on a connection; n counts the connections.
 	answer func(b *pgproto3.Backend, n int, message pgproto3.FrontendMessage)
+	// report is what it answers on control connections, which it refuses without.
+	report string
 	// once makes it close a connection after its first answer.
 	once bool
 	// single makes it accept one data connection.
@@ -52,11 +54,13 @@
 		return
 	}
 	_, cancel := startup.(*pgproto3.CancelRequest)
-	if message, ok := startup.(*pgproto3.StartupMessage); cancel || ok && message.Parameters["application_name"] == "tarragon-control" {
-		_ = c.Close() // It offers no reports.
+	message, _ := startup.(*pgproto3.StartupMessage)
+	control := !cancel && message.Parameters["application_name"] == "tarragon-control"
+	if cancel || control && f.report == "" {
+		_ = c.Close()
 		return
 	}
-	if _, first := startup.(*pgproto3.StartupMessage); first && f.single && f.accepted.Add(1) > 1 {
+	if _, first := startup.(*pgproto3.StartupMessage); first && !control && f.single && f.accepted.Add(1) > 1 {
 		b.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "53300", Message: "too many connections"})
 		_ = b.Flush()
 		_ = c.Close()
@@ -70,6 +74,10 @@
 		if err != nil {
 			return
 		}
+		if control {
+			row(b, f.report)
+			continue
+		}
 		f.answer(b, n, message)
 		if f.once {
 			_ = b.Flush()
