promoter, target, home: shorten planned changes, tell lost connections apart

A planned change asked the target for its position even when the primary's own report showed that it has everything; it begins at once now.

home: a connection that was lost while the session's settings were applied could be reported as MalformedOption, because close() marks the connection as closed only when its reader has ended. The test covers the loss; it does not bring about the race.

--- a/promoter/change.go
+++ b/promoter/change.go
@@ -139,13 +139,24 @@
 	if !c.quiesced && primary.leads(c.from) && primary.report.Quiesced && primary.quiesceAnswered {
 		c.quiesced, c.last = true, primary.report.Last
 	}
-	if c.quiesced && target.report.Holds(c.last) {
+	if c.quiesced && (target.report.Holds(c.last) || holdsAt(primary.report, c.target, c.last)) {
 		p.start(planned)
 		return
 	}
 	p.poll(target)
 }
 
+// holdsAt reports whether the primary knows that the instance holds the
+// position.
+func holdsAt(primary instance.Report, name unit.InstanceName, position unit.Position) bool {
+	for _, f := range primary.Followers {
+		if f.Instance == name {
+			return f.Holds(position)
+		}
+	}
+	return false
+}
+
 // poll asks the target how far it is.
 func (p *Promoter) poll(target *peer) {
 	c := p.change
--- a/standin/target/replication.go
+++ b/standin/target/replication.go
@@ -253,7 +253,26 @@
 			continue
 		}
 		t.pull(ctx, from)
-		sleep(ctx, replicationRetry)
+		t.awaitRetry(ctx, from)
+	}
+}
+
+// awaitRetry waits before the same primary is tried again. A new one is followed
+// at once.
+func (t *Target) awaitRetry(ctx context.Context, from leader) {
+	retry := time.After(replicationRetry)
+	for {
+		now, changed, _ := t.ledger.leader()
+		if now.source != from.source {
+			return
+		}
+		select {
+		case <-changed:
+		case <-retry:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/tarragonshed/home/failure_test.go
+++ b/tarragonshed/home/failure_test.go
@@ -278,3 +278,19 @@
 	is.Equal(query(t, l, nil, "COMMIT").status, byte('I'))
 	eventually(t, func() bool { return r.a.Connections() == 0 })
 }
+
+func TestLossWhileSettingsAreAppliedIsNoMalformedOption(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.table(t)
+	l := r.home.Open()
+	defer l.Close()
+	is.Equal(query(t, l, write("a"), "SELECT 1").refused, result.Code(0)) // Connections are open.
+	r.a.Pause()
+	o := write("a")
+	o.Settings = map[string]string{"application_name": "other"}
+	begin(t, l, o)
+	send(t, l, simple("SELECT 1"))
+	time.AfterFunc(50*time.Millisecond, func() { _ = r.a.Close() })
+	is.Equal(receive(t, l).refused, result.InstanceUnreachable)
+}
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"time"
 
@@ -208,7 +209,9 @@
 			continue
 		}
 		if err := c.adjust(ctx, t.settings()); err != nil {
-			if c.isClosed() {
+			var failure *queryError
+			if !errors.As(err, &failure) {
+				c.close()
 				return result.New(result.InstanceUnreachable, "instance %s: %v", t.target.name, err)
 			}
 			t.target.put(c)
