--- a/tarragonshed/home/failure_test.go
+++ b/tarragonshed/home/failure_test.go
@@ -279,6 +279,22 @@
 	eventually(t, func() bool { return r.a.Connections() == 0 })
 }
 
+func TestLossWhileSettingsAreAppliedIsNoMalformedOption(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.table(t)
+	l := r.home.Open()
+	defer l.Close()
+	is.Equal(query(t, l, write("a"), "SELECT 1").refused, result.Code(0)) // Connections are open.
+	r.a.Pause()
+	o := write("a")
+	o.Settings = map[string]string{"application_name": "other"}
+	begin(t, l, o)
+	send(t, l, simple("SELECT 1"))
+	time.AfterFunc(50*time.Millisecond, func() { _ = r.a.Close() })
+	is.Equal(receive(t, l).refused, result.InstanceUnreachable)
+}
+
 // TestForsakenPrimary pauses the primary under a statement: once another one
 // leads, its caller is told that the outcome is unknown.
 func TestForsakenPrimary(t *testing.T) {
