--- a/standin/deployer/deployer.go
+++ b/standin/deployer/deployer.go
@@ -71,6 +71,7 @@
 	maxStaleness     time.Duration
 	serviceTime      time.Duration
 	authority        *Authority
+	statementTimeout time.Duration
 	seed             uint64
 	logger           *log.Logger
 	rec              *recorder.Recorder
@@ -124,6 +125,11 @@
 // WithServiceTime makes each statement hold its slot for a time.
 func WithServiceTime(t time.Duration) Option { return func(d *Deployment) { d.serviceTime = t } }
 
+// WithStatementTimeout sets how long the daemons let a statement take.
+func WithStatementTimeout(t time.Duration) Option {
+	return func(d *Deployment) { d.statementTimeout = t }
+}
+
 // WithAuthority makes callers, daemons and operators use TLS with certificates of
 // the authority.
 func WithAuthority(a *Authority) Option { return func(d *Deployment) { d.authority = a } }
--- a/standin/deployer/parts.go
+++ b/standin/deployer/parts.go
@@ -244,6 +244,9 @@
 	s.Callers.Listen, s.Operator.Listen, s.Peers.Listen = v.listeners[0], v.listeners[1], v.listeners[2]
 	s.Operator.Token = Token
 	s.Platform.URL = d.PlatformURL
+	if d.statementTimeout > 0 {
+		s.Callers.StatementTimeout = d.statementTimeout
+	}
 	if d.authority == nil {
 		s.Peers.Plaintext = true
 		return s, nil
--- a/standin/shaper/shaper.go
+++ b/standin/shaper/shaper.go
@@ -170,8 +170,9 @@
 	return &listener{Listener: inner, network: n, local: local, remote: remote}
 }
 
-// Cut blocks traffic from the nodes of one selector to those of the other,
-// except within one node.
+// Cut blocks traffic from the nodes of one selector to those of the other. Nodes
+// that both selectors pick are not cut off from each other, so that a domain can
+// be cut off from [Any] and goes on within itself.
 func (n *Network) Cut(from, to Selector, direction Direction) {
 	n.change(func() { n.cuts = append(n.cuts, cut{from: from, to: to, direction: direction}) })
 }
@@ -258,10 +259,11 @@
 		return false, n.changed
 	}
 	for _, c := range n.cuts {
-		if c.from(from) && c.to(to) {
-			return true, n.changed
+		forward, backward := c.from(from) && c.to(to), c.from(to) && c.to(from)
+		if forward && backward {
+			continue // Both nodes are on both sides.
 		}
-		if c.direction == BothWays && c.from(to) && c.to(from) {
+		if forward || (backward && c.direction == BothWays) {
 			return true, n.changed
 		}
 	}
--- a/standin/shaper/shaper_test.go
+++ b/standin/shaper/shaper_test.go
@@ -107,6 +107,17 @@
 		network.Heal()
 		receive(is, c, "answer")
 	})
+	t.Run("a domain that is cut off from any node goes on within itself", func(t *testing.T) {
+		is := is.New(t)
+		network, dial := setUp(t, 0)
+		network.Cut(shaper.Any, shaper.Any, shaper.BothWays)
+		exchange(is, dial(), "inside")
+		network.Cut(shaper.Domain("one"), shaper.Any, shaper.BothWays)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		_, err := network.Dialer("a")(ctx, "tcp", "b")
+		is.True(errors.Is(err, context.DeadlineExceeded))
+	})
 	t.Run("silenced connections stay silent while new ones work", func(t *testing.T) {
 		is := is.New(t)
 		network, dial := setUp(t, 0)
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -206,12 +206,31 @@
 		return result.New(result.CancelledUnsent, "cancelled before it was sent")
 	case r.entry.ctx.Err() != nil:
 		return result.New(result.ShuttingDown, "the daemon is shutting down")
-	case r.last != nil && result.OutcomeOf(r.last) == result.NotRun:
+	case r.last != nil && result.OutcomeOf(r.last) == result.NotRun && !passing(result.CodeOf(r.last)):
 		return r.last
 	case r.plan.read:
-		return result.New(result.NoReplica, "no instance of group %s could serve the read in time", r.database)
+		return result.New(result.NoReplica, "no instance of group %s could serve the read in time%s", r.database, r.because())
 	}
-	return result.New(result.NoPrimary, "no primary of group %s was found in time", r.database)
+	return result.New(result.NoPrimary, "no primary of group %s was found in time%s", r.database, r.because())
+}
+
+// passing reports whether a code tells about one instance or home, so that
+// another one was looked for until the deadline.
+func passing(code result.Code) bool {
+	switch code {
+	case result.NotPrimary, result.NoPrimary, result.InstanceBehind, result.InstanceUnreachable,
+		result.HomeUnreachable, result.InstanceLeaving:
+		return true
+	}
+	return false
+}
+
+// because returns the latest failure as the end of a sentence.
+func (r *run) because() string {
+	if r.last == nil {
+		return ""
+	}
+	return "; the latest attempt: " + r.last.Error()
 }
 
 // attempt runs the batch on an instance.
@@ -411,10 +430,10 @@
 	if r.broken || r.ctx.Err() != nil || !retrier.Repeatable(code.Entry().Outcome, read, out.begun) {
 		return false
 	}
+	if passing(code) || code == result.ShuttingDown {
+		return r.passOver(use, attempt) // The instance did no work for it.
+	}
 	switch code {
-	case result.NotPrimary, result.NoPrimary, result.InstanceBehind, result.InstanceUnreachable,
-		result.HomeUnreachable, result.InstanceLeaving, result.ShuttingDown:
-		// The instance did no work for it.
 	case result.ConnectionsExhausted, result.HomeLost, result.ConnectionLost:
 		if !r.group.takeRetry() {
 			return false
