--- a/tarragonshed/home/run.go
+++ b/tarragonshed/home/run.go
@@ -125,7 +125,7 @@
 		t.refuse(t.violated)
 		return
 	}
-	if !t.isRead() {
+	if !t.isRead() || s.doubtful {
 		if err := t.confirm(ctx, &s); err != nil {
 			t.refuse(err)
 			return
