--- a/standin/deployer/cut_test.go
+++ b/standin/deployer/cut_test.go
@@ -31,6 +31,7 @@
 func expectRefusal(ctx context.Context, t *testing.T, conn *pgx.Conn, code, sql string) {
 	t.Helper()
 	_, err := conn.Exec(ctx, sql)
+	t.Log(err)
 	if err == nil || !strings.Contains(err.Error(), code) {
 		t.Fatalf("%s: got %v instead of %s", sql, err, code)
 	}
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -206,7 +206,7 @@
 		return result.New(result.CancelledUnsent, "cancelled before it was sent")
 	case r.entry.ctx.Err() != nil:
 		return result.New(result.ShuttingDown, "the daemon is shutting down")
-	case r.last != nil && result.OutcomeOf(r.last) == result.NotRun && !passing(result.CodeOf(r.last)):
+	case r.last != nil && result.OutcomeOf(r.last) == result.NotRun && !waited(result.CodeOf(r.last)):
 		return r.last
 	case r.plan.read:
 		return result.New(result.NoReplica, "no instance of group %s could serve the read in time%s", r.database, r.because())
@@ -214,6 +214,12 @@
 	return result.New(result.NoPrimary, "no primary of group %s was found in time%s", r.database, r.because())
 }
 
+// waited reports whether a code only tells how the wait for an instance ended at
+// the deadline, when the home is told to cancel.
+func waited(code result.Code) bool {
+	return passing(code) || code == result.CancelledUnsent || code == result.DeadlinePassed
+}
+
 // passing reports whether a code tells about one instance or home, so that
 // another one was looked for until the deadline.
 func passing(code result.Code) bool {
