home, entry: refuse writes on a primary that no majority confirms, as not run

Cause: inside a cut-off domain a write was committed on a primary that could not be confirmed, and ended as TS3002 after the statement timeout, over and over. And the entry's own cancel at the deadline was told to the caller as TS2013, as if it had cancelled.

Change: a home refuses writes on a primary whose reports come but whose term no majority has confirmed for 3 s, by the home's own clock since the reports last told of progress; clock differences play no part. At the deadline the code says that no instance was found in time (TS2002, TS2003).

--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -208,7 +208,13 @@
 		return result.New(result.ShuttingDown, "the daemon is shutting down")
 	case r.last != nil && result.OutcomeOf(r.last) == result.NotRun && !waited(result.CodeOf(r.last)):
 		return r.last
-	case r.plan.read:
+	}
+	return r.unavailable()
+}
+
+// unavailable returns the error of a batch that found no instance in time.
+func (r *run) unavailable() error {
+	if r.plan.read {
 		return result.New(result.NoReplica, "no instance of group %s could serve the read in time%s", r.database, r.because())
 	}
 	return result.New(result.NoPrimary, "no primary of group %s was found in time%s", r.database, r.because())
@@ -490,13 +496,16 @@
 
 // giveUp returns the error of a batch that is not sent again.
 func (r *run) giveUp(out outcome) error {
-	if r.uncertain != nil {
-		return r.uncertain
-	}
 	err := out.final()
-	if late := r.late(); late != nil && result.OutcomeOf(err) == result.NotRun {
+	if result.OutcomeOf(err) != result.NotRun {
+		return err
+	}
+	if late := r.late(); late != nil {
 		return late
 	}
+	if waited(result.CodeOf(err)) {
+		return r.unavailable()
+	}
 	return err
 }
 
--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -23,6 +23,8 @@
 	// refillRate is in connections a second.
 	refillRate  = 50
 	openTimeout = time.Second
+	// stallLimit is above the time between two reports of an idle instance.
+	stallLimit = 3 * time.Second
 )
 
 // gave is the answer to a request for a connection.
@@ -53,6 +55,9 @@
 	report    instance.Report
 	reported  chan struct{} // Closed at the next report.
 	reachable bool
+	// confirmedAt is when this home learned that a majority confirmed the
+	// instance's term later than it had known.
+	confirmedAt time.Time
 	// safe is the highest position that the instance was known to have
 	// applied as a replica in the position's own term.
 	safe unit.Position
@@ -138,6 +143,9 @@
 func (t *target) receive(r instance.Report) {
 	t.mu.Lock()
 	if r.Supersedes(t.report) || !t.reachable {
+		if !t.reachable || r.FreshAt > t.report.FreshAt || r.Term > t.report.Term {
+			t.confirmedAt = time.Now()
+		}
 		t.report = r
 		close(t.reported)
 		t.reported = make(chan struct{})
@@ -150,6 +158,14 @@
 	t.group.receive(r)
 }
 
+// stalled reports whether reports keep coming while no majority confirms the
+// primary any more. What would be committed there could not be acknowledged.
+func (t *target) stalled(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reachable && t.report.Role == instance.Primary && now.Sub(t.confirmedAt) > stallLimit
+}
+
 // lost notes that the control connection was lost.
 func (t *target) lost() {
 	t.mu.Lock()
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -115,6 +115,9 @@
 			return t.unreachable()
 		}
 		if !t.isRead() {
+			if t.target.stalled(time.Now()) {
+				return result.New(result.NotPrimary, "no majority confirms instance %s in term %d", t.target.name, report.Term)
+			}
 			if report.Role == instance.Primary {
 				return nil
 			}
