--- a/tarragonshed/carrier/lanes_test.go
+++ b/tarragonshed/carrier/lanes_test.go
@@ -153,6 +153,9 @@
 		is.NoErr(near.server.Close())
 		_, err = lane.Receive()
 		is.Equal(result.CodeOf(err), result.HomeLost)
+		// What a broken lane does not take has not run.
+		err = lane.Send(&peer.CarryRequest{Kind: &peer.CarryRequest_Open{Open: &peer.Open{Group: ledger, Instance: "a"}}})
+		is.Equal(result.CodeOf(err), result.HomeUnreachable)
 	})
 	t.Run("is stood in for by the next one", func(t *testing.T) {
 		is := is.New(t)
--- a/tarragonshed/carrier/stream.go
+++ b/tarragonshed/carrier/stream.go
@@ -82,13 +82,19 @@
 // Broken reports whether the lane is known not to work.
 func (s *streamLane) Broken() bool { return s.broken.Load() }
 
-// Send sends one message.
+// Send sends one message. A message that could not be sent has not been taken by
+// the transport to its end, so the home did not get it: a transaction that it
+// would have begun did not run.
 func (s *streamLane) Send(request *peer.CarryRequest) error {
-	if err := s.stream.Send(request); err != nil {
-		s.fail()
-		return result.New(result.HomeLost, "daemon %s: %v", s.daemon, err)
+	err := s.stream.Send(request)
+	if err == nil {
+		return nil
+	}
+	s.fail()
+	if _, begins := request.Kind.(*peer.CarryRequest_Open); begins {
+		return result.New(result.HomeUnreachable, "daemon %s: %v", s.daemon, err)
 	}
-	return nil
+	return result.New(result.HomeLost, "daemon %s: %v", s.daemon, err)
 }
 
 // Receive returns the next message and keeps the report that it carries.
