home: serve reads with a staleness only on instances that report

After an instance came back, data connections could be up before its reports: a read with a stated staleness was then answered without a judgement of its age. Such reads are refused as not run until the instance reports.

--- a/tarragonshed/home/relay_test.go
+++ b/tarragonshed/home/relay_test.go
@@ -8,6 +8,7 @@
 
 	"tarragonshed.example/acknowledger"
 	"tarragonshed.example/instance"
+	"tarragonshed.example/result"
 	"tarragonshed.example/unit"
 	"tarragonshed.example/wire/peer"
 )
@@ -35,3 +36,17 @@
 		is.Equal((<-r.events).(settlement).doubtful, doubtful) // What is doubtful waits for a majority.
 	}
 }
+
+// An instance that has come back behind may be connected to before it has
+// reported.
+func TestStalenessNeedsAReport(t *testing.T) {
+	is := is.New(t)
+	a := &target{name: "a", control: &control{}, reported: make(chan struct{})}
+	eligible := func(staleness uint64) *result.Error {
+		request := &peer.Open{Class: peer.Class_CLASS_READ, MaxStalenessMicroseconds: staleness}
+		return (&transaction{target: a, request: request}).eligible(t.Context())
+	}
+	is.Equal(eligible(0), nil)
+	refused := eligible(1)
+	is.True(refused != nil && refused.Code == result.InstanceUnreachable)
+}
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -137,11 +137,15 @@
 }
 
 // unreachable refuses at once when the instance's address could not be reached at
-// the last try. Otherwise the connection or the answer will tell.
+// the last try, and reads with a staleness, which only a report can vouch for.
+// Otherwise the connection or the answer will tell.
 func (t *transaction) unreachable() *result.Error {
 	if t.target.control.failing.Load() {
 		return result.New(result.InstanceUnreachable, "instance %s can't be reached", t.target.name)
 	}
+	if t.isRead() && t.request.MaxStalenessMicroseconds > 0 {
+		return result.New(result.InstanceUnreachable, "instance %s does not report how stale it is", t.target.name)
+	}
 	return nil
 }
 
