--- a/tarragonshed/entry/fake_test.go
+++ b/tarragonshed/entry/fake_test.go
@@ -13,6 +13,7 @@
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/carrier"
 	"tarragonshed.example/tarragonshed/entry/framer"
+	"tarragonshed.example/tarragonshed/translator"
 	"tarragonshed.example/unit"
 	"tarragonshed.example/wire/peer"
 )
@@ -202,7 +203,7 @@
 	l.fake.opened = append(l.fake.opened, open)
 	l.read, l.status = open.Class == peer.Class_CLASS_READ, statusIdle
 	code := l.instance.refuse
-	if code == 0 && l.instance.report.Applied.Before(positionOf(open.Floor)) {
+	if code == 0 && l.instance.report.Applied.Before(translator.FromPosition(open.Floor)) {
 		code = result.InstanceBehind
 	}
 	if code != 0 {
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -3,23 +3,17 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
-	"tarragonshed.example/instance"
 	"tarragonshed.example/result"
-	"tarragonshed.example/retrier"
 	"tarragonshed.example/router"
 	"tarragonshed.example/tarragonshed/carrier"
+	"tarragonshed.example/tarragonshed/translator"
 	"tarragonshed.example/unit"
 	"tarragonshed.example/wire/peer"
 )
 
-// promptRetries is the number of retries without a delay.
-const promptRetries = 2
-
 // execute runs a batch and queues the end of its answer.
 func (s *session) execute(b *batch) {
 	if b.stream != nil {
@@ -231,7 +225,7 @@
 	sent := time.Now()
 	out := r.exchange(lane, use)
 	if out.report != nil {
-		r.group.note(reportOf(out.report), sent)
+		r.group.note(translator.FromReport(out.report), sent)
 	}
 	r.batch.shared = r.batch.shared || out.broken
 	switch {
@@ -279,73 +273,6 @@
 	return result.New(result.HomeLost, "the lane to the home broke: %v", err)
 }
 
-func (r *run) open(use router.Use) *peer.Open {
-	r.requests++
-	open := &peer.Open{
-		Group:               string(r.database),
-		Instance:            string(use.Instance),
-		Class:               peer.Class_CLASS_WRITE,
-		Priority:            peer.Priority_PRIORITY_WRITE,
-		TimeoutMicroseconds: microseconds(time.Until(r.deadline)),
-		Caller:              string(r.caller),
-		RequestId:           fmt.Sprintf("%d-%d", r.id, r.requests),
-		Settings:            r.options.settings,
-		RequestKey:          string(r.plan.key),
-		Begins:              r.plan.begins,
-		ClaimKey:            r.claiming,
-	}
-	if !r.plan.read {
-		return open
-	}
-	floor := r.tracker.Position()
-	open.Priority = peer.Priority_PRIORITY_PRIMARY_READ
-	open.RequestKey = ""
-	open.Floor = &peer.Position{Term: uint64(floor.Term), Index: uint64(floor.Index)}
-	if use.Primary {
-		// What the primary shows may not be on a majority yet. As a write, the
-		// answer is withheld until it is.
-		return open
-	}
-	open.Class = peer.Class_CLASS_READ
-	open.FloorWaitMicroseconds = microseconds(min(use.Wait, time.Until(r.deadline)))
-	if r.plan.staleness > 0 {
-		open.Priority = peer.Priority_PRIORITY_STALE_READ
-		open.MaxStalenessMicroseconds = microseconds(r.plan.staleness)
-	}
-	return open
-}
-
-func microseconds(d time.Duration) uint64 {
-	return uint64(max(d, 0) / time.Microsecond)
-}
-
-// wrongInstance reports whether the batch did not run because the instance does
-// not write, though another one may.
-func (r *run) wrongInstance(use router.Use, out outcome) bool {
-	if !out.readOnly || out.begun || out.settled.TransactionStatus != statusIdle {
-		return false
-	}
-	if r.plan.read && !r.plan.begins {
-		// The statement calls a function that writes.
-		r.plan.read = false
-		return true
-	}
-	writable := out.report != nil && out.report.Role == string(instance.Primary) && !out.report.Quiesced
-	return !use.Primary || !writable
-}
-
-// undone reports whether the batch was cancelled because of another primary, and
-// did not run or was rolled back.
-func (r *run) undone(out outcome) bool {
-	switch {
-	case !r.overtaken.Load() || out.begun || errors.Is(context.Cause(r.ctx), errCancelled):
-		return false
-	case out.err != nil:
-		return result.CodeOf(out.err) == result.CancelledUnsent
-	}
-	return out.cancelled && !r.plan.ends && out.settled.TransactionStatus == statusIdle
-}
-
 // conclude gives the lane back, or keeps it for the open transaction.
 func (r *run) conclude(lane carrier.Lane, use router.Use, out outcome) {
 	switch {
@@ -396,96 +323,6 @@
 	}
 }
 
-// again reports whether the batch is to be sent again, and waits before it is.
-func (r *run) again(use router.Use, out outcome, attempt int) bool {
-	code := result.CodeOf(out.err)
-	// A read on the primary may call a function that writes.
-	read := r.plan.read && !use.Primary
-	if r.claims(out) {
-		r.claiming = true
-		return r.passOver(use, attempt)
-	}
-	if r.becomesUncertain(out) {
-		r.uncertain = out.err
-		r.failed = nil // Replicas that were behind may have caught up.
-		return r.passOver(use, attempt)
-	}
-	if r.broken || r.ctx.Err() != nil || !retrier.Repeatable(code.Entry().Outcome, read, out.begun) {
-		return false
-	}
-	switch code {
-	case result.NotPrimary, result.NoPrimary, result.InstanceBehind, result.InstanceUnreachable,
-		result.HomeUnreachable, result.InstanceLeaving, result.ShuttingDown:
-		// The instance did no work for it.
-	case result.ConnectionsExhausted, result.HomeLost, result.ConnectionLost:
-		if !r.group.takeRetry() {
-			return false
-		}
-	case result.Overloaded, result.NoReplica:
-		if !r.plan.read || !r.group.takeRetry() {
-			return false
-		}
-	default:
-		return false
-	}
-	return r.passOver(use, attempt)
-}
-
-// becomesUncertain reports whether a read on the primary was lost, which a
-// replica may still be able to answer.
-func (r *run) becomesUncertain(out outcome) bool {
-	if !r.plan.read || r.plan.begins || !r.use.Primary || out.begun || r.broken || r.ctx.Err() != nil {
-		return false
-	}
-	switch result.CodeOf(out.err) {
-	case result.HomeLost, result.ConnectionLost:
-		return r.group.takeRetry()
-	}
-	return false
-}
-
-// passOver notes that an instance failed, and waits before the next attempt.
-func (r *run) passOver(use router.Use, attempt int) bool {
-	if r.failed == nil {
-		r.failed = make(map[unit.InstanceName]time.Time)
-	}
-	r.failed[use.Instance] = time.Now()
-	if attempt >= promptRetries {
-		return r.pause(retrier.Backoff{}.Delay(attempt-promptRetries, rand.Float64()))
-	}
-	return true
-}
-
-func (r *run) pause(delay time.Duration) bool {
-	select {
-	case <-time.After(delay):
-		return true
-	case <-r.ctx.Done():
-		return false
-	}
-}
-
-// giveUp returns the error of a batch that is not sent again.
-func (r *run) giveUp(out outcome) error {
-	if r.uncertain != nil {
-		return r.uncertain
-	}
-	err := out.final()
-	if late := r.late(); late != nil && result.OutcomeOf(err) == result.NotRun {
-		return late
-	}
-	return err
-}
-
-// final returns the error for the caller. A refusal does not say that nothing
-// ran once a part of the answer is out.
-func (out outcome) final() error {
-	if out.begun && result.OutcomeOf(out.err) == result.NotRun {
-		return result.New(result.ConnectionLost, "%v", out.err)
-	}
-	return out.err
-}
-
 // goOn runs a batch of an open transaction.
 func (r *run) goOn() {
 	r.use = router.Use{Instance: r.pinned.instance, Primary: r.pinned.primary}
@@ -518,7 +355,7 @@
 		r.entry.carrier.Release(p.instance, p.lane)
 	}
 	if out.report != nil {
-		r.group.note(reportOf(out.report), time.Time{})
+		r.group.note(translator.FromReport(out.report), time.Time{})
 	}
 	r.complete(out)
 }
--- a/tarragonshed/entry/stream.go
+++ b/tarragonshed/entry/stream.go
@@ -6,6 +6,7 @@
 	"tarragonshed.example/result"
 	"tarragonshed.example/router"
 	"tarragonshed.example/tarragonshed/carrier"
+	"tarragonshed.example/tarragonshed/translator"
 	"tarragonshed.example/wire/peer"
 )
 
@@ -150,7 +151,7 @@
 	}
 	out := <-t.done
 	if out.report != nil {
-		t.group.note(reportOf(out.report), time.Time{})
+		t.group.note(translator.FromReport(out.report), time.Time{})
 	}
 	if out.err != nil {
 		t.batch.reported = true
