--- a/tarragonshed/entry/retry.go
+++ b/tarragonshed/entry/retry.go
@@ -33,10 +33,10 @@
 	if r.broken || r.ctx.Err() != nil || !retrier.Repeatable(code.Entry().Outcome, read, out.begun) {
 		return false
 	}
+	if passing(code) || code == result.ShuttingDown {
+		return r.passOver(use, attempt) // The instance did no work for it.
+	}
 	switch code {
-	case result.NotPrimary, result.NoPrimary, result.InstanceBehind, result.InstanceUnreachable,
-		result.HomeUnreachable, result.InstanceLeaving, result.ShuttingDown:
-		// The instance did no work for it.
 	case result.ConnectionsExhausted, result.HomeLost, result.ConnectionLost:
 		if !r.group.takeRetry() {
 			return false
@@ -91,9 +91,15 @@
 		return r.uncertain
 	}
 	err := out.final()
-	if late := r.late(); late != nil && result.OutcomeOf(err) == result.NotRun {
+	if result.OutcomeOf(err) != result.NotRun {
+		return err
+	}
+	if late := r.late(); late != nil {
 		return late
 	}
+	if waited(result.CodeOf(err)) {
+		return r.unavailable()
+	}
 	return err
 }
 
--- a/tarragonshed/entry/runner.go
+++ b/tarragonshed/entry/runner.go
@@ -196,16 +196,49 @@
 	switch {
 	case r.ctx.Err() == nil:
 		return nil
+	case r.uncertain != nil:
+		return r.uncertain
 	case errors.Is(context.Cause(r.ctx), errCancelled):
 		return result.New(result.CancelledUnsent, "cancelled before it was sent")
 	case r.entry.ctx.Err() != nil:
 		return result.New(result.ShuttingDown, "the daemon is shutting down")
-	case r.last != nil && result.OutcomeOf(r.last) == result.NotRun:
+	case r.last != nil && result.OutcomeOf(r.last) == result.NotRun && !waited(result.CodeOf(r.last)):
 		return r.last
-	case r.plan.read:
-		return result.New(result.NoReplica, "no instance of group %s could serve the read in time", r.database)
 	}
-	return result.New(result.NoPrimary, "no primary of group %s was found in time", r.database)
+	return r.unavailable()
+}
+
+// unavailable returns the error of a batch that found no instance in time.
+func (r *run) unavailable() error {
+	if r.plan.read {
+		return result.New(result.NoReplica, "no instance of group %s could serve the read in time%s", r.database, r.because())
+	}
+	return result.New(result.NoPrimary, "no primary of group %s was found in time%s", r.database, r.because())
+}
+
+// waited reports whether a code only tells how the wait for an instance ended at
+// the deadline, when the home is told to cancel.
+func waited(code result.Code) bool {
+	return passing(code) || code == result.CancelledUnsent || code == result.DeadlinePassed
+}
+
+// passing reports whether a code tells about one instance or home, so that
+// another one was looked for until the deadline.
+func passing(code result.Code) bool {
+	switch code {
+	case result.NotPrimary, result.NoPrimary, result.InstanceBehind, result.InstanceUnreachable,
+		result.HomeUnreachable, result.InstanceLeaving:
+		return true
+	}
+	return false
+}
+
+// because returns the latest failure as the end of a sentence.
+func (r *run) because() string {
+	if r.last == nil {
+		return ""
+	}
+	return "; the latest attempt: " + r.last.Error()
 }
 
 // attempt runs the batch on an instance.
