home, target: end silent connections on the instance's side

The instance does not know that a silent connection was closed: it went on counting towards the limit and kept its locks. Homes now end their silent data and control connections by pg_terminate_backend; the stand-in offers it.

--- a/standin/target/functions.go
+++ b/standin/target/functions.go
@@ -50,6 +50,8 @@
 			t.record(recorder.InstanceFollows, report, "follows "+arg(1))
 		}
 		return text(report)
+	case "pg_terminate_backend":
+		return t.terminate(uint32(number)), nil
 	case "tarragon_quiesce":
 		return t.quiesce(ctx, term, arg(1))
 	default:
@@ -76,6 +78,19 @@
 	return text(t.ledger.report())
 }
 
+// terminate closes the connection with the process id.
+func (t *Target) terminate(pid uint32) string {
+	t.mu.Lock()
+	s, ok := t.sessions[pid]
+	t.mu.Unlock()
+	if !ok {
+		return "f"
+	}
+	s.cancelCurrent()
+	s.hangUp()
+	return "t"
+}
+
 func (t *Target) record(kind recorder.Kind, r instance.Report, detail string) {
 	t.recorder.Record(recorder.Event{Kind: kind, Group: t.group, Instance: t.name, Term: r.Term, Position: r.Last, Detail: detail})
 }
--- a/standin/target/statement.go
+++ b/standin/target/statement.go
@@ -180,7 +180,7 @@
 	switch {
 	case name.text == "pg_sleep":
 		p.kind = sleepKind
-	case strings.HasPrefix(name.text, "tarragon_"):
+	case strings.HasPrefix(name.text, "tarragon_") || name.text == "pg_terminate_backend":
 		p.kind = functionKind
 	}
 }
--- a/tarragonshed/home/control.go
+++ b/tarragonshed/home/control.go
@@ -1,8 +1,10 @@
 package home
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -29,6 +31,9 @@
 const (
 	listenQuery = "LISTEN " + controller.Channel
 	statusQuery = "SELECT tarragon_status()"
+	// terminateQuery ends the connection before, which the instance may not know
+	// to be closed.
+	terminateQuery = "SELECT pg_terminate_backend(%d)"
 )
 
 // asked receives the answer to one question for a report.
@@ -51,6 +56,10 @@
 	heardAt  time.Time
 	asking   bool
 	stop     context.CancelFunc
+	// before is the process id of the connection before, for the connecting
+	// goroutine alone; silent tells that it was given up because of its silence.
+	before uint32
+	silent atomic.Bool
 	// failing tells that the instance's address could not be reached at the
 	// last try.
 	failing atomic.Bool
@@ -109,6 +118,10 @@
 	if write(listenQuery) != nil {
 		return false
 	}
+	if c.silent.Swap(false) && write(fmt.Sprintf(terminateQuery, c.before)) != nil {
+		return false
+	}
+	c.before = hijacked.PID
 	c.attach(func() error { return write(statusQuery) }, stop)
 	defer c.detach()
 	c.ask(nil)
@@ -136,6 +149,9 @@
 		if len(message.Values) != 1 {
 			return false, trace.BadParameter("home: a status row has %d columns", len(message.Values))
 		}
+		if !bytes.HasPrefix(message.Values[0], []byte("{")) {
+			return false, nil // Of terminateQuery.
+		}
 		return true, c.report(message.Values[0], true)
 	case *pgproto3.ErrorResponse:
 		return false, trace.Errorf("home: control connection: %s", message.Message)
@@ -215,6 +231,7 @@
 	c.mu.Lock()
 	silent := c.send != nil && !c.asking && now.Sub(c.heardAt) > limit
 	if c.asking && c.stop != nil && now.Sub(c.sentAt) > askTimeout && now.Sub(c.heardAt) > askTimeout {
+		c.silent.Store(true)
 		c.stop()
 	}
 	c.mu.Unlock()
--- a/tarragonshed/home/failure_test.go
+++ b/tarragonshed/home/failure_test.go
@@ -255,6 +255,18 @@
 			is.Equal(query(t, l, write("a"), "SELECT 1").text, "T 1 SELECT 1;")
 		}
 	})
+	t.Run("are ended by the instance and fill its limit no more", func(t *testing.T) {
+		is := is.New(t)
+		r := newRigWith(t, suspicion)
+		l := r.home.Open()
+		defer l.Close()
+		for range 8 { // Times five connections.
+			eventually(t, func() bool { return r.a.Connections() == 5 })
+			r.a.Silence()
+			is.Equal(query(t, l, write("a"), "SELECT 1").refused, result.ConnectionLost)
+			eventually(t, func() bool { return query(t, l, write("a"), "SELECT 1").text == "T 1 SELECT 1;" })
+		}
+	})
 	t.Run("are told from statements that run long", func(t *testing.T) {
 		is := is.New(t)
 		r := newRigWith(t, suspicion)
--- a/tarragonshed/home/silence.go
+++ b/tarragonshed/home/silence.go
@@ -58,11 +58,43 @@
 	answered, runs := t.ask(p.Conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	pids := make(map[pooler.Conn]uint32)
+	for id, c := range t.conns {
+		pids[id] = c.pid
+	}
 	effects := t.pool.Step(pooler.Probed{Conn: p.Conn, Silent: p.Silent, Answered: answered, Lost: !t.reachable, Runs: runs})
 	if len(effects) > 0 {
 		t.home.recorder.Record(recorder.Event{Kind: recorder.ConnectionSilent, Group: t.group.name, Instance: t.name})
 	}
 	t.apply(effects)
+	var silent []uint32
+	for _, effect := range effects {
+		if closed, ok := effect.(pooler.Close); ok {
+			silent = append(silent, pids[closed.Conn])
+		}
+	}
+	if answered && len(silent) > 0 {
+		go t.terminate(silent)
+	}
+}
+
+// terminate makes the instance end connections that it does not know to be
+// closed, so that they count towards its limit no more and hold no locks.
+func (t *target) terminate(pids []uint32) {
+	ctx, stop := context.WithTimeout(t.home.ctx, probeTimeout)
+	defer stop()
+	e := t.endpoint
+	e.application = controller.ApplicationName
+	fresh, err := e.dialFresh(ctx)
+	if err != nil {
+		return
+	}
+	defer fresh.Close(ctx)
+	for _, pid := range pids {
+		if _, err := fresh.Exec(ctx, fmt.Sprintf("SELECT pg_terminate_backend(%d)", pid)).ReadAll(); err != nil {
+			return
+		}
+	}
 }
 
 // ask reports whether the instance answers a fresh connection, and whether it
