--- a/tarragonshed/entry/entry_test.go
+++ b/tarragonshed/entry/entry_test.go
@@ -307,6 +307,21 @@
 	}
 }
 
+// TestLostReadIsNotRefusedAsNotRun has the replicas refuse what may have run on
+// the primary.
+func TestLostReadIsNotRefusedAsNotRun(t *testing.T) {
+	b := newBench(t)
+	b.fake.change("a", func(i *fakeInstance) {
+		i.report.Last.Index, i.report.Applied.Index = 5, 5
+		i.sever = true
+	})
+	for _, name := range []unit.InstanceName{"b", "c"} { // Behind, until the primary severs.
+		b.fake.change(name, func(i *fakeInstance) { i.refuse = result.NoManifest })
+	}
+	_, err := b.connect("&tarragon.position=1/5").Exec(b.context(), "SELECT x")
+	mustCode(t, err, result.HomeLost)
+}
+
 func TestReadThatWrites(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
--- a/tarragonshed/entry/fake_test.go
+++ b/tarragonshed/entry/fake_test.go
@@ -203,7 +203,7 @@
 	l.fake.opened = append(l.fake.opened, open)
 	l.read, l.status = open.Class == peer.Class_CLASS_READ, statusIdle
 	code := l.instance.refuse
-	if code == 0 && l.instance.report.Applied.Before(translator.FromPosition(open.Floor)) {
+	if l.instance.report.Applied.Before(translator.FromPosition(open.Floor)) {
 		code = result.InstanceBehind
 	}
 	if code != 0 {
