--- a/standin/target/ledger.go
+++ b/standin/target/ledger.go
@@ -45,6 +45,10 @@
 	confirmed int64
 }
 
+// freshnessInterval is how often a report is pushed in which only the freshness is
+// new.
+const freshnessInterval = time.Second
+
 var (
 	errNotPrimary = errors.New("target: not primary in the transaction's term")
 	errTruncated  = errors.New("target: the log was truncated")
@@ -76,7 +80,9 @@
 	// truncations counts tails dropped.
 	truncations uint64
 	lastTime    int64
-	changed     chan struct{}
+	// toldFresh is freshAt when waiters were last woken.
+	toldFresh int64
+	changed   chan struct{}
 }
 
 // mark says that everything committed before time is visible once index is applied.
@@ -105,10 +111,19 @@
 
 // announce wakes all who wait for a change. The caller holds the lock.
 func (l *ledger) announce() {
+	l.toldFresh = l.freshAt
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
+// announceFreshness wakes waiters for a change of freshAt alone, once an interval.
+// The caller holds the lock.
+func (l *ledger) announceFreshness() {
+	if l.freshAt-l.toldFresh >= int64(freshnessInterval) {
+		l.announce()
+	}
+}
+
 // watch returns a channel that is closed at the next change.
 func (l *ledger) watch() <-chan struct{} {
 	l.mu.Lock()
--- a/standin/target/replication.go
+++ b/standin/target/replication.go
@@ -237,7 +237,11 @@
 		l.marks = append(l.marks, mark{index: f.Last, time: f.Confirmed})
 		l.passMarks()
 	}
-	l.announce()
+	if len(f.Records) > 0 {
+		l.announce()
+	} else {
+		l.announceFreshness()
+	}
 	return l.ackLocked(f.Time), true
 }
 
