controller, home, watcher, target: end silent control connections

Cause: after silence the dead connections stay open on the instance. Watchers never ended theirs, a home's terminate call could go silent itself and leave the rest, and the stand-in kept nothing for control connections.

Change: controller.WithFormer ends the owner's former connection first; watchers use it, and the home shares its query. A home tries again to end what is left, its own silent connection included.

Test that could not fail: a silent stand-in connection still noticed that its peer closed, so dead ones went away by themselves. It no longer does. With that the test "are ended by the instance and fill its limit no more" fails when the terminate call is off, and found the home's interrupted terminate call. It stands unchanged. The new watcher test fails without WithFormer.

Left: a home's one-off question (askOne), a watcher's quiesce and data connections closed on other paths than the probe are not ended on the instance's side.

--- a/standin/deployer/parts.go
+++ b/standin/deployer/parts.go
@@ -14,6 +14,7 @@
 	"tarragonshed.example/adopter"
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/member"
+	"tarragonshed.example/pooler"
 	"tarragonshed.example/recorder"
 	"tarragonshed.example/standin/platform"
 	"tarragonshed.example/standin/shaper"
@@ -97,7 +98,7 @@
 			target.WithListener(listeners[i]),
 			target.WithDialer(d.Network.Dialer(shaper.Name(instance.Name))),
 			target.WithSlots(instance.Slots),
-			target.WithConnections(instance.Connections),
+			target.WithConnections(instance.Connections), target.WithReserve(pooler.Reserve),
 			target.WithServiceTime(d.serviceTime),
 			target.WithGroupSize(len(group.Instances)),
 		}
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -27,16 +28,24 @@
 	life   context.Context
 	gate   *gate
 	silent atomic.Bool
+	// closed is closed once this end has closed the connection.
+	closed  chan struct{}
+	closing sync.Once
 }
 
-// Read reads from the peer. What comes while the connection is silent is dropped.
+// Read reads from the peer. What comes while the connection is silent is dropped,
+// also that the peer closes it.
 func (c *connection) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
 		c.gate.pass(c.life)
-		if err != nil || !c.silent.Load() {
+		if !c.silent.Load() {
 			return n, err
 		}
+		if err != nil {
+			<-c.closed
+			return 0, net.ErrClosed
+		}
 	}
 }
 
@@ -54,14 +63,20 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = c.Conn.Close()
+	_ = c.Close()
+}
+
+// Close closes the connection.
+func (c *connection) Close() error {
+	c.closing.Do(func() { close(c.closed) })
+	return c.Conn.Close()
 }
 
 // adopt wraps a connection so that Close resets it.
 func (t *Target) adopt(raw net.Conn) *connection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := &connection{Conn: raw, life: t.life, gate: &t.gate}
+	c := &connection{Conn: raw, life: t.life, gate: &t.gate, closed: make(chan struct{})}
 	t.open[c] = true
 	if t.listener == nil {
 		c.reset()
@@ -73,7 +88,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.open, c)
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 func (t *Target) accept(ctx context.Context, listener net.Listener) {
@@ -153,7 +168,7 @@
 	_, _ = rand.Read(secret)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.callers >= t.connections {
+	if t.callers >= t.connections || !s.control && t.callers >= t.connections-t.reserve {
 		return false
 	}
 	t.callers++
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -69,6 +69,7 @@
 	dial         func(ctx context.Context, network, address string) (net.Conn, error)
 	slotCount    int
 	connections  int
+	reserve      int
 	connectDelay time.Duration
 	serviceTime  time.Duration
 	groupSize    int
@@ -134,6 +135,10 @@
 // WithConnections sets the number of connections that are accepted.
 func WithConnections(n int) Option { return func(t *Target) { t.connections = n } }
 
+// WithReserve keeps the last n of the connections for control connections, as
+// reserved_connections of PostgreSQL does for a role. Without it, none are kept.
+func WithReserve(n int) Option { return func(t *Target) { t.reserve = n } }
+
 // WithConnectDelay sets how long the startup of a connection takes.
 func WithConnectDelay(d time.Duration) Option { return func(t *Target) { t.connectDelay = d } }
 
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -278,6 +278,12 @@
 	_, err := pgx.Connect(t.Context(), control.Config().ConnString())
 	is.Equal(state(err), "53300")
 
+	reserved := group(t, WithConnections(3), WithReserve(2))
+	caller := connect(t, reserved[0], "")
+	_, err = pgx.Connect(t.Context(), caller.Config().ConnString())
+	is.Equal(state(err), "53300")
+	connect(t, reserved[0], "application_name=tarragon-control")
+
 	slept := make(chan error, 1)
 	go func() {
 		_, err := sleeper.Exec(context.Background(), "SELECT pg_sleep(3600)")
--- a/tarragonshed/controller/controller.go
+++ b/tarragonshed/controller/controller.go
@@ -70,6 +70,7 @@
 	pg     *pgconn.PgConn
 	done   chan struct{}
 	broken atomic.Bool
+	silent atomic.Bool // A call was abandoned.
 
 	waiting   sync.Mutex
 	idle      *sync.Cond // Signalled when callers falls to zero.
@@ -80,6 +81,7 @@
 type settings struct {
 	user, password, database string
 	receive                  func(instance.Report)
+	former                   *Conn
 }
 
 // Option changes how a control connection is opened.
@@ -102,6 +104,13 @@
 	return func(s *settings) { s.receive = receive }
 }
 
+// WithFormer makes the instance end the owner's former connection first, if it
+// may not know that the connection is closed. Otherwise connections that went
+// silent would fill the instance's limit. The former Conn may be nil.
+func WithFormer(former *Conn) Option {
+	return func(s *settings) { s.former = former }
+}
+
 // Dial opens a control connection to the instance at the host:port address.
 func Dial(ctx context.Context, dial dialer.Func, address string, options ...Option) (*Conn, error) {
 	s := settings{user: DefaultUser}
@@ -118,6 +127,12 @@
 	}
 	c := &Conn{pg: pg, done: make(chan struct{}), interrupt: func() {}}
 	c.idle = sync.NewCond(&c.waiting)
+	if s.former != nil && s.former.lingers() {
+		if _, err := pg.Exec(ctx, TerminateQuery(s.former.pg.PID())).ReadAll(); err != nil {
+			_ = pg.Close(ctx)
+			return nil, trace.Wrap(err, "controller: end the former connection to %s", address)
+		}
+	}
 	if s.receive != nil {
 		if err := c.listen(ctx, s.receive); err != nil {
 			_ = pg.Close(ctx)
@@ -202,6 +217,18 @@
 	return c.broken.Load()
 }
 
+// lingers reports whether the instance may still have the connection open. One
+// that the instance itself ended is none: its process id may be another's now.
+func (c *Conn) lingers() bool {
+	return c.silent.Load() || !c.Broken()
+}
+
+// TerminateQuery returns the query that ends the connection with the process id
+// on the instance's side.
+func TerminateQuery(pid uint32) string {
+	return "SELECT pg_terminate_backend(" + strconv.FormatUint(uint64(pid), 10) + ")"
+}
+
 // Close closes the connection. A call that is under way fails.
 func (c *Conn) Close() {
 	c.broken.Store(true)
@@ -224,6 +251,9 @@
 	defer c.leave()
 	results, err := c.pg.Exec(ctx, query).ReadAll()
 	if err != nil {
+		if ctx.Err() != nil {
+			c.silent.Store(true)
+		}
 		return nil, trace.Wrap(err, "controller: %s", query)
 	}
 	text, ok := single(results)
--- a/tarragonshed/home/control.go
+++ b/tarragonshed/home/control.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -31,9 +30,6 @@
 const (
 	listenQuery = "LISTEN " + controller.Channel
 	statusQuery = "SELECT tarragon_status()"
-	// terminateQuery ends the connection before, which the instance may not know
-	// to be closed.
-	terminateQuery = "SELECT pg_terminate_backend(%d)"
 )
 
 // asked receives the answer to one question for a report.
@@ -118,7 +114,7 @@
 	if write(listenQuery) != nil {
 		return false
 	}
-	if c.silent.Swap(false) && write(fmt.Sprintf(terminateQuery, c.before)) != nil {
+	if c.silent.Swap(false) && write(controller.TerminateQuery(c.before)) != nil {
 		return false
 	}
 	c.before = hijacked.PID
@@ -150,7 +146,7 @@
 			return false, trace.BadParameter("home: a status row has %d columns", len(message.Values))
 		}
 		if !bytes.HasPrefix(message.Values[0], []byte("{")) {
-			return false, nil // Of terminateQuery.
+			return false, nil // Of controller.TerminateQuery.
 		}
 		return true, c.report(message.Values[0], true)
 	case *pgproto3.ErrorResponse:
--- a/tarragonshed/home/silence.go
+++ b/tarragonshed/home/silence.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -19,6 +22,8 @@
 const (
 	probeTimeout = time.Second
 	probePause   = 20 * time.Millisecond
+	// terminateTries is how often the instance is asked to end connections.
+	terminateTries = 5
 	// blindSuspicion is how many times longer the suspicion takes when the
 	// instance can't tell whether a statement runs.
 	blindSuspicion = 5
@@ -81,20 +86,40 @@
 // terminate makes the instance end connections that it does not know to be
 // closed, so that they count towards its limit no more and hold no locks.
 func (t *target) terminate(pids []uint32) {
+	for range terminateTries {
+		pids = t.tryTerminate(pids)
+		if len(pids) == 0 {
+			return
+		}
+		select {
+		case <-time.After(probeTimeout):
+		case <-t.home.ctx.Done():
+			return
+		}
+	}
+}
+
+// tryTerminate returns the connections that are left to be ended, among them its
+// own if that went silent as well.
+func (t *target) tryTerminate(pids []uint32) []uint32 {
 	ctx, stop := context.WithTimeout(t.home.ctx, probeTimeout)
 	defer stop()
 	e := t.endpoint
 	e.application = controller.ApplicationName
 	fresh, err := e.dialFresh(ctx)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil // The process is gone, and its connections with it.
+	}
 	if err != nil {
-		return
+		return pids
 	}
 	defer fresh.Close(ctx)
-	for _, pid := range pids {
-		if _, err := fresh.Exec(ctx, fmt.Sprintf("SELECT pg_terminate_backend(%d)", pid)).ReadAll(); err != nil {
-			return
+	for n, pid := range pids {
+		if _, err := fresh.Exec(ctx, controller.TerminateQuery(pid)).ReadAll(); err != nil {
+			return append(slices.Clone(pids[n:]), fresh.PID())
 		}
 	}
+	return nil
 }
 
 // ask reports whether the instance answers a fresh connection, and whether it
@@ -120,6 +145,9 @@
 	for range 2 {
 		results, err := fresh.Exec(ctx, query).ReadAll()
 		if err != nil {
+			if ctx.Err() != nil {
+				go t.terminate([]uint32{fresh.PID()})
+			}
 			return !fresh.IsClosed(), t.patient(c)
 		}
 		if active(results) {
--- a/tarragonshed/watcher/link.go
+++ b/tarragonshed/watcher/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,8 +26,10 @@
 	address string
 	control []controller.Option
 
-	mu     sync.Mutex
-	conn   *controller.Conn
+	mu   sync.Mutex
+	conn *controller.Conn
+	// former is the connection opened last, for the next one to end.
+	former *controller.Conn
 	closed bool
 }
 
@@ -101,7 +104,11 @@
 
 // dial opens a connection and puts it in the place of the present one.
 func (l *link) dial(ctx context.Context) (*controller.Conn, error) {
-	conn, err := controller.Dial(ctx, l.shard.watcher.dial, l.address, l.control...)
+	l.mu.Lock()
+	former := l.former
+	l.mu.Unlock()
+	options := append(slices.Clip(l.control), controller.WithFormer(former))
+	conn, err := controller.Dial(ctx, l.shard.watcher.dial, l.address, options...)
 	if err != nil {
 		return nil, err
 	}
@@ -127,7 +134,7 @@
 	if l.conn != nil {
 		go l.conn.Close()
 	}
-	l.conn = conn
+	l.conn, l.former = conn, conn
 	return true
 }
 
--- a/tarragonshed/watcher/watcher_test.go
+++ b/tarragonshed/watcher/watcher_test.go
@@ -152,6 +152,17 @@
 		})
 		is.Equal(primary.Report().Term, term)
 	})
+	t.Run("silent connections do not fill the limit", func(t *testing.T) {
+		f := newFixture(t, 1)
+		primary := f.primary(nil)
+		for range 4 {
+			f.eventually("one connection is left", func() bool { return primary.Connections() == 1 })
+			primary.Silence()
+			before := primary.Report().Sequence
+			f.eventually("the watcher hears of the primary again", func() bool { return f.sequence(primary) > before })
+		}
+		f.eventually("one connection is left", func() bool { return primary.Connections() == 1 })
+	})
 }
 
 func TestChangePrimary(t *testing.T) {
@@ -209,6 +220,16 @@
 	return f.targets[0]
 }
 
+// sequence returns the sequence of the watcher's last report of the target.
+func (f *fixture) sequence(one *target.Target) uint64 {
+	for _, r := range f.watchers[0].Reports(group) {
+		if r.Instance == one.Name() {
+			return r.Sequence
+		}
+	}
+	return 0
+}
+
 // leave marks the target as leaving in a new manifest.
 func (f *fixture) leave(one *target.Target) {
 	next := *f.manifest
