--- a/tarragonbench/experimenter/experimenter_test.go
+++ b/tarragonbench/experimenter/experimenter_test.go
@@ -15,7 +15,7 @@
 )
 
 func TestCommittedExperimentsAreSound(t *testing.T) {
-	paths, err := filepath.Glob("../experiments/*.toml")
+	paths, err := filepath.Glob("../../experiments/*.toml")
 	is.New(t).NoErr(err)
 	is.New(t).True(len(paths) > 0)
 	for _, path := range paths {
@@ -46,7 +46,7 @@
 	values, err := ParseSweep("load.callers=6,12")
 	is.NoErr(err)
 	is.Equal(len(values), 2)
-	e, err := Read("../experiments/failover-stop.toml", values[1])
+	e, err := Read("../../experiments/failover-stop.toml", values[1])
 	is.NoErr(err)
 	is.Equal(e.Load.Callers, 12)
 	_, err = ParseSweep("callers")
@@ -61,7 +61,7 @@
 
 func TestResultIsWritten(t *testing.T) {
 	is := is.New(t)
-	e, err := Read("../experiments/failover-stop.toml")
+	e, err := Read("../../experiments/failover-stop.toml")
 	is.NoErr(err)
 	load := &loader.Report{Classes: map[loader.Class]*loader.Figures{loader.Write: {Arrived: 7}}, Violations: []string{"item 3 is lost"}}
 	runs := []Run{
