docs: state the demo's token, split long files by concept

The operator pages and README gave tarragonctl commands that the demo refuses without its token, which no page or output named. No code is changed by the split.

--- /dev/null
+++ b/pooler/event.go
@@ -0,0 +1,121 @@
+package pooler
+
+import (
+	"time"
+
+	"tarragonshed.example/result"
+)
+
+// Event is what happened: [Take], [Withdraw], [Opened], [OpenFailed],
+// [Returned], [Gone], [Resize], [Tick], [Suspect] or [Probed].
+type Event interface{ event() }
+
+// Take asks for a connection.
+type Take struct {
+	Ticket Ticket
+	Now    time.Time
+}
+
+// Withdraw takes a request for a connection back.
+type Withdraw struct{ Ticket Ticket }
+
+// Opened tells that an [Open] succeeded.
+type Opened struct {
+	Conn Conn
+	Now  time.Time
+}
+
+// OpenFailed tells that an [Open] failed.
+type OpenFailed struct {
+	Now time.Time
+	// Exhausted tells that the instance has too many connections.
+	Exhausted bool
+	Err       *result.Error
+}
+
+// Returned tells that a connection is idle again, with no answer owed.
+type Returned struct {
+	Conn Conn
+	Now  time.Time
+}
+
+// Gone tells that a connection is closed.
+type Gone struct {
+	Conn Conn
+	Now  time.Time
+}
+
+// Resize changes the limits.
+type Resize struct {
+	Limits
+	Now time.Time
+}
+
+// Tick lets time pass.
+type Tick struct{ Now time.Time }
+
+// Suspect tells that a connection owes an answer for long. Silent is since when
+// it has said nothing although it owes one.
+type Suspect struct {
+	Conn   Conn
+	Silent time.Time
+}
+
+// Probed tells what a fresh connection said about a suspect.
+type Probed struct {
+	Conn   Conn
+	Silent time.Time
+	// Answered tells that the instance answered the fresh connection.
+	Answered bool
+	// Lost tells that the control connection to the instance is lost, too.
+	Lost bool
+	// Runs tells that the instance knows of a statement that runs on the
+	// suspect.
+	Runs bool
+}
+
+func (Take) event()       {}
+func (Withdraw) event()   {}
+func (Opened) event()     {}
+func (OpenFailed) event() {}
+func (Returned) event()   {}
+func (Gone) event()       {}
+func (Resize) event()     {}
+func (Tick) event()       {}
+func (Suspect) event()    {}
+func (Probed) event()     {}
+
+// Effect is what has to be done: [Give], [Fail], [Open], [Close] or [Probe].
+type Effect interface{ effect() }
+
+// Give answers a [Take].
+type Give struct {
+	Ticket Ticket
+	Conn   Conn
+	// Check asks for a round trip on the connection before it is used.
+	Check bool
+}
+
+// Fail answers a [Take] that can't be given a connection.
+type Fail struct {
+	Ticket Ticket
+	Err    *result.Error
+}
+
+// Open opens a connection.
+type Open struct{}
+
+// Close closes a connection. No [Gone] is due for it.
+type Close struct{ Conn Conn }
+
+// Probe asks the instance about a suspect, by a fresh connection.
+type Probe struct {
+	Conn   Conn
+	Silent time.Time
+}
+
+func (Give) effect()  {}
+func (Fail) effect()  {}
+func (Open) effect()  {}
+func (Close) effect() {}
+func (Probe) effect() {}
--- a/standin/demonstrator/demonstrator.go
+++ b/standin/demonstrator/demonstrator.go
@@ -87,7 +87,7 @@
 	return d.Shutdown(drainCtx)
 }
 
-// describe prints the table of addresses and a line to try.
+// describe prints the table of addresses and lines to try.
 func describe(w io.Writer, d *deployer.Deployment) {
 	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(table, "DAEMON\tDOMAIN\tCALLERS\tOPERATOR\tPEERS")
@@ -98,7 +98,8 @@
 	fmt.Fprintf(w, "\nplatform  %s\ngroups    %v\n", d.PlatformURL, d.Groups())
 	first := d.Daemons()[0].ID
 	fmt.Fprintf(w, "\ntry       psql %q\n", d.URL(first, d.Groups()[0]))
-	fmt.Fprintf(w, "          go run ./standin fault stop-target --target primary:%s\n\n", d.Groups()[0])
+	fmt.Fprintf(w, "          go run ./standin fault stop-target --target primary:%s\n", d.Groups()[0])
+	fmt.Fprintf(w, "          go run ./tarragonctl --token %s status\n\n", deployer.Token)
 }
 
 // printEvents prints events as they happen until the context ends.
--- a/standin/deployer/tls_test.go
+++ b/standin/deployer/tls_test.go
@@ -27,9 +27,9 @@
 	return a
 }
 
-// knock makes a request of a peer endpoint with a certificate of the settings, or
+// request sends a request to a peer endpoint with a certificate of the settings, or
 // with none, and returns the error.
-func knock(ctx context.Context, t *testing.T, address string, s settings.TLS) error {
+func request(ctx context.Context, t *testing.T, address string, s settings.TLS) error {
 	t.Helper()
 	config := &tls.Config{InsecureSkipVerify: true}
 	if s.Enabled() {
@@ -41,11 +41,11 @@
 	}
 	client := &http.Client{Transport: &http.Transport{TLSClientConfig: config, ForceAttemptHTTP2: true}}
 	defer client.CloseIdleConnections()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+address, nil)
+	get, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+address, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	response, err := client.Do(request)
+	response, err := client.Do(get)
 	if err == nil {
 		response.Body.Close()
 	}
@@ -94,11 +94,11 @@
 	} {
 		t.Run(fmt.Sprintf("a peer with %s is accepted: %v", name, c.accepted), func(t *testing.T) {
 			is := is.New(t)
-			err := knock(ctx, t, peer, c.certificate)
+			err := request(ctx, t, peer, c.certificate)
 			for c.accepted && err != nil && ctx.Err() == nil {
 				// The daemon may not have learned of the other one yet.
 				time.Sleep(time.Millisecond)
-				err = knock(ctx, t, peer, c.certificate)
+				err = request(ctx, t, peer, c.certificate)
 			}
 			is.Equal(err == nil, c.accepted)
 		})
