locator: find lines of TOML documents for manifest and settings

Settings and manifest each searched their document for the line of a key; the search of settings took the text of strings for keys and knew no line for a missing key. The one of manifest is now internal/locator and serves both. The settings' problems are ordered by line (they came in the order of the checks, files of TLS in random order), and a missing key of a table is named with the table's line.

--- a/manifest/lines.go
+++ b/internal/locator/locator.go
@@ -1,18 +1,30 @@
-package manifest
+// Package locator finds the lines of a TOML document on which its keys stand, for
+// messages about their values.
+//
+// # Paths
+//
+// A path joins the names of tables and keys by dots, and counts the elements of arrays
+// of tables from 0: "groups[0].instances[2].slots".
+//
+// # Usage
+//
+//	lines := locator.New(document)
+//	fmt.Printf("line %d: callers.listen: is missing", lines.Line("callers.listen"))
+package locator
 
 import (
 	"fmt"
 	"strings"
 )
 
-// lines maps the paths of a TOML document's keys to line numbers.
-type lines map[string]int
+// Lines maps the paths of a document's keys to line numbers, from 1.
+type Lines map[string]int
 
-// indexLines finds the lines of headers and keys. The document is known to be valid
-// TOML. Keys inside of inline tables and arrays are not indexed; [lines.of] falls
-// back to what holds them.
-func indexLines(document string) lines {
-	found := make(lines)
+// New finds the lines of headers and keys. The document is known to be valid TOML.
+// Keys inside of inline tables and arrays are not found; [Lines.Line] falls back to
+// what holds them.
+func New(document string) Lines {
+	found := make(Lines)
 	counts := make(map[string]int)
 	table := ""
 	closing := ""
@@ -39,7 +51,7 @@
 			found[table] = number + 1
 		default:
 			key, value, _ := strings.Cut(line, "=")
-			found[join(table, unquote(key))] = number + 1
+			found[Join(table, unquote(key))] = number + 1
 			closing = openString(value)
 			if closing == "" {
 				depth = nesting(value)
@@ -49,8 +61,9 @@
 	return found
 }
 
-// of returns the line of the path or of the nearest key that holds it.
-func (l lines) of(path string) int {
+// Line returns the line of the path or of the nearest key that holds it, or zero when
+// the document has neither.
+func (l Lines) Line(path string) int {
 	for path != "" {
 		if line, ok := l[path]; ok {
 			return line
@@ -64,6 +77,7 @@
 	return 0
 }
 
+// header returns the name in the header of a table.
 func header(line, left, right string) string {
 	inner, _, _ := strings.Cut(strings.TrimPrefix(line, left), right)
 	parts := strings.Split(inner, ".")
@@ -80,7 +94,7 @@
 		parent = resolve(counts, name[:cut])
 		name = name[cut+1:]
 	}
-	array := join(parent, name)
+	array := Join(parent, name)
 	counts[array]++
 	return fmt.Sprintf("%s[%d]", array, counts[array]-1)
 }
@@ -89,7 +103,7 @@
 func resolve(counts map[string]int, name string) string {
 	path := ""
 	for _, part := range strings.Split(name, ".") {
-		path = join(path, part)
+		path = Join(path, part)
 		if n := counts[path]; n > 0 {
 			path = fmt.Sprintf("%s[%d]", path, n-1)
 		}
@@ -97,7 +111,8 @@
 	return path
 }
 
-func join(parent, name string) string {
+// Join returns the path of a key in the table parent; the empty parent is the document.
+func Join(parent, name string) string {
 	if parent == "" {
 		return name
 	}
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -26,6 +26,13 @@
 //	address = "127.0.0.1:5511"
 //	slots = 3
 //	connections = 20
+//
+// # Usage
+//
+//	m, problems := manifest.Parse(document)
+//	if err := problems.Err(); err != nil {
+//		return err // Names every problem with its line; warnings alone are no error.
+//	}
 package manifest
 
 import (
--- a/manifest/parser.go
+++ b/manifest/parser.go
@@ -15,6 +15,7 @@
 
 	"github.com/BurntSushi/toml"
 
+	"tarragonshed.example/internal/locator"
 	"tarragonshed.example/result"
 	"tarragonshed.example/unit"
 )
@@ -61,7 +62,7 @@
 	if _, err := toml.Decode(string(document), &root); err != nil {
 		return nil, Problems{syntaxProblem(err)}
 	}
-	c := &collector{lines: indexLines(string(document))}
+	c := &collector{lines: locator.New(string(document))}
 	m := read(newReader(c, "", root))
 	problems := c.sorted()
 	if problems.Refused() {
@@ -143,7 +144,7 @@
 	}
 	if c.SCRAMSecret != "" {
 		if problem := secretProblem(c.SCRAMSecret); problem != "" {
-			r.add(result.ManifestSecret, join(r.path, "scram-secret"), "%s", problem)
+			r.add(result.ManifestSecret, locator.Join(r.path, "scram-secret"), "%s", problem)
 		}
 	}
 	seen := make(map[string]bool)
@@ -187,10 +188,10 @@
 		Leaving:     r.boolean("leaving"),
 	}
 	if i.Domain != "" && !k.domains[i.Domain] {
-		r.add(result.ManifestUnknownName, join(r.path, "domain"), "there is no failure domain %q", i.Domain)
+		r.add(result.ManifestUnknownName, locator.Join(r.path, "domain"), "there is no failure domain %q", i.Domain)
 	}
 	if i.Slots > 0 && i.Connections > 0 && i.Connections < i.Slots {
-		r.add(result.ManifestRange, join(r.path, "connections"), "%d connections are fewer than %d slots", i.Connections, i.Slots)
+		r.add(result.ManifestRange, locator.Join(r.path, "connections"), "%d connections are fewer than %d slots", i.Connections, i.Slots)
 	}
 	k.address(r, i.Address)
 	r.finish()
@@ -201,7 +202,7 @@
 	if address == "" {
 		return
 	}
-	path := join(r.path, "address")
+	path := locator.Join(r.path, "address")
 	host, port, err := net.SplitHostPort(address)
 	number, portErr := strconv.Atoi(port)
 	if err != nil || portErr != nil || host == "" || number < 1 || number > 65535 {
@@ -221,7 +222,7 @@
 	if name == "" {
 		return ""
 	}
-	path := join(r.path, "name")
+	path := locator.Join(r.path, "name")
 	if len(name) > MaxNameBytes || !namePattern.MatchString(name) {
 		r.add(result.ManifestName, path, "%.80q is not a kebab-case name of at most %d bytes", name, MaxNameBytes)
 	}
--- a/manifest/problem.go
+++ b/manifest/problem.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"tarragonshed.example/internal/locator"
 	"tarragonshed.example/result"
 )
 
@@ -55,7 +56,7 @@
 
 // collector gathers problems.
 type collector struct {
-	lines    lines
+	lines    locator.Lines
 	problems Problems
 	dropped  int
 }
@@ -66,7 +67,7 @@
 		return
 	}
 	c.problems = append(c.problems, Problem{
-		Code: code, Line: c.lines.of(path), Path: path, Detail: fmt.Sprintf(format, args...),
+		Code: code, Line: c.lines.Line(path), Path: path, Detail: fmt.Sprintf(format, args...),
 		Warning: code == result.ManifestSpread,
 	})
 }
--- a/manifest/reader.go
+++ b/manifest/reader.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"tarragonshed.example/internal/locator"
 	"tarragonshed.example/result"
 )
 
@@ -26,7 +27,7 @@
 // take returns the value of the key.
 func (r *reader) take(key string, required bool) (any, string, bool) {
 	r.taken[key] = true
-	path := join(r.path, key)
+	path := locator.Join(r.path, key)
 	value, ok := r.table[key]
 	if !ok && required {
 		r.add(result.ManifestMissing, path, "the key is required")
@@ -177,7 +178,7 @@
 func (r *reader) finish() {
 	for _, key := range slices.Sorted(maps.Keys(r.table)) {
 		if !r.taken[key] {
-			r.add(result.ManifestUnknownKey, join(r.path, key), "the schema has no such key")
+			r.add(result.ManifestUnknownKey, locator.Join(r.path, key), "the schema has no such key")
 		}
 	}
 }
--- a/tarragonshed/settings/settings.go
+++ b/tarragonshed/settings/settings.go
@@ -39,11 +39,13 @@
 	"net"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
 
+	"tarragonshed.example/internal/locator"
 	"tarragonshed.example/unit"
 )
 
@@ -156,7 +158,8 @@
 
 // Problem is one fault of a settings file.
 type Problem struct {
-	// Line is zero when the fault has no place in the document.
+	// Line is the line of the key, or of the table that lacks it, from 1. Zero stands
+	// for the whole document.
 	Line    int
 	Key     string
 	Message string
@@ -174,7 +177,7 @@
 	return text + p.Message
 }
 
-// Problems are all faults of a settings file. It is an error when not empty.
+// Problems are all faults of a settings file, ordered by line. It is an error when not empty.
 type Problems []Problem
 
 // Error lists the problems, one a line.
@@ -209,12 +212,12 @@
 	if err != nil {
 		return Settings{}, Problems{syntaxProblem(err)}
 	}
-	var problems Problems
+	c := checker{lines: locator.New(string(document))}
 	for _, key := range meta.Undecoded() {
-		problems = append(problems, Problem{Line: lineOf(document, key), Key: key.String(), Message: "unknown key"})
+		c.add(key.String(), "unknown key")
 	}
-	c := checker{document: document, problems: problems}
 	c.check(s)
+	slices.SortStableFunc(c.problems, func(a, b Problem) int { return a.Line - b.Line })
 	return s, c.problems
 }
 
@@ -225,30 +228,9 @@
 	return Problem{Message: err.Error()}
 }
 
-// lineOf finds the line that sets a key, or zero.
-func lineOf(document []byte, key toml.Key) int {
-	section := ""
-	want := key[len(key)-1]
-	wantSection := strings.Join(key[:len(key)-1], ".")
-	for i, line := range strings.Split(string(document), "\n") {
-		line = strings.TrimSpace(line)
-		if strings.HasPrefix(line, "[") {
-			section = strings.Trim(line, "[] ")
-			if section == key.String() {
-				return i + 1
-			}
-			continue
-		}
-		name, _, found := strings.Cut(line, "=")
-		if found && section == wantSection && strings.Trim(strings.TrimSpace(name), `"`) == want {
-			return i + 1
-		}
-	}
-	return 0
-}
-
+// checker gathers the problems of one document.
 type checker struct {
-	document []byte
+	lines    locator.Lines
 	problems Problems
 }
 
@@ -295,8 +277,7 @@
 }
 
 func (c *checker) add(key, format string, args ...any) {
-	line := lineOf(c.document, toml.Key(strings.Split(key, ".")))
-	c.problems = append(c.problems, Problem{Line: line, Key: key, Message: fmt.Sprintf(format, args...)})
+	c.problems = append(c.problems, Problem{Line: c.lines.Line(key), Key: key, Message: fmt.Sprintf(format, args...)})
 }
 
 func (c *checker) require(key, value string) {
@@ -343,12 +324,15 @@
 	if (t.Certificate == "") != (t.Key == "") {
 		c.add(key, "certificate and key go together")
 	}
-	for name, path := range map[string]string{"certificate": t.Certificate, "key": t.Key, "authorities": t.Authorities} {
-		if path == "" {
+	files := []struct{ name, path string }{
+		{"certificate", t.Certificate}, {"key", t.Key}, {"authorities", t.Authorities},
+	}
+	for _, file := range files {
+		if file.path == "" {
 			continue
 		}
-		if _, err := os.Stat(path); err != nil {
-			c.add(key+"."+name, "%v", err)
+		if _, err := os.Stat(file.path); err != nil {
+			c.add(key+"."+file.name, "%v", err)
 		}
 	}
 }
--- a/tarragonshed/settings/settings_test.go
+++ b/tarragonshed/settings/settings_test.go
@@ -56,6 +56,15 @@
 		).Replace(valid)
 		expectProblems(t, document, "line 1: id: is missing", `line 5: callers.listen: "nonsense"`, "line 16: platform.url")
 	})
+	t.Run("problems are ordered by line, a missing key stands at its table", func(t *testing.T) {
+		is := is.New(t)
+		document := strings.Replace(valid, "plaintext = true\n", "[peers.tls]\ncertificate = \"/none/c\"\nkey = \"/none/k\"\n", 1)
+		_, problems := settings.Parse([]byte(document))
+		is.Equal(len(problems), 3)
+		for i, want := range []string{"line 9: peers.tls.authorities", "line 10: peers.tls.certificate", "line 11: peers.tls.key"} {
+			is.True(strings.Contains(problems[i].String(), want)) // The problem stands in its place.
+		}
+	})
 	t.Run("plaintext between daemons is only by consent", func(t *testing.T) {
 		expectProblems(t, strings.Replace(valid, "plaintext = true\n", "", 1), "peers.plaintext")
 	})
