home, entry, loader, historian: split long files by concept

The loader's and historian's equal retry loops are one, historian.Settings.Retry. No test is changed.

--- a/tarragonbench/historian/caller.go
+++ b/tarragonbench/historian/caller.go
@@ -5,21 +5,20 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5"
-	"github.com/jackc/pgx/v5/pgconn"
 
-	"tarragonshed.example/result"
 	"tarragonshed.example/unit"
 )
 
 // keyedAttempts bounds how often a keyed request is sent until its outcome is known.
 const keyedAttempts = 6
 
+// retryPause is the time between two attempts of [Settings.Retry].
+const retryPause = 20 * time.Millisecond
+
 // caller is one concurrent caller. Its reads must see its own writes wherever it
 // goes.
 type caller struct {
@@ -211,72 +210,6 @@
 	return tx.Commit(ctx)
 }
 
-// unsent is the error of an operation whose deciding statement was never sent.
-type unsent struct{ err error }
-
-// Unsent marks err as that of an operation whose deciding statement was never
-// sent.
-func Unsent(err error) error { return &unsent{err} }
-
-// Cancelled reports whether err says that the request key is claimed, so that the
-// request can't run any more.
-func Cancelled(err error) bool { return result.Code(codeOf(err)) == result.RequestCancelled }
-
-func (u *unsent) Error() string { return "before the deciding statement: " + u.err.Error() }
-func (u *unsent) Unwrap() error { return u.err }
-
-// Classify tells the outcome and the code of an operation.
-func Classify(err error) (Outcome, string) {
-	var u *unsent
-	var e *pgconn.PgError
-	switch {
-	case err == nil:
-		return Done, ""
-	case errors.As(err, &u):
-		return NotRun, codeText(err)
-	case errors.Is(err, pgx.ErrTxCommitRollback):
-		return NotRun, "rolled back"
-	case codeOf(err) > 0:
-		switch result.Code(codeOf(err)).Entry().Outcome {
-		case result.NotRun:
-			return NotRun, codeText(err)
-		case result.Ran:
-			return Done, codeText(err)
-		}
-		return Unknown, codeText(err)
-	case errors.As(err, &e) && e.Severity != "FATAL":
-		return NotRun, e.Code
-	case pgconn.SafeToRetry(err):
-		return NotRun, "unsent"
-	default:
-		return Unknown, codeText(err)
-	}
-}
-
-// codeOf returns the result code that the message begins with, or zero.
-func codeOf(err error) int {
-	var e *pgconn.PgError
-	if !errors.As(err, &e) || !strings.HasPrefix(e.Message, "TS") || len(e.Message) < 6 {
-		return 0
-	}
-	code, _ := strconv.Atoi(e.Message[2:6])
-	return code
-}
-
-func codeText(err error) string {
-	var e *pgconn.PgError
-	switch {
-	case codeOf(err) > 0:
-		return result.Code(codeOf(err)).String()
-	case errors.As(err, &e):
-		return e.Code
-	case errors.Is(err, context.DeadlineExceeded):
-		return "timeout"
-	default:
-		return "connection"
-	}
-}
-
 func (c *caller) connect(ctx context.Context) error {
 	if c.conn != nil {
 		return nil
@@ -303,71 +236,13 @@
 	return pgx.ConnectConfig(ctx, config)
 }
 
-// hangUp closes the connection without waiting for the daemon.
-func (c *caller) hangUp() {
-	if c.conn == nil {
-		return
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = c.conn.Close(ctx)
-	c.conn = nil
-}
-
-// Prepare creates the tables and their rows through the first daemon that does it.
-func (h *History) Prepare(ctx context.Context) error {
-	for _, g := range h.settings.Groups {
-		if err := h.retry(ctx, g, h.create); err != nil {
-			return fmt.Errorf("historian: tables of %s: %w", g, err)
-		}
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.began = time.Now()
-	return nil
-}
-
-func (h *History) create(ctx context.Context, conn *pgx.Conn) error {
-	var n int
-	if conn.QueryRow(ctx, "SELECT count(*) FROM counters").Scan(&n) == nil && n == h.settings.Callers {
-		return nil // Done by an attempt whose answer was lost.
-	}
-	var b strings.Builder
-	b.WriteString(Schema)
-	for k := range h.settings.Registers {
-		fmt.Fprintf(&b, ";\nINSERT INTO registers (key, value) VALUES (%d, 0)", k)
-	}
-	for k := range h.settings.Callers {
-		fmt.Fprintf(&b, ";\nINSERT INTO counters (key, value) VALUES (%d, 0)", k)
-	}
-	_, err := conn.Exec(ctx, b.String(), pgx.QueryExecModeSimpleProtocol)
-	return err
-}
-
-// Settle reads the final state of all groups by new sessions, after the faults
-// are over. It tries until the context ends.
-func (h *History) Settle(ctx context.Context) error {
-	for _, g := range h.settings.Groups {
-		err := h.retry(ctx, g, func(ctx context.Context, conn *pgx.Conn) error {
-			final, err := ReadFinal(ctx, conn)
-			if err == nil {
-				h.SetFinal(g, final)
-			}
-			return err
-		})
-		if err != nil {
-			return fmt.Errorf("historian: final state of %s: %w", g, err)
-		}
-	}
-	return nil
-}
-
-// retry calls f with a new connection to one daemon after the other until it succeeds.
-func (h *History) retry(ctx context.Context, group unit.GroupName, f func(context.Context, *pgx.Conn) error) error {
+// Retry calls f with a new connection to one daemon after the other until it succeeds
+// or the context ends. Each call has the time limit.
+func (s Settings) Retry(ctx context.Context, group unit.GroupName, limit time.Duration, f func(context.Context, *pgx.Conn) error) error {
 	var last error
 	for i := 0; ctx.Err() == nil; i++ {
-		once, cancel := context.WithTimeout(ctx, 2*h.settings.Timeout)
-		conn, err := h.settings.Connect(once, h.settings.Daemons[i%len(h.settings.Daemons)], group)
+		once, cancel := context.WithTimeout(ctx, limit)
+		conn, err := s.Connect(once, s.Daemons[i%len(s.Daemons)], group)
 		if err == nil {
 			err = f(once, conn)
 			_ = conn.Close(once)
@@ -377,36 +252,18 @@
 			return nil
 		}
 		last = err
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(retryPause)
 	}
 	return errors.Join(ctx.Err(), last)
 }
 
-// ReadFinal reads the state of a group's tables in one transaction.
-func ReadFinal(ctx context.Context, conn *pgx.Conn) (Final, error) {
-	final := Final{Registers: map[int64]int64{}, Counters: map[int64]int64{}, Entries: map[int64]map[int64]int{}}
-	tx, err := conn.BeginTx(ctx, pgx.TxOptions{IsoLevel: pgx.RepeatableRead})
-	if err != nil {
-		return final, err
-	}
-	defer func() { _ = tx.Rollback(ctx) }()
-	var a, b int64
-	scan := func(query string, f func()) error {
-		rows, err := tx.Query(ctx, query)
-		if err != nil {
-			return err
-		}
-		_, err = pgx.ForEachRow(rows, []any{&a, &b}, func() error { f(); return nil })
-		return err
+// hangUp closes the connection without waiting for the daemon.
+func (c *caller) hangUp() {
+	if c.conn == nil {
+		return
 	}
-	return final, errors.Join(
-		scan("SELECT key, value FROM registers", func() { final.Registers[a] = b }),
-		scan("SELECT key, value FROM counters", func() { final.Counters[a] = b }),
-		scan("SELECT bucket, item FROM entries", func() {
-			if final.Entries[a] == nil {
-				final.Entries[a] = map[int64]int{}
-			}
-			final.Entries[a][b]++
-		}),
-	)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = c.conn.Close(ctx)
+	c.conn = nil
 }
--- a/tarragonbench/loader/caller.go
+++ b/tarragonbench/loader/caller.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -36,46 +34,6 @@
 	report Report
 }
 
-// group is what is known of a group's data.
-type group struct {
-	name  unit.GroupName
-	items atomic.Int64
-	acks  acknowledgements
-	rows  []*row
-
-	mu      sync.Mutex
-	inserts map[int64]historian.Outcome
-}
-
-// row is a caller's own row: the time at which each value was acknowledged.
-type row struct {
-	mu    sync.Mutex
-	acked []stamp
-}
-
-type stamp struct {
-	value int64
-	at    time.Duration
-}
-
-// atLeast returns the highest value acknowledged before a time.
-func (r *row) atLeast(at time.Duration) int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i := len(r.acked) - 1; i >= 0; i-- {
-		if r.acked[i].at < at {
-			return r.acked[i].value
-		}
-	}
-	return 0
-}
-
-func (r *row) add(value int64, at time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.acked = append(r.acked, stamp{value, at})
-}
-
 // caller carries out one request at a time.
 type caller struct {
 	loader *Loader
@@ -116,7 +74,7 @@
 // Prepare creates the tables and opens the callers' connections.
 func (l *Loader) Prepare(ctx context.Context) error {
 	for _, g := range l.groups {
-		if err := l.retry(ctx, g.name, func(ctx context.Context, conn *pgx.Conn) error { return create(ctx, conn, len(g.rows)) }); err != nil {
+		if err := l.access().Retry(ctx, g.name, l.settings.Timeout, func(ctx context.Context, conn *pgx.Conn) error { return create(ctx, conn, len(g.rows)) }); err != nil {
 			return fmt.Errorf("loader: tables of %s: %w", g.name, err)
 		}
 	}
@@ -332,30 +290,24 @@
 	return err
 }
 
-func (g *group) note(err error, items ...int64) {
-	outcome, _ := historian.Classify(err)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, item := range items {
-		g.inserts[item] = outcome
-	}
-}
-
 func (c *caller) connect(ctx context.Context) error {
 	if c.conn != nil {
 		return nil
 	}
-	conn, err := c.loader.connect(ctx, c.random.IntN(len(c.loader.settings.Daemons)), c.group.name)
+	daemons := c.loader.settings.Daemons
+	conn, err := c.loader.access().Connect(ctx, daemons[c.random.IntN(len(daemons))], c.group.name)
 	if err == nil {
 		c.conn = conn
 	}
 	return err
 }
 
-func (l *Loader) connect(ctx context.Context, daemon int, group unit.GroupName) (*pgx.Conn, error) {
-	return historian.Settings{User: "demo", Password: "demo"}.Connect(ctx, l.settings.Daemons[daemon%len(l.settings.Daemons)], group)
+// access returns how connections to the daemons are opened.
+func (l *Loader) access() historian.Settings {
+	return historian.Settings{User: "demo", Password: "demo", Daemons: l.settings.Daemons}
 }
 
+// hangUp closes the connection without waiting for the daemon.
 func (c *caller) hangUp() {
 	if c.conn == nil {
 		return
@@ -365,70 +317,3 @@
 	_ = c.conn.Close(ctx)
 	c.conn = nil
 }
-
-// retry calls f with a new connection to one daemon after the other until it
-// succeeds.
-func (l *Loader) retry(ctx context.Context, group unit.GroupName, f func(context.Context, *pgx.Conn) error) error {
-	var last error
-	for i := 0; ctx.Err() == nil; i++ {
-		once, cancel := context.WithTimeout(ctx, l.settings.Timeout)
-		conn, err := l.connect(once, i, group)
-		if err == nil {
-			err = f(once, conn)
-			_ = conn.Close(once)
-		}
-		cancel()
-		if err == nil {
-			return nil
-		}
-		last = err
-		time.Sleep(20 * time.Millisecond)
-	}
-	return errors.Join(ctx.Err(), last)
-}
-
-// Settle compares the final state with what was acknowledged and returns the
-// report. It tries to read until the context ends.
-func (l *Loader) Settle(ctx context.Context) (Report, error) {
-	for _, g := range l.groups {
-		var items []int64
-		err := l.retry(ctx, g.name, func(ctx context.Context, conn *pgx.Conn) error {
-			rows, err := conn.Query(ctx, "SELECT item FROM ledger")
-			if err != nil {
-				return err
-			}
-			items, err = pgx.CollectRows(rows, pgx.RowTo[int64])
-			return err
-		})
-		if err != nil {
-			return Report{}, fmt.Errorf("loader: final state of %s: %w", g.name, err)
-		}
-		l.compare(g, items)
-	}
-	done := 0
-	for _, f := range l.report.Classes {
-		f.summarize()
-		done += f.Done
-	}
-	l.report.Goodput = float64(done) / l.settings.Duration.Seconds()
-	return l.report, nil
-}
-
-// compare finds rows that are lost, doubled, or there although their insert did
-// not run.
-func (l *Loader) compare(g *group, items []int64) {
-	counts := map[int64]int{}
-	for _, item := range items {
-		counts[item]++
-	}
-	for item, outcome := range g.inserts {
-		switch n := counts[item]; {
-		case n == 0 && outcome == historian.Done:
-			l.violated("item %d of %s is lost", item, g.name)
-		case n > 0 && outcome == historian.NotRun:
-			l.violated("item %d of %s did not run and is there", item, g.name)
-		case n > 1:
-			l.violated("item %d of %s is there %d times", item, g.name, n)
-		}
-	}
-}
--- /dev/null
+++ b/tarragonbench/loader/settle.go
@@ -0,0 +1,56 @@
+package loader
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/jackc/pgx/v5"
+
+	"tarragonshed.example/tarragonbench/historian"
+)
+
+// Settle compares the final state with what was acknowledged and returns the
+// report. It tries to read until the context ends.
+func (l *Loader) Settle(ctx context.Context) (Report, error) {
+	for _, g := range l.groups {
+		var items []int64
+		err := l.access().Retry(ctx, g.name, l.settings.Timeout, func(ctx context.Context, conn *pgx.Conn) error {
+			rows, err := conn.Query(ctx, "SELECT item FROM ledger")
+			if err != nil {
+				return err
+			}
+			items, err = pgx.CollectRows(rows, pgx.RowTo[int64])
+			return err
+		})
+		if err != nil {
+			return Report{}, fmt.Errorf("loader: final state of %s: %w", g.name, err)
+		}
+		l.compare(g, items)
+	}
+	done := 0
+	for _, f := range l.report.Classes {
+		f.summarize()
+		done += f.Done
+	}
+	l.report.Goodput = float64(done) / l.settings.Duration.Seconds()
+	return l.report, nil
+}
+
+// compare finds rows that are lost, doubled, or there although their insert did
+// not run.
+func (l *Loader) compare(g *group, items []int64) {
+	counts := map[int64]int{}
+	for _, item := range items {
+		counts[item]++
+	}
+	for item, outcome := range g.inserts {
+		switch n := counts[item]; {
+		case n == 0 && outcome == historian.Done:
+			l.violated("item %d of %s is lost", item, g.name)
+		case n > 0 && outcome == historian.NotRun:
+			l.violated("item %d of %s did not run and is there", item, g.name)
+		case n > 1:
+			l.violated("item %d of %s is there %d times", item, g.name, n)
+		}
+	}
+}
--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -10,7 +10,6 @@
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/placer"
 	"tarragonshed.example/pooler"
-	"tarragonshed.example/recorder"
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/holder"
 	"tarragonshed.example/unit"
@@ -29,13 +28,6 @@
 	keepUnused = time.Second
 )
 
-// gave is the answer to a request for a connection.
-type gave struct {
-	conn  *conn
-	check bool
-	err   *result.Error
-}
-
 // target is one instance that this daemon is a home of, under one lock.
 type target struct {
 	home    *Home
@@ -208,205 +200,11 @@
 	return t.group.covers(s.position)
 }
 
-// admit asks for a slot, and for the right to a connection unless the
-// transaction is open. The channel receives one value, nil for admission.
-func (t *target) admit(caller unit.CallerName, p limiter.Priority, deadline time.Time) (limiter.ID, <-chan *result.Error) {
-	answer := make(chan *result.Error, 1)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.next++
-	id := limiter.ID(t.next)
-	if t.stopped {
-		answer <- t.givenUp()
-		return id, answer
-	}
-	t.admits[id] = answer
-	t.limit(t.limiter.Step(limiter.Request{ID: id, Caller: caller, Priority: p, Now: time.Now(), Deadline: deadline}))
-	return id, answer
-}
-
-// tryAdmit is admit for a request that does not have to wait.
-func (t *target) tryAdmit(p limiter.Priority) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.used = time.Now()
-	return !t.stopped && t.limiter.Try(p)
-}
-
-// tryTake is take for a connection that is idle.
-func (t *target) tryTake() (gave, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.stopped {
-		return gave{}, false
-	}
-	give, ok := t.pool.Try(time.Now())
-	return gave{conn: t.conns[give.Conn], check: give.Check}, ok
-}
-
 // givenUp is the error of requests that find the target closed.
 func (t *target) givenUp() *result.Error {
 	return result.New(result.HomeUnreachable, "the daemon is no home of instance %s any more", t.name)
 }
 
-// withdraw takes a request for a slot back. It reports whether the request was
-// still waiting.
-func (t *target) withdraw(id limiter.ID) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, waiting := t.admits[id]; !waiting {
-		return false
-	}
-	delete(t.admits, id)
-	t.limiter.Step(limiter.Withdraw{ID: id})
-	return true
-}
-
-// overdue lets a request of an open transaction pass, because what runs may wait
-// for its locks.
-func (t *target) overdue(id limiter.ID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, waiting := t.admits[id]; waiting {
-		t.limit(t.limiter.Step(limiter.Overdue{ID: id}))
-	}
-}
-
-// finish gives a slot back.
-func (t *target) finish(took time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.limit(t.limiter.Step(limiter.Finished{Now: time.Now(), Took: took}))
-}
-
-// endTransaction gives the right to a connection back.
-func (t *target) endTransaction() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.limit(t.limiter.Step(limiter.TransactionEnded{Now: time.Now()}))
-}
-
-// limit carries out effects of the limiter. The lock is held.
-func (t *target) limit(effects []limiter.Effect) {
-	for _, effect := range effects {
-		switch effect := effect.(type) {
-		case limiter.Admit:
-			t.admits[effect.ID] <- nil
-			delete(t.admits, effect.ID)
-		case limiter.Refuse:
-			t.admits[effect.ID] <- effect.Err
-			delete(t.admits, effect.ID)
-		}
-	}
-}
-
-// take asks for a connection. The channel receives one value.
-func (t *target) take() (pooler.Ticket, <-chan gave) {
-	answer := make(chan gave, 1)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.next++
-	ticket := pooler.Ticket(t.next)
-	if t.stopped {
-		answer <- gave{err: t.givenUp()}
-		return ticket, answer
-	}
-	t.gives[ticket] = answer
-	t.apply(t.pool.Step(pooler.Take{Ticket: ticket, Now: time.Now()}))
-	return ticket, answer
-}
-
-// withdrawTake takes a request for a connection back. It reports whether the
-// request was still waiting.
-func (t *target) withdrawTake(ticket pooler.Ticket) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, waiting := t.gives[ticket]; !waiting {
-		return false
-	}
-	delete(t.gives, ticket)
-	t.pool.Step(pooler.Withdraw{Ticket: ticket})
-	return true
-}
-
-// put returns an idle connection.
-func (t *target) put(c *conn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, open := t.conns[c.id]; open {
-		t.apply(t.pool.Step(pooler.Returned{Conn: c.id, Now: time.Now()}))
-	}
-}
-
-// apply carries out effects of the pooler. The lock is held.
-func (t *target) apply(effects []pooler.Effect) {
-	for _, effect := range effects {
-		switch effect := effect.(type) {
-		case pooler.Give:
-			t.gives[effect.Ticket] <- t.give(effect)
-			delete(t.gives, effect.Ticket)
-		case pooler.Fail:
-			t.gives[effect.Ticket] <- gave{err: effect.Err}
-			delete(t.gives, effect.Ticket)
-		case pooler.Open:
-			go t.open()
-		case pooler.Close:
-			t.conns[effect.Conn].close()
-			delete(t.conns, effect.Conn)
-		case pooler.Probe:
-			go t.probe(effect)
-		}
-	}
-}
-
-func (t *target) give(g pooler.Give) gave {
-	if t.stopped {
-		return gave{err: t.givenUp()}
-	}
-	return gave{conn: t.conns[g.Conn], check: g.Check}
-}
-
-// open opens one connection.
-func (t *target) open() {
-	ctx, stop := context.WithTimeout(t.home.ctx, openTimeout)
-	defer stop()
-	hijacked, err := t.endpoint.connect(ctx)
-	now := time.Now()
-	if err != nil {
-		failure, exhausted := connectError(t.name, err)
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.apply(t.pool.Step(pooler.OpenFailed{Now: now, Exhausted: exhausted, Err: failure}))
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.next++
-	id := pooler.Conn(t.next)
-	c := newConn(id, t.endpoint, hijacked, t.gone)
-	t.conns[id] = c
-	t.home.recorder.Record(recorder.Event{Kind: recorder.ConnectionOpened, Group: t.group.name, Instance: t.name})
-	if t.stopped {
-		c.close()
-	}
-	t.apply(t.pool.Step(pooler.Opened{Conn: id, Now: now}))
-}
-
-// gone takes a closed connection out of the pool.
-func (t *target) gone(c *conn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, open := t.conns[c.id]; !open {
-		return
-	}
-	delete(t.conns, c.id)
-	t.home.recorder.Record(recorder.Event{Kind: recorder.ConnectionClosed, Group: t.group.name, Instance: t.name})
-	effects := t.pool.Step(pooler.Gone{Conn: c.id, Now: time.Now()})
-	if !t.stopped {
-		t.apply(effects)
-	}
-}
-
 // unused reports whether no transaction has been open for a while.
 func (t *target) unused() bool {
 	t.mu.Lock()
