result, promoter, tarragonctl, settings: number what operators are refused with

Seen by a reader: 'group change-primary --to nope' and a push with a refused token ended with exit code 4, unknown, though nothing had taken effect; and callers.tls.authorities was accepted and not used. They are TS7001 with exit code 3, TS7002 with exit code 5, and a problem of the settings.

--- a/promoter/change.go
+++ b/promoter/change.go
@@ -6,15 +6,16 @@
 
 	"tarragonshed.example/instance"
 	"tarragonshed.example/recorder"
+	"tarragonshed.example/result"
 	"tarragonshed.example/unit"
 )
 
 // The errors of [ChangeEnded].
 var (
-	errTarget  = errors.New("promoter: the target is not a member that follows the primary")
-	errBusy    = errors.New("promoter: the group has no primary or another change is under way")
-	errQuiesce = errors.New("promoter: the primary could not be quiesced")
-	errCaught  = errors.New("promoter: the target did not reach the primary's last position in time")
+	errTarget  = result.New(result.ChangeRefused, "the target is not a member that follows the primary")
+	errBusy    = result.New(result.ChangeRefused, "the group has no primary or another change is under way")
+	errQuiesce = result.New(result.ChangeRefused, "the primary could not be quiesced")
+	errCaught  = result.New(result.ChangeRefused, "the target did not reach the primary's last position in time")
 	errAttempt = errors.New("promoter: the term was not granted")
 	errOther   = errors.New("promoter: another instance had a higher log and was promoted")
 )
--- a/result/codes.go
+++ b/result/codes.go
@@ -70,6 +70,12 @@
 	PushReused          Code = 5202
 )
 
+// Codes of the operator API.
+const (
+	ChangeRefused      Code = 7001
+	CredentialsRefused Code = 7002
+)
+
 var entries = index([]Entry{
 	{MalformedStartup, "malformed-startup", NotRun, "08P01", "The startup packet could not be read."},
 	{AuthenticationFailed, "authentication-failed", NotRun, "28P01", "The caller is unknown or the password is wrong."},
@@ -125,6 +131,9 @@
 
 	{RequestDone, "request-done", Ran, "23505", "A transaction with the same request key has been committed before."},
 	{AnswerCut, "answer-cut", Ran, "08006", "The statement took effect but its answer could not be delivered whole."},
+
+	{ChangeRefused, "change-refused", NotRun, "", "The planned change of primary was not made; the primary is the same."},
+	{CredentialsRefused, "credentials-refused", NotRun, "", "The operator API refuses the token; the call had no effect."},
 })
 
 func index(list []Entry) map[Code]Entry {
--- a/standin/deployer/parts.go
+++ b/standin/deployer/parts.go
@@ -256,6 +256,7 @@
 	issued, err := d.authority.Issue(string(v.member.ID))
 	s.Callers.TLS, s.Peers.TLS, s.Operator.TLS = issued, issued, issued
 	s.Callers.RequireTLS = true
+	s.Callers.TLS.Authorities = ""
 	return s, err
 }
 
--- a/tarragonctl/client/client.go
+++ b/tarragonctl/client/client.go
@@ -99,7 +99,7 @@
 	response, err := a.next.RoundTrip(r)
 	if err == nil && response.StatusCode == http.StatusUnauthorized {
 		_ = response.Body.Close()
-		return nil, &Failure{Exit: ExitUnreachable, Detail: "the daemon refuses the token"}
+		return nil, &Failure{Exit: ExitUnreachable, Code: result.CredentialsRefused, Detail: "the daemon refuses the token"}
 	}
 	return response, err
 }
@@ -149,7 +149,7 @@
 	}
 	var failure *Failure
 	if errors.As(err, &failure) {
-		return &Failure{Exit: failure.Exit, Detail: d.Address + ": " + failure.Detail}
+		return &Failure{Exit: failure.Exit, Code: failure.Code, Detail: d.Address + ": " + failure.Detail}
 	}
 	return &Failure{Exit: ExitUnreachable, Detail: fmt.Sprintf("%s can't be reached: %v", d.Address, err)}
 }
@@ -211,7 +211,7 @@
 func (d *Daemon) Push(ctx context.Context, payload *manifest.PushPayload) (*types.ManifestRecord, error) {
 	record, err := call[*types.ManifestRecord](ctx, d, d.manifests.Push(), payload)
 	var failure *Failure
-	if errors.As(err, &failure) && failure.Exit == ExitUnreachable {
+	if errors.As(err, &failure) && failure.Exit == ExitUnreachable && failure.Code == 0 {
 		failure.Exit = ExitUnknown // The daemon may have been reached.
 	}
 	return record, err
--- a/tarragonctl/main_test.go
+++ b/tarragonctl/main_test.go
@@ -103,6 +103,7 @@
 		{"status of all daemons", client.ExitOK, 0, true, []string{"status"}},
 		{"status with a daemon that is missing", client.ExitPartial, 0, false, []string{"--output", "json", "status"}},
 		{"wrong token", client.ExitUnreachable, 0, true, []string{"--token", "wrong", "status"}},
+		{"push with a wrong token", client.ExitUnreachable, 0, true, []string{"--token", "wrong", "manifest", "push", "--base", "3", good}},
 		{"unreachable daemon", client.ExitUnreachable, 0, true, []string{"--daemon", "127.0.0.1:1", "status"}},
 		{"unknown flag", client.ExitUsage, 0, true, []string{"status", "--surplus"}},
 		{"unknown output", client.ExitUsage, 0, true, []string{"--output", "xml", "status"}},
--- a/tarragonshed/settings/settings.go
+++ b/tarragonshed/settings/settings.go
@@ -262,6 +262,9 @@
 	if s.Callers.RequireTLS && !s.Callers.TLS.Enabled() {
 		c.add("callers.require-tls", "callers.tls names no certificate")
 	}
+	if s.Callers.TLS.Authorities != "" {
+		c.add("callers.tls.authorities", "callers show no certificates; they authenticate by SCRAM")
+	}
 	if !s.Peers.Plaintext && !s.Peers.TLS.Enabled() {
 		c.add("peers.plaintext", "peers.tls names no certificate and plaintext is not allowed")
 	}
--- a/tarragonshed/settings/settings_test.go
+++ b/tarragonshed/settings/settings_test.go
@@ -68,6 +68,9 @@
 	t.Run("plaintext between daemons is only by consent", func(t *testing.T) {
 		expectProblems(t, strings.Replace(valid, "plaintext = true\n", "", 1), "peers.plaintext")
 	})
+	t.Run("authorities for callers are refused, because callers show no certificates", func(t *testing.T) {
+		expectProblems(t, strings.Replace(valid, "[peers]", "[callers.tls]\nauthorities = \"settings_test.go\"\n[peers]", 1), "callers.tls.authorities: callers show no certificates")
+	})
 	t.Run("a syntax error has its line", func(t *testing.T) {
 		expectProblems(t, "id = \"x\"\ndomain = \n", "line 2")
 	})
