daemon: be ready only when others are known

Cause: a daemon that has just started knows only itself and takes itself for a home of every instance.

Change: a daemon is ready, for the balancer and the stand-in deployment, when its view has another daemon, or after 2 s alone.

--- a/tarragonshed/daemon/daemon.go
+++ b/tarragonshed/daemon/daemon.go
@@ -50,6 +50,9 @@
 // Version is the version of the daemon.
 const Version = "0.1.0"
 
+// orientation is how long a daemon looks for others before it is ready alone.
+const orientation = 2 * time.Second
+
 // Daemon is a running daemon. It is safe for concurrent use.
 type Daemon struct {
 	settings settings.Settings
@@ -77,6 +80,7 @@
 
 	servers   []*http.Server
 	draining  atomic.Bool
+	startedAt time.Time
 	closeOnce sync.Once
 	done      chan struct{}
 }
@@ -118,7 +122,9 @@
 		logger:   log.Default(),
 		rec:      recorder.New(string(s.ID)),
 		registry: metrics.NewRegistry(),
-		done:     make(chan struct{}),
+
+		startedAt: time.Now(),
+		done:      make(chan struct{}),
 	}
 	for _, option := range options {
 		option(d)
@@ -262,16 +268,22 @@
 func (d *Daemon) Metrics() metrics.Registry { return d.registry }
 
 // Ready reports whether the daemon takes new work: it has a manifest in force,
-// is not draining, and nobody has marked it as leaving.
+// knows of other daemons, is not draining, and nobody has marked it as leaving.
 func (d *Daemon) Ready() bool {
 	select {
 	case <-d.gossip.Leaving():
 		return false
 	default:
-		return !d.draining.Load() && d.holder.Current().Manifest != nil
+		return !d.draining.Load() && d.holder.Current().Manifest != nil && d.oriented()
 	}
 }
 
+// oriented reports whether the daemon knows of others, or has looked for them in
+// vain. Before, it would take itself for a home of every instance.
+func (d *Daemon) oriented() bool {
+	return len(d.holder.Current().View.Daemons) > 1 || time.Since(d.startedAt) > orientation
+}
+
 // Done is closed when the daemon has ended.
 func (d *Daemon) Done() <-chan struct{} { return d.done }
 
