lender, home: lend slots and connections in a package of their own

Cause: the shell around limiter and pooler knew the connections of the home's protocol only. The sessions on the users' platform need the same shell for another kind of connection, and a copy is not wanted.

Change: home/pool.go and home/slot.go became the generic package lender.

--- a/tarragonshed/home/conn.go
+++ b/tarragonshed/home/conn.go
@@ -82,7 +82,7 @@
 	pid      uint32
 	secret   []byte
 	// onClosed is called once, when the connection can't be used any more.
-	onClosed func(*conn)
+	onClosed func()
 	// injected receives the outcome of each query of the home's own.
 	injected chan injection
 
@@ -105,7 +105,7 @@
 	own      injection // The injected query in course.
 }
 
-func newConn(id pooler.Conn, e endpoint, hijacked *pgconn.HijackedConn, onClosed func(*conn)) *conn {
+func newConn(id pooler.Conn, e endpoint, hijacked *pgconn.HijackedConn, onClosed func()) *conn {
 	c := &conn{
 		id: id, endpoint: e, net: hijacked.Conn, frontend: hijacked.Frontend,
 		pid: hijacked.PID, secret: hijacked.SecretKey, onClosed: onClosed,
@@ -144,15 +144,15 @@
 	default:
 	}
 	if !already {
-		c.onClosed(c)
+		c.onClosed()
 	}
 	if owner != nil {
 		owner.lost(err)
 	}
 }
 
-// close makes the reading goroutine end.
-func (c *conn) close() { _ = c.net.Close() }
+// Close makes the reading goroutine end.
+func (c *conn) Close() { _ = c.net.Close() }
 
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
@@ -193,7 +193,7 @@
 func (c *conn) write(b []byte) (sent bool, err error) {
 	n, err := c.net.Write(b)
 	if err != nil {
-		c.close()
+		c.Close()
 		return n > 0, trace.Wrap(err, "home: write to the instance")
 	}
 	return true, nil
@@ -247,7 +247,7 @@
 		}
 		return done, done.err
 	case <-ctx.Done():
-		c.close()
+		c.Close()
 		return injection{}, trace.Wrap(ctx.Err(), "home: %s", query)
 	}
 }
@@ -345,7 +345,7 @@
 // reset undoes what a statement may have changed on the connection.
 func (c *conn) reset(ctx context.Context) error {
 	if err := c.endCancel(ctx); err != nil {
-		c.close()
+		c.Close()
 		return err
 	}
 	c.mu.Lock()
@@ -356,7 +356,7 @@
 		return nil
 	}
 	if err := c.run(ctx, "DISCARD ALL"); err != nil {
-		c.close()
+		c.Close()
 		return err
 	}
 	c.settings = nil
--- a/tarragonshed/home/home.go
+++ b/tarragonshed/home/home.go
@@ -242,7 +242,8 @@
 		i, g, ok := now.Manifest.Instance(name)
 		kept := ok && i.Address == t.endpoint.address
 		if kept {
-			t.resize(boundsOf(now, g, i))
+			limits := boundsOf(now, g, i)
+			t.Resize(limits.limiter(), limits.pooler())
 		}
 		if kept && placer.IsHome(now.View, i, placer.HomeCount(g, i)) || !t.unused() {
 			continue
--- a/tarragonshed/home/run.go
+++ b/tarragonshed/home/run.go
@@ -58,7 +58,7 @@
 		t.refuse(refusal)
 		return
 	}
-	t.conn.close()
+	t.conn.Close()
 	t.refuse(t.lossError(err))
 }
 
@@ -227,7 +227,7 @@
 	t.relay.dropping.Store(true)
 	go func() {
 		if !t.rollBack() {
-			t.conn.close()
+			t.conn.Close()
 		}
 		t.release()
 	}()
--- a/tarragonshed/home/silence.go
+++ b/tarragonshed/home/silence.go
@@ -31,55 +31,52 @@
 
 // suspect looks for connections that owe an answer for long.
 func (t *target) suspect(now time.Time) {
-	t.mu.Lock()
 	busy := false
-	for id, c := range t.conns {
+	silent := make(map[pooler.Conn]time.Time)
+	t.Each(func(id pooler.Conn, c *conn) {
 		since, owes := c.waits()
 		busy = busy || owes && now.Sub(since) > busyHeartbeat
 		if owes && now.Sub(since) > t.home.suspicion {
-			t.apply(t.pool.Step(pooler.Suspect{Conn: id, Silent: since}))
+			silent[id] = since
 		}
+	})
+	for id, since := range silent {
+		t.Suspect(id, since)
 	}
-	stranded := busy && !t.reachable
-	t.mu.Unlock()
 	t.control.check(now, busy)
-	t.group.strand(t, stranded)
+	t.group.strand(t, busy && !t.isReachable())
+}
+
+func (t *target) isReachable() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reachable
 }
 
 // forsake closes the connections that owe an answer: the instance can't be
 // reached and its term is over, so no answer could be given to the callers.
 func (t *target) forsake() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, c := range t.conns {
+	t.Each(func(_ pooler.Conn, c *conn) {
 		if _, owes := c.waits(); owes {
-			c.close()
+			c.Close()
 		}
-	}
+	})
 }
 
 // probe asks the instance about a suspect by a fresh connection.
 func (t *target) probe(p pooler.Probe) {
 	answered, runs := t.ask(p.Conn)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	pids := make(map[pooler.Conn]uint32)
-	for id, c := range t.conns {
-		pids[id] = c.pid
+	closed := t.Probed(pooler.Probed{Conn: p.Conn, Silent: p.Silent, Answered: answered, Lost: !t.isReachable(), Runs: runs})
+	if len(closed) == 0 {
+		return
 	}
-	effects := t.pool.Step(pooler.Probed{Conn: p.Conn, Silent: p.Silent, Answered: answered, Lost: !t.reachable, Runs: runs})
-	if len(effects) > 0 {
-		t.home.recorder.Record(recorder.Event{Kind: recorder.ConnectionSilent, Group: t.group.name, Instance: t.name})
-	}
-	t.apply(effects)
-	var silent []uint32
-	for _, effect := range effects {
-		if closed, ok := effect.(pooler.Close); ok {
-			silent = append(silent, pids[closed.Conn])
+	t.record(recorder.ConnectionSilent)
+	if answered {
+		pids := make([]uint32, len(closed))
+		for n, c := range closed {
+			pids[n] = c.pid
 		}
-	}
-	if answered && len(silent) > 0 {
-		go t.terminate(silent)
+		go t.terminate(pids)
 	}
 }
 
@@ -126,10 +123,8 @@
 // knows of a statement that runs on the connection. It asks twice, because a
 // connection may be between two statements of a batch.
 func (t *target) ask(id pooler.Conn) (answered, runs bool) {
-	t.mu.Lock()
-	c := t.conns[id]
-	t.mu.Unlock()
-	if c == nil {
+	c, ok := t.Find(id)
+	if !ok {
 		return false, false
 	}
 	ctx, stop := context.WithTimeout(t.home.ctx, probeTimeout)
--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -10,8 +10,10 @@
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/placer"
 	"tarragonshed.example/pooler"
+	"tarragonshed.example/recorder"
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/holder"
+	"tarragonshed.example/tarragonshed/lender"
 	"tarragonshed.example/unit"
 )
 
@@ -28,24 +30,18 @@
 	keepUnused = time.Second
 )
 
-// target is one instance that this daemon is a home of, under one lock.
+// target is one instance that this daemon is a home of.
 type target struct {
+	*lender.Lender[*conn]
 	home    *Home
 	group   *group
 	name    unit.InstanceName
 	control *control
 	stop    context.CancelFunc
 
-	mu       sync.Mutex
 	endpoint endpoint
-	limiter  *limiter.Limiter
-	pool     *pooler.Pooler
-	conns    map[pooler.Conn]*conn
-	admits   map[limiter.ID]chan *result.Error
-	gives    map[pooler.Ticket]chan gave
-	next     uint64
-	stopped  bool
-	used     time.Time // When a slot was last asked for.
+
+	mu sync.Mutex // Guards what follows.
 
 	report    instance.Report
 	reported  chan struct{} // Closed at the next report.
@@ -63,13 +59,15 @@
 	t := &target{
 		home: h, group: g, name: i.Name, stop: stop,
 		endpoint: h.endpoint(g.name, i.Address),
-		limiter:  limiter.New(limits.limiter()),
-		pool:     pooler.New(limits.pooler()),
-		conns:    make(map[pooler.Conn]*conn),
-		admits:   make(map[limiter.ID]chan *result.Error),
-		gives:    make(map[pooler.Ticket]chan gave),
 		reported: make(chan struct{}),
 	}
+	t.Lender = lender.New(ctx, t.open, limits.limiter(), limits.pooler(),
+		lender.WithOpenTimeout[*conn](openTimeout),
+		lender.WithStopError[*conn](t.givenUp),
+		lender.WithObserver[*conn](
+			func() { t.record(recorder.ConnectionOpened) },
+			func() { t.record(recorder.ConnectionClosed) }),
+		lender.WithProbe[*conn](t.probe))
 	t.control = newControl(ctx, t.endpoint, t.receive, t.lost)
 	return t
 }
@@ -102,35 +100,32 @@
 	return pooler.Limits{Share: b.share, Warm: min(b.slots+1, b.share), Opening: openingLimit, Rate: refillRate}
 }
 
-// resize adopts what a newer manifest or view says.
-func (t *target) resize(b bounds) {
-	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.limit(t.limiter.Step(limiter.Resize{Limits: b.limiter(), Now: now}))
-	t.apply(t.pool.Step(pooler.Resize{Limits: b.pooler(), Now: now}))
+// open opens one connection.
+func (t *target) open(ctx context.Context, id pooler.Conn, gone func()) (*conn, bool, *result.Error) {
+	hijacked, err := t.endpoint.connect(ctx)
+	if err != nil {
+		failure, exhausted := connectError(t.name, err)
+		return nil, exhausted, failure
+	}
+	return newConn(id, t.endpoint, hijacked, gone), false, nil
+}
+
+func (t *target) record(kind recorder.Kind) {
+	t.home.recorder.Record(recorder.Event{Kind: kind, Group: t.group.name, Instance: t.name})
 }
 
 // tick lets time pass.
 func (t *target) tick(now time.Time) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.stopped && (t.reachable || t.pool.Waiting() > 0) {
-		t.apply(t.pool.Step(pooler.Tick{Now: now}))
-	}
+	reachable := t.reachable
+	t.mu.Unlock()
+	t.Tick(now, reachable)
 }
 
 // close closes everything.
 func (t *target) close() {
 	t.stop()
-	t.mu.Lock()
-	t.stopped = true
-	conns := t.conns
-	t.conns = make(map[pooler.Conn]*conn)
-	t.mu.Unlock()
-	for _, c := range conns {
-		c.close()
-	}
+	t.Close()
 }
 
 // receive takes a report of the instance in.
@@ -206,8 +201,4 @@
 }
 
 // unused reports whether no transaction has been open for a while.
-func (t *target) unused() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.limiter.Open() == 0 && t.limiter.Queued() == 0 && time.Since(t.used) > keepUnused
-}
+func (t *target) unused() bool { return t.Unused(keepUnused) }
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -177,17 +177,17 @@
 // admit waits for a slot.
 func (t *transaction) admit(ctx context.Context, p limiter.Priority) *result.Error {
 	asked := time.Now()
-	if t.target.tryAdmit(p) {
+	if t.target.TryAdmit(p) {
 		t.begin(asked)
 		return nil
 	}
-	id, answer := t.target.admit(unit.CallerName(t.request.Caller), p, t.deadline)
+	id, answer := t.target.Admit(unit.CallerName(t.request.Caller), p, t.deadline)
 	if p == limiter.OpenTransaction {
-		defer time.AfterFunc(lockPatience, func() { t.target.overdue(id) }).Stop()
+		defer time.AfterFunc(lockPatience, func() { t.target.Overdue(id) }).Stop()
 	}
 	refusal, ok := await(ctx, t.lane, t.deadline, answer)
 	if !ok {
-		if t.target.withdraw(id) {
+		if t.target.Withdraw(id) {
 			return t.interrupted(result.DeadlinePassed, "no slot of instance %s became free in time", t.target.name)
 		}
 		refusal = <-answer
@@ -251,10 +251,10 @@
 func (t *transaction) settingsError(c *conn, err error) *result.Error {
 	var failure *queryError
 	if !c.isClosed() && errors.As(err, &failure) && refusesSetting(failure.code) {
-		t.target.put(c)
+		t.target.Put(c.id)
 		return result.New(result.MalformedOption, "instance %s refused the session's settings: %v", t.target.name, err)
 	}
-	c.close()
+	c.Close()
 	return result.New(result.InstanceUnreachable, "instance %s: %v", t.target.name, err)
 }
 
@@ -271,20 +271,20 @@
 
 // take waits for a connection.
 func (t *transaction) take(ctx context.Context) (c *conn, check bool, err *result.Error) {
-	if g, ok := t.target.tryTake(); ok {
-		return g.conn, g.check, nil
+	if g, ok := t.target.TryTake(); ok {
+		return g.Conn, g.Check, nil
 	}
-	ticket, answer := t.target.take()
+	ticket, answer := t.target.Take()
 	g, ok := await(ctx, t.lane, t.deadline, answer)
 	if !ok {
-		if !t.target.withdrawTake(ticket) {
-			if g = <-answer; g.conn != nil {
-				t.target.put(g.conn)
+		if !t.target.WithdrawTake(ticket) {
+			if g = <-answer; g.Conn != nil {
+				t.target.Put(g.ID)
 			}
 		}
 		return nil, false, t.interrupted(result.DeadlinePassed, "no connection to instance %s became free in time", t.target.name)
 	}
-	return g.conn, g.check, g.err
+	return g.Conn, g.Check, g.Err
 }
 
 // answers makes a round trip on a connection that has been quiet.
@@ -306,16 +306,16 @@
 				ctx, stop := context.WithTimeout(context.Background(), checkTimeout)
 				defer stop()
 				if c.reset(ctx) == nil {
-					t.target.put(c)
+					t.target.Put(c.id)
 				}
 			}()
 		} else {
-			t.target.put(c)
+			t.target.Put(c.id)
 		}
 	}
 	if t.counted {
 		t.counted = false
-		t.target.endTransaction()
+		t.target.EndTransaction()
 		t.lane.home.end()
 	}
 }
@@ -326,7 +326,7 @@
 	}
 	t.slot = false
 	took := time.Since(t.begun)
-	t.target.finish(took)
+	t.target.Finish(took)
 	t.lane.home.metrics.execution.Update(took)
 }
 
