--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -199,12 +199,13 @@
 	ctx, stop := context.WithTimeout(g.engine.ctx, inquiryTimeout)
 	defer stop()
 	asked := g.engine.now()
-	status, err := t.status(ctx, Status{})
-	if err != nil || !status.Primary || !g.engine.authority.Holds(l) {
+	reply, err := t.askAside(ctx, Status{})
+	// An instance without room for the question tells its position nevertheless.
+	if err != nil || reply.Position.IsZero() || !g.engine.authority.Holds(l) {
 		time.Sleep(primaryPoll)
 		return
 	}
-	g.observe(status.Received, asked)
+	g.observe(reply.Position, asked)
 }
 
 // sites returns where a read may go.
--- a/tarragonshed/engine/target.go
+++ b/tarragonshed/engine/target.go
@@ -308,6 +308,7 @@
 		return g.Err
 	}
 	b.link = g.Conn
+	b.begun = time.Now() // The opening of a connection tells nothing about statements.
 	return nil
 }
 
@@ -434,27 +435,36 @@
 	}()
 }
 
-// status asks the instance about itself, beside its slots: over a connection of
-// the pool if one is idle.
+// status asks the instance about itself, beside its slots.
 func (t *target) status(ctx context.Context, st Statement) (InstanceStatus, error) {
+	reply, failure := t.askAside(ctx, st)
+	if failure != nil {
+		return InstanceStatus{}, failure
+	}
+	if reply.Err != nil {
+		return InstanceStatus{}, reply.Err
+	}
+	return t.engine.connector.Status(reply)
+}
+
+// askAside makes a request beside the slots: over a connection of the pool if one
+// is idle.
+func (t *target) askAside(ctx context.Context, st Statement) (Reply, *result.Error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(openTimeout)
 	}
 	b, failure := t.aside(ctx)
 	if failure != nil {
-		return InstanceStatus{}, failure
+		return Reply{}, failure
 	}
 	reply, failure := b.roundTrip(deadline, Request{Statement: st})
 	if failure != nil {
 		b.link.Close()
-		return InstanceStatus{}, failure
+		return Reply{}, failure
 	}
 	t.Put(b.link.id)
-	if reply.Err != nil {
-		return InstanceStatus{}, reply.Err
-	}
-	return t.engine.connector.Status(reply)
+	return reply, nil
 }
 
 // aside returns a connection without a slot: an idle one, or a new one that the
