authorizer, overseer, engine, pooler: changes are not put off, confirmations are passed on

A daemon that wants to change a row now vouches for nothing, and a promise is void for a group whose authority its receiver has given up; - a primary was found dead after 1.15 s; now after one probe, if no statement was answered; - daemons opened more connections together than an instance takes (1871 resets); shares are even now and connections beyond the warm ones close after 3 s; - the cut daemon had no authority after a change; daemons that reach the store pass their confirmations on with their age. Ruled out: slow promotions (0.65 s of 0.6 s).

--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -26,7 +26,10 @@
 //
 // Those who vouch keep to it: [Authorizer.MayChange] is false until their
 // promises have lapsed, and for one lease after the start, as a restart forgets
-// promises. From [Authorizer.BeginChange] to [Authorizer.EndChange] a daemon
+// promises. A promise holds no longer for a group whose authority its receiver
+// has given up since, see [Authorizer.Promised]. A daemon that wants to change a
+// row vouches for nothing more, so that the others' questions can't put off the
+// change again and again. From [Authorizer.BeginChange] to [Authorizer.EndChange] a daemon
 // vouches for nothing, because a call to the store whose answer was lost may
 // still be carried out.
 //
@@ -135,11 +138,16 @@
 	extended  unit.Instant // Until when the daemons extended the authority.
 	dropped   map[unit.GroupName]unit.Instant
 
-	promised unit.Instant // Until when this daemon must not change a row.
-	changes  int          // Changes whose transaction is under way.
+	promises map[unit.DaemonID]promise
+	released map[unit.GroupName]map[unit.DaemonID]unit.Instant
+	wanted   map[unit.GroupName]bool
+	changes  int // Changes whose transaction is under way.
 	question *question
 }
 
+// promise is what a daemon was promised: no change of a row.
+type promise struct{ made, until unit.Instant }
+
 // question asks all daemons for an extension.
 type question struct {
 	asked   unit.Instant
@@ -151,7 +159,10 @@
 func New(self unit.DaemonID, incarnation unit.Incarnation, config Config, started unit.Instant) *Authorizer {
 	return &Authorizer{
 		self: self, incarnation: incarnation, config: config, started: started,
-		dropped: make(map[unit.GroupName]unit.Instant),
+		dropped:  make(map[unit.GroupName]unit.Instant),
+		promises: make(map[unit.DaemonID]promise),
+		released: make(map[unit.GroupName]map[unit.DaemonID]unit.Instant),
+		wanted:   make(map[unit.GroupName]bool),
 	}
 }
 
@@ -227,25 +238,62 @@
 		now < a.confirmed.Add(a.config.Lease)
 }
 
-// Vouch promises not to begin a change for one lease from now. It returns false
-// if the daemon can't promise that.
-func (a *Authorizer) Vouch(now unit.Instant) bool {
-	if a.changes > 0 {
+// Vouch promises a daemon not to begin a change for one lease from now. It returns
+// false if the daemon can't promise that.
+func (a *Authorizer) Vouch(to unit.DaemonID, now unit.Instant) bool {
+	if a.changes > 0 || len(a.wanted) > 0 {
 		return false
 	}
-	a.promised = max(a.promised, now.Add(a.config.Lease))
+	a.promises[to] = promise{made: now, until: now.Add(a.config.Lease)}
 	return true
 }
 
-// MayChange reports whether the daemon may begin to change a row.
-func (a *Authorizer) MayChange(now unit.Instant) bool {
-	return a.listed() && now >= a.promised && now >= a.started.Add(a.config.Lease)
+// Want tells whether the daemon wants to change the row of the group as soon as
+// it may.
+func (a *Authorizer) Want(group unit.GroupName, want bool) {
+	if want {
+		a.wanted[group] = true
+		return
+	}
+	delete(a.wanted, group)
+	delete(a.released, group)
+}
+
+// Promised returns the daemons to whom a promise forbids a change of the group
+// still. One that gives up its authority over the group sets the daemon free:
+// what it can regain is a confirmation by the store.
+func (a *Authorizer) Promised(group unit.GroupName, now unit.Instant) []unit.DaemonID {
+	var to []unit.DaemonID
+	for d, p := range a.promises {
+		if now >= p.until {
+			delete(a.promises, d)
+			continue
+		}
+		if at, ok := a.released[group][d]; !ok || at < p.made {
+			to = append(to, d)
+		}
+	}
+	return to
+}
+
+// Released records that a daemon has given up its authority over the group, in
+// answer to a question that was sent at the moment asked.
+func (a *Authorizer) Released(group unit.GroupName, by unit.DaemonID, asked unit.Instant) {
+	if a.released[group] == nil {
+		a.released[group] = make(map[unit.DaemonID]unit.Instant)
+	}
+	a.released[group][by] = asked
+}
+
+// MayChange reports whether the daemon may begin to change the row of the group.
+func (a *Authorizer) MayChange(group unit.GroupName, now unit.Instant) bool {
+	return a.listed() && len(a.Promised(group, now)) == 0 && now >= a.started.Add(a.config.Lease)
 }
 
 // BeginChange tells that a transaction is about to be sent that takes a primary
 // out of use. It returns false if it must not be sent.
-func (a *Authorizer) BeginChange(now unit.Instant) bool {
-	if !a.MayChange(now) {
+func (a *Authorizer) BeginChange(group unit.GroupName, now unit.Instant) bool {
+	if !a.MayChange(group, now) {
 		return false
 	}
 	a.changes++
@@ -254,7 +302,10 @@
 
 // EndChange tells that the outcome of the transaction is known and that nothing
 // is left that this daemon may do under the duty.
-func (a *Authorizer) EndChange() { a.changes-- }
+func (a *Authorizer) EndChange(group unit.GroupName) {
+	a.changes--
+	a.Want(group, false)
+}
 
 // Wait returns how long after the answer to the transaction a change has to wait
 // for daemons that have not dropped the group.
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -81,6 +81,9 @@
 	// Rate is the number of connections that are opened a second, after a
 	// burst of Share.
 	Rate int
+	// Unused is how long a connection beyond Warm may be idle before it is
+	// closed. Zero keeps it.
+	Unused time.Duration
 }
 
 // idle is a connection that is not in use.
@@ -142,7 +145,7 @@
 		p.limits = event.Limits
 		return append(p.shrink(), p.grow(event.Now)...)
 	case Tick:
-		return p.grow(event.Now)
+		return append(p.trim(event.Now), p.grow(event.Now)...)
 	case Suspect:
 		return p.suspect(event)
 	case Probed:
@@ -241,6 +244,20 @@
 	p.tokens = min(p.tokens, float64(p.limits.Share))
 }
 
+// trim closes connections beyond the warm ones that have been idle for long, so
+// that they don't count at the instance if this daemon ends without a word.
+func (p *Pooler) trim(now time.Time) []Effect {
+	if p.limits.Unused <= 0 {
+		return nil
+	}
+	var effects []Effect
+	for len(p.idle) > p.limits.Warm && now.Sub(p.idle[0].since) > p.limits.Unused {
+		effects = append(effects, Close{Conn: p.idle[0].conn})
+		p.idle = p.idle[1:]
+	}
+	return effects
+}
+
 // shrink closes idle connections beyond the share. Those in use are closed when
 // they are returned.
 func (p *Pooler) shrink() []Effect {
--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -227,16 +227,18 @@
 // each of its slots: enough to keep it busy, too few to fill its queue.
 const statementsPerSlot = 2
 
+// unusedLimit is how long a connection beyond the warm ones is kept idle.
+const unusedLimit = 3 * time.Second
+
 // limits returns what this daemon may ask of an instance. Slots are shared by
 // demand, because most daemons have no work for most instances at most times:
 // the instance refuses what it has no room for, and nothing has run then.
-// Connections are limited by the instance for all daemons together.
+// Connections are shared evenly, because the instance counts those of all daemons
+// together.
 func (e *Engine) limits(i manifest.Instance) (limiter.Limits, pooler.Limits) {
-	daemons := int(e.daemons.Load())
-	share := max(1, i.Connections/daemons)
-	most := max(share, min(i.Connections/2, 4*i.Slots))
-	return limiter.Limits{Slots: max(1, min(most, statementsPerSlot*i.Slots)), Connections: most, Queue: queueLimit},
-		pooler.Limits{Share: most, Warm: 1, Opening: openingLimit, Rate: refillRate}
+	share := max(1, i.Connections/int(e.daemons.Load()))
+	return limiter.Limits{Slots: min(share, statementsPerSlot*i.Slots), Connections: share, Queue: queueLimit},
+		pooler.Limits{Share: share, Warm: 1, Opening: openingLimit, Rate: refillRate, Unused: unusedLimit}
 }
 
 // tick looks after the targets.
--- a/tarragonshed/engine/link.go
+++ b/tarragonshed/engine/link.go
@@ -35,7 +35,7 @@
 	since atomic.Int64 // When the oldest owed reply was asked for, or the last one came.
 }
 
-func newLink(id pooler.Conn, c Conn, gone func()) *link {
+func newLink(id pooler.Conn, c Conn, heard *atomic.Int64, gone func()) *link {
 	l := &link{
 		id: id, conn: c,
 		replies:  make(chan Reply, maxOwed),
@@ -52,7 +52,9 @@
 				gone()
 				return
 			}
-			l.since.Store(time.Now().UnixNano())
+			now := time.Now().UnixNano()
+			l.since.Store(now)
+			heard.Store(now)
 			l.replies <- reply
 		}
 	}()
--- a/tarragonshed/engine/target.go
+++ b/tarragonshed/engine/target.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tarragonshed.example/limiter"
@@ -28,10 +29,10 @@
 	silence = 250 * time.Millisecond
 	// probeTimeout bounds that question. An instance with all slots busy takes
 	// some hundred milliseconds to accept a connection.
-	probeTimeout = 450 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
 	// condemnation is how long after the first sign of trouble an instance that
-	// answers no probe is taken to be unreachable.
-	condemnation = 600 * time.Millisecond
+	// answers neither a probe nor any statement is taken to be unreachable.
+	condemnation = 350 * time.Millisecond
 	// linkSilence is how long one connection may owe a reply while the
 	// instance answers others. A longer silence is a lost connection.
 	linkSilence = 4 * time.Second
@@ -64,6 +65,8 @@
 	// unreachable tells that the instance answers no probe.
 	unreachable bool
 	behind      time.Time // Until when reads pass it over.
+
+	heard atomic.Int64 // When the last reply came, in nanoseconds since the Unix epoch.
 }
 
 func newTarget(e *Engine, g *group, i manifest.Instance) *target {
@@ -85,7 +88,7 @@
 		}
 		return nil, exhausted, err
 	}
-	return newLink(id, conn, gone), false, nil
+	return newLink(id, conn, &t.heard, gone), false, nil
 }
 
 // leave notes whether the instance is leaving. It never comes back in its life.
@@ -144,6 +147,7 @@
 func (t *target) probed(alive bool, cause *result.Error) bool {
 	t.mu.Lock()
 	now := time.Now()
+	alive = alive || time.Unix(0, t.heard.Load()).After(t.trouble)
 	refused := cause != nil && cause.Code == result.InstanceRefuses
 	condemned := false
 	switch {
@@ -172,13 +176,8 @@
 // watch looks for connections that owe a reply for long.
 func (t *target) watch(now time.Time) {
 	silent := false
-	heard := time.Time{}
 	var old []*link
 	t.Each(func(_ pooler.Conn, l *link) {
-		since := time.Unix(0, l.since.Load())
-		if heard.Before(since) && l.owed.Load() == 0 {
-			heard = since
-		}
 		asked, owes := l.waiting()
 		silent = silent || owes && now.Sub(asked) > silence
 		if owes && now.Sub(asked) > linkSilence {
@@ -188,7 +187,7 @@
 	t.mu.Lock()
 	troubled := !t.trouble.IsZero()
 	t.mu.Unlock()
-	if silent && !troubled && now.Sub(heard) > silence {
+	if silent && !troubled && now.Sub(time.Unix(0, t.heard.Load())) > silence {
 		t.suspect(result.New(result.InstanceUnreachable, "replies are owed for %v", silence))
 	}
 	for _, l := range old {
@@ -477,7 +476,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	l := newLink(0, conn, func() {})
+	l := newLink(0, conn, &t.heard, func() {})
 	context.AfterFunc(ctx, l.Close)
 	return &loan{target: t, link: l}, nil
 }
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -34,7 +34,7 @@
 		o.mu.Unlock()
 		return
 	}
-	if t.reason != missing && !o.auth.BeginChange(o.now()) {
+	if t.reason != missing && !o.mayBegin(g.Name) {
 		o.mu.Unlock()
 		return
 	}
@@ -47,7 +47,7 @@
 		} else {
 			o.change(g, row, t.reason)
 			o.mu.Lock()
-			o.auth.EndChange()
+			o.auth.EndChange(g.Name)
 			o.mu.Unlock()
 		}
 		o.figures.gap.UpdateSince(began)
@@ -59,6 +59,39 @@
 	}()
 }
 
+// mayBegin reports whether the change may begin, and asks those to give up their
+// authority whom a promise protects still. The lock is held.
+func (o *Overseer) mayBegin(g unit.GroupName) bool {
+	now := o.now()
+	o.auth.Want(g, true)
+	if o.auth.BeginChange(g, now) {
+		return true
+	}
+	for _, d := range o.auth.Promised(g, now) {
+		if m, ok := o.auth.View().Members[d]; ok && !o.releasing[d] {
+			o.releasing[d] = true
+			go o.release(g, m)
+		}
+	}
+	return false
+}
+
+// release asks a daemon to give up its authority over the group.
+func (o *Overseer) release(g unit.GroupName, m authorizer.Member) {
+	asked := o.now()
+	o.ask([]authorizer.Member{m}, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
+		answer, err := c.Withdraw(ctx, connect.NewRequest(&peer.WithdrawRequest{Group: string(g)}))
+		if err == nil && answer.Msg.Daemon == string(m.Daemon) {
+			o.mu.Lock()
+			o.auth.Released(g, m.Daemon, asked)
+			o.mu.Unlock()
+		}
+	})
+	o.mu.Lock()
+	delete(o.releasing, m.Daemon)
+	o.mu.Unlock()
+}
+
 // found writes the first row of a group: the instance that takes itself for the
 // primary is the primary.
 func (o *Overseer) found(g manifest.Group) {
@@ -145,6 +178,7 @@
 		switch {
 		case err == nil:
 			c.since = o.now()
+			o.hurry() // The duty has to be confirmed before the promotion.
 			return c, true
 		case errors.Is(err, ErrNotDone) && !unknown:
 			o.logger.Warn("change of primary not claimed", "group", g, "cause", err)
--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -68,9 +68,12 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if last, ok := o.auth.Confirmed(); ok && asked < last {
+		return
+	}
 	before := o.auth.View()
 	o.auth.Confirm(view, asked)
-	o.versions = versions
+	o.rows, o.versions = rows, versions
 	o.epoch = versions[epochKey]
 	o.figures.confirmed.Inc(1)
 	for name, l := range view.Leaderships {
--- a/tarragonshed/overseer/figures.go
+++ b/tarragonshed/overseer/figures.go
@@ -7,6 +7,7 @@
 	confirmed   metrics.Counter
 	unconfirmed metrics.Counter
 	extended    metrics.Counter
+	relayed     metrics.Counter
 	changes     metrics.Counter
 	failed      metrics.Counter
 	gap         metrics.Timer
@@ -18,6 +19,7 @@
 		confirmed:   counter("confirmations"),
 		unconfirmed: counter("confirmations.failed"),
 		extended:    counter("extensions"),
+		relayed:     counter("confirmations.relayed"),
 		changes:     counter("changes"),
 		failed:      counter("changes.failed"),
 		gap:         metrics.GetOrRegisterTimer("overseer.change", r),
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -129,6 +129,7 @@
 	mu       sync.Mutex
 	auth     *authorizer.Authorizer
 	epoch    uint64 // Version of the epoch's row as last read.
+	rows     []Row  // All rows as last read.
 	versions map[string]uint64
 	changed  chan struct{}
 	troubles map[unit.GroupName]*trouble
@@ -138,7 +139,9 @@
 	asked    time.Time // When an extension was last asked for.
 	pruned   time.Time // When the list was last looked through.
 	heard    map[unit.DaemonID]time.Time
-	turn     atomic.Int64
+	// releasing holds the daemons that are being asked to give up an authority.
+	releasing map[unit.DaemonID]bool
+	turn      atomic.Int64
 
 	peersMu sync.Mutex
 	peers   map[string]peerconnect.OverseerClient
@@ -177,7 +180,9 @@
 		changes:  make(map[unit.GroupName]bool),
 		settled:  make(map[unit.GroupName]time.Time),
 		heard:    make(map[unit.DaemonID]time.Time),
-		peers:    make(map[string]peerconnect.OverseerClient),
+
+		releasing: make(map[unit.DaemonID]bool),
+		peers:     make(map[string]peerconnect.OverseerClient),
 	}
 	for _, option := range options {
 		option(o)
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	// extendAfter is how long the store may fail before the others are asked.
 	extendAfter = 150 * time.Millisecond
 
+	// relayTries is the number of daemons that are asked for a confirmation in
+	// one round.
+	relayTries = 3
 	// maxPeerBytes bounds a message of another daemon.
 	maxPeerBytes = 32 << 20
 )
@@ -87,7 +91,7 @@
 	o.mu.Unlock()
 	if ok {
 		go o.ask(members, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
-			answer, err := c.Vouch(ctx, connect.NewRequest(&peer.VouchRequest{}))
+			answer, err := c.Vouch(ctx, connect.NewRequest(&peer.VouchRequest{Daemon: string(o.self.Daemon)}))
 			if err != nil || !answer.Msg.Promised {
 				o.logger.Debug("daemon does not vouch", "daemon", m.Daemon, "cause", err)
 				return
@@ -98,6 +102,7 @@
 			o.auth.Vouched(unit.DaemonID(answer.Msg.Daemon), unit.Incarnation(answer.Msg.Incarnation), asked)
 		})
 	}
+	go o.relay()
 	if o.documents != nil {
 		go o.fetch()
 	}
@@ -114,8 +119,8 @@
 	return true
 }
 
-// fetch asks another daemon, each time the next one, for newer documents.
-func (o *Overseer) fetch() {
+// nextPeer returns the address of another daemon, each time the next one.
+func (o *Overseer) nextPeer() (string, bool) {
 	addresses := make([]string, 0, 8)
 	for _, m := range o.others() {
 		addresses = append(addresses, m.Address)
@@ -128,6 +133,58 @@
 		}
 	}
 	if len(addresses) == 0 {
+		return "", false
+	}
+	slices.Sort(addresses)
+	return addresses[int(o.turn.Add(1))%len(addresses)], true
+}
+
+// relay asks other daemons for a confirmation that the store gave to them, until
+// one has it.
+func (o *Overseer) relay() {
+	for range relayTries {
+		address, ok := o.nextPeer()
+		if !ok || o.relayFrom(address) {
+			return
+		}
+	}
+}
+
+func (o *Overseer) relayFrom(address string) bool {
+	ctx, stop := context.WithTimeout(o.ctx, peerTimeout)
+	defer stop()
+	o.mu.Lock()
+	epoch := o.epoch
+	o.mu.Unlock()
+	asked := o.now()
+	answer, err := o.peer(address).Relay(ctx, connect.NewRequest(&peer.RelayRequest{Epoch: epoch}))
+	if err != nil || !answer.Msg.Confirmed || time.Duration(answer.Msg.Age) > Lease {
+		return false
+	}
+	// The store was asked no earlier than this: the other daemon answered after
+	// the question was sent.
+	confirmed := asked.Add(-time.Duration(answer.Msg.Age))
+	o.figures.relayed.Inc(1)
+	if answer.Msg.Epoch == epoch && len(answer.Msg.Rows) == 0 {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.epoch == epoch {
+			o.auth.Reconfirm(confirmed, time.Duration(answer.Msg.StoreNow))
+		}
+		return true
+	}
+	rows := make([]Row, 0, len(answer.Msg.Rows))
+	for _, r := range answer.Msg.Rows {
+		rows = append(rows, Row{Key: r.Key, Value: r.Value, Version: r.Version})
+	}
+	o.adopt(rows, time.Duration(answer.Msg.StoreNow), confirmed)
+	return true
+}
+
+// fetch asks another daemon for newer documents.
+func (o *Overseer) fetch() {
+	address, ok := o.nextPeer()
+	if !ok {
 		return
 	}
 	ctx, stop := context.WithTimeout(o.ctx, peerTimeout)
@@ -136,7 +193,6 @@
 	for _, d := range o.documents.Have() {
 		request.Known = append(request.Known, &peer.Document{Name: d.Name, Version: d.Version})
 	}
-	address := addresses[int(o.turn.Add(1))%len(addresses)]
 	answer, err := o.peer(address).Fetch(ctx, connect.NewRequest(request))
 	if err != nil {
 		return // The next daemon is asked at the next turn.
@@ -176,10 +232,10 @@
 }
 
 // Vouch implements [peerconnect.OverseerHandler].
-func (s service) Vouch(context.Context, *connect.Request[peer.VouchRequest]) (*connect.Response[peer.VouchResponse], error) {
+func (s service) Vouch(_ context.Context, r *connect.Request[peer.VouchRequest]) (*connect.Response[peer.VouchResponse], error) {
 	o := s.overseer
 	o.mu.Lock()
-	promised := o.auth.Vouch(o.now())
+	promised := o.auth.Vouch(unit.DaemonID(r.Msg.Daemon), o.now())
 	o.mu.Unlock()
 	return connect.NewResponse(&peer.VouchResponse{
 		Daemon: string(o.self.Daemon), Incarnation: uint64(o.self.Incarnation), Promised: promised,
@@ -198,6 +254,24 @@
 	return connect.NewResponse(&peer.AnnounceResponse{}), nil
 }
 
+// Relay implements [peerconnect.OverseerHandler].
+func (s service) Relay(_ context.Context, r *connect.Request[peer.RelayRequest]) (*connect.Response[peer.RelayResponse], error) {
+	o := s.overseer
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	confirmed, ok := o.auth.Confirmed()
+	answer := &peer.RelayResponse{
+		Confirmed: ok, Epoch: o.epoch, StoreNow: int64(o.auth.View().Now),
+		Age: int64(o.now().Sub(confirmed)),
+	}
+	if ok && r.Msg.Epoch != o.epoch {
+		for _, row := range o.rows {
+			answer.Rows = append(answer.Rows, &peer.RelayedRow{Key: row.Key, Value: row.Value, Version: row.Version})
+		}
+	}
+	return connect.NewResponse(answer), nil
+}
+
 // Fetch implements [peerconnect.OverseerHandler].
 func (s service) Fetch(_ context.Context, r *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error) {
 	known := make(map[string]uint64)
--- a/wire/peer/peerconnect/oversee.connect.go
+++ b/wire/peer/peerconnect/oversee.connect.go
@@ -41,6 +41,8 @@
 	OverseerWitnessProcedure = "/tarragonshed.peer.v1.Overseer/Witness"
 	// OverseerAnnounceProcedure is the fully-qualified name of the Overseer's Announce RPC.
 	OverseerAnnounceProcedure = "/tarragonshed.peer.v1.Overseer/Announce"
+	// OverseerRelayProcedure is the fully-qualified name of the Overseer's Relay RPC.
+	OverseerRelayProcedure = "/tarragonshed.peer.v1.Overseer/Relay"
 	// OverseerFetchProcedure is the fully-qualified name of the Overseer's Fetch RPC.
 	OverseerFetchProcedure = "/tarragonshed.peer.v1.Overseer/Fetch"
 )
@@ -55,6 +57,8 @@
 	Witness(context.Context, *connect.Request[peer.WitnessRequest]) (*connect.Response[peer.WitnessResponse], error)
 	// Announce tells that rows have changed.
 	Announce(context.Context, *connect.Request[peer.AnnounceRequest]) (*connect.Response[peer.AnnounceResponse], error)
+	// Relay returns the rows as the receiver has them confirmed by the store.
+	Relay(context.Context, *connect.Request[peer.RelayRequest]) (*connect.Response[peer.RelayResponse], error)
 	// Fetch returns the documents of the platform that the receiver has in force.
 	Fetch(context.Context, *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error)
 }
@@ -94,6 +98,12 @@
 			connect.WithSchema(overseerMethods.ByName("Announce")),
 			connect.WithClientOptions(opts...),
 		),
+		relay: connect.NewClient[peer.RelayRequest, peer.RelayResponse](
+			httpClient,
+			baseURL+OverseerRelayProcedure,
+			connect.WithSchema(overseerMethods.ByName("Relay")),
+			connect.WithClientOptions(opts...),
+		),
 		fetch: connect.NewClient[peer.FetchRequest, peer.FetchResponse](
 			httpClient,
 			baseURL+OverseerFetchProcedure,
@@ -109,6 +119,7 @@
 	vouch    *connect.Client[peer.VouchRequest, peer.VouchResponse]
 	witness  *connect.Client[peer.WitnessRequest, peer.WitnessResponse]
 	announce *connect.Client[peer.AnnounceRequest, peer.AnnounceResponse]
+	relay    *connect.Client[peer.RelayRequest, peer.RelayResponse]
 	fetch    *connect.Client[peer.FetchRequest, peer.FetchResponse]
 }
 
@@ -132,6 +143,11 @@
 	return c.announce.CallUnary(ctx, req)
 }
 
+// Relay calls tarragonshed.peer.v1.Overseer.Relay.
+func (c *overseerClient) Relay(ctx context.Context, req *connect.Request[peer.RelayRequest]) (*connect.Response[peer.RelayResponse], error) {
+	return c.relay.CallUnary(ctx, req)
+}
+
 // Fetch calls tarragonshed.peer.v1.Overseer.Fetch.
 func (c *overseerClient) Fetch(ctx context.Context, req *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error) {
 	return c.fetch.CallUnary(ctx, req)
@@ -147,6 +163,8 @@
 	Witness(context.Context, *connect.Request[peer.WitnessRequest]) (*connect.Response[peer.WitnessResponse], error)
 	// Announce tells that rows have changed.
 	Announce(context.Context, *connect.Request[peer.AnnounceRequest]) (*connect.Response[peer.AnnounceResponse], error)
+	// Relay returns the rows as the receiver has them confirmed by the store.
+	Relay(context.Context, *connect.Request[peer.RelayRequest]) (*connect.Response[peer.RelayResponse], error)
 	// Fetch returns the documents of the platform that the receiver has in force.
 	Fetch(context.Context, *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error)
 }
@@ -182,6 +200,12 @@
 		connect.WithSchema(overseerMethods.ByName("Announce")),
 		connect.WithHandlerOptions(opts...),
 	)
+	overseerRelayHandler := connect.NewUnaryHandler(
+		OverseerRelayProcedure,
+		svc.Relay,
+		connect.WithSchema(overseerMethods.ByName("Relay")),
+		connect.WithHandlerOptions(opts...),
+	)
 	overseerFetchHandler := connect.NewUnaryHandler(
 		OverseerFetchProcedure,
 		svc.Fetch,
@@ -198,6 +222,8 @@
 			overseerWitnessHandler.ServeHTTP(w, r)
 		case OverseerAnnounceProcedure:
 			overseerAnnounceHandler.ServeHTTP(w, r)
+		case OverseerRelayProcedure:
+			overseerRelayHandler.ServeHTTP(w, r)
 		case OverseerFetchProcedure:
 			overseerFetchHandler.ServeHTTP(w, r)
 		default:
@@ -225,6 +251,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonshed.peer.v1.Overseer.Announce is not implemented"))
 }
 
+func (UnimplementedOverseerHandler) Relay(context.Context, *connect.Request[peer.RelayRequest]) (*connect.Response[peer.RelayResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonshed.peer.v1.Overseer.Relay is not implemented"))
+}
+
 func (UnimplementedOverseerHandler) Fetch(context.Context, *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonshed.peer.v1.Overseer.Fetch is not implemented"))
 }
