--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -18,20 +18,15 @@
 //
 // No row can change while nobody reaches the store, but a daemon can't tell that
 // from a failure of its own path. It asks all daemons of the list that came with
-// its last confirmation to vouch that they are not changing any row and won't
-// begin to for one lease. When every one of them has answered, in the
-// incarnation of the list, its authority lasts for a lease from the sending of
-// the question, but never past [Config.Extension] after the last confirmation.
-// One daemon that does not answer ends it.
+// its last confirmation to vouch that they are not changing any row. When every
+// one of them has answered, in the incarnation of the list, its authority lasts for
+// a lease from the sending of the question, but never past [Config.Extension] after
+// the last confirmation. One daemon that does not answer ends it.
 //
-// Those who vouch keep to it: [Authorizer.MayChange] is false until their
-// promises have lapsed, and for one lease after the start, as a restart forgets
-// promises. A promise holds no longer for a group whose authority its receiver
-// has given up since, see [Authorizer.Promised]. A daemon that wants to change a
-// row vouches for nothing more, so that the others' questions can't put off the
-// change again and again. From [Authorizer.BeginChange] to [Authorizer.EndChange] a daemon
-// vouches for nothing, because a call to the store whose answer was lost may
-// still be carried out.
+// From [Authorizer.BeginChange] to [Authorizer.EndChange] a daemon vouches for
+// nothing, because a call to the store whose answer was lost may still be carried
+// out. A daemon that vouches may begin a change right after: the change waits for a
+// lease, which is longer than what the asker can make of the answer.
 //
 // # Who waits how long
 //
@@ -42,7 +37,7 @@
 //
 // # Usage
 //
-//	a := authorizer.New("daemon-1", 7, authorizer.Config{Lease: time.Second, Extension: 10 * time.Second}, started)
+//	a := authorizer.New("daemon-1", 7, authorizer.Config{Lease: time.Second, Extension: 10 * time.Second})
 //	a.Confirm(authorizer.View{Leaderships: rows, Members: members}, asked)
 //	l, ok := a.Primary("pulp-ledger-1", now)
 //	...
@@ -53,6 +48,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"tarragonshed.example/unit"
@@ -130,7 +126,6 @@
 	self        unit.DaemonID
 	incarnation unit.Incarnation
 	config      Config
-	started     unit.Instant
 
 	view      View
 	confirmed unit.Instant // When the last confirmation was asked for.
@@ -138,31 +133,22 @@
 	extended  unit.Instant // Until when the daemons extended the authority.
 	dropped   map[unit.GroupName]unit.Instant
 
-	promises map[unit.DaemonID]promise
-	released map[unit.GroupName]map[unit.DaemonID]unit.Instant
-	wanted   map[unit.GroupName]bool
-	changes  int // Changes whose transaction is under way.
+	own      map[unit.GroupName]bool // Groups whose row this daemon is changing.
 	question *question
 }
 
-// promise is what a daemon was promised: no change of a row.
-type promise struct{ made, until unit.Instant }
-
 // question asks all daemons for an extension.
 type question struct {
 	asked   unit.Instant
 	missing map[unit.DaemonID]unit.Incarnation
 }
 
-// New returns an Authorizer without authority. Started is when the process
-// started.
-func New(self unit.DaemonID, incarnation unit.Incarnation, config Config, started unit.Instant) *Authorizer {
+// New returns an Authorizer without authority.
+func New(self unit.DaemonID, incarnation unit.Incarnation, config Config) *Authorizer {
 	return &Authorizer{
-		self: self, incarnation: incarnation, config: config, started: started,
-		dropped:  make(map[unit.GroupName]unit.Instant),
-		promises: make(map[unit.DaemonID]promise),
-		released: make(map[unit.GroupName]map[unit.DaemonID]unit.Instant),
-		wanted:   make(map[unit.GroupName]bool),
+		self: self, incarnation: incarnation, config: config,
+		dropped: make(map[unit.GroupName]unit.Instant),
+		own:     make(map[unit.GroupName]bool),
 	}
 }
 
@@ -201,7 +187,7 @@
 // Holds reports whether an answer of l's primary that came in at now may be
 // used.
 func (a *Authorizer) Holds(l Leadership, now unit.Instant) bool {
-	if a.view.Leaderships[l.Group] != l || l.State != Leading || !a.listed() {
+	if a.view.Leaderships[l.Group] != l || l.State != Leading || a.own[l.Group] || !a.listed() {
 		return false
 	}
 	if at, ok := a.dropped[l.Group]; ok && a.confirmed <= at {
@@ -227,7 +213,7 @@
 // the duty, see [Authorizer.BeginChange].
 func (a *Authorizer) Drop(group unit.GroupName, now unit.Instant) bool {
 	a.dropped[group] = now
-	return a.changes == 0
+	return len(a.own) == 0
 }
 
 // HoldsDuty reports whether the daemon is known to hold the duty at now. An
@@ -238,90 +224,45 @@
 		now < a.confirmed.Add(a.config.Lease)
 }
 
-// Vouch promises a daemon not to begin a change for one lease from now. It returns
-// false if the daemon can't promise that.
-func (a *Authorizer) Vouch(to unit.DaemonID, now unit.Instant) bool {
-	if a.changes > 0 || len(a.wanted) > 0 {
-		return false
-	}
-	a.promises[to] = promise{made: now, until: now.Add(a.config.Lease)}
-	return true
-}
-
-// Want tells whether the daemon wants to change the row of the group as soon as
-// it may.
-func (a *Authorizer) Want(group unit.GroupName, want bool) {
-	if want {
-		a.wanted[group] = true
-		return
-	}
-	delete(a.wanted, group)
-	delete(a.released, group)
-}
-
-// Promised returns the daemons to whom a promise forbids a change of the group
-// still. One that gives up its authority over the group sets the daemon free:
-// what it can regain is a confirmation by the store.
-func (a *Authorizer) Promised(group unit.GroupName, now unit.Instant) []unit.DaemonID {
-	var to []unit.DaemonID
-	for d, p := range a.promises {
-		if now >= p.until {
-			delete(a.promises, d)
-			continue
-		}
-		if at, ok := a.released[group][d]; !ok || at < p.made {
-			to = append(to, d)
-		}
-	}
-	return to
-}
-
-// Released records that a daemon has given up its authority over the group, in
-// answer to a question that was sent at the moment asked.
-func (a *Authorizer) Released(group unit.GroupName, by unit.DaemonID, asked unit.Instant) {
-	if a.released[group] == nil {
-		a.released[group] = make(map[unit.DaemonID]unit.Instant)
-	}
-	a.released[group][by] = asked
-}
-
-// MayChange reports whether the daemon may begin to change the row of the group.
-func (a *Authorizer) MayChange(group unit.GroupName, now unit.Instant) bool {
-	return a.listed() && len(a.Promised(group, now)) == 0 && now >= a.started.Add(a.config.Lease)
-}
+// Vouch reports whether the daemon vouches that it is not changing any row.
+func (a *Authorizer) Vouch() bool { return len(a.own) == 0 }
 
 // BeginChange tells that a transaction is about to be sent that takes a primary
-// out of use. It returns false if it must not be sent.
-func (a *Authorizer) BeginChange(group unit.GroupName, now unit.Instant) bool {
-	if !a.MayChange(group, now) {
+// out of use. It returns false if it must not be sent. The daemon itself has no
+// authority over the group until [Authorizer.EndChange]: the store may confirm the
+// old row to it while the transaction is on its way.
+func (a *Authorizer) BeginChange(group unit.GroupName) bool {
+	if !a.listed() {
 		return false
 	}
-	a.changes++
+	a.own[group] = true
 	return true
 }
 
 // EndChange tells that the outcome of the transaction is known and that nothing
 // is left that this daemon may do under the duty.
-func (a *Authorizer) EndChange(group unit.GroupName) {
-	a.changes--
-	a.Want(group, false)
+func (a *Authorizer) EndChange(group unit.GroupName, now unit.Instant) {
+	delete(a.own, group)
+	a.Drop(group, now)
 }
 
 // Wait returns how long after the answer to the transaction a change has to wait
 // for daemons that have not dropped the group.
 func (a *Authorizer) Wait() time.Duration {
 	m := a.view.Members[a.self]
-	if a.view.Now-m.Listed < a.config.Extension {
+	if !a.listed() || a.view.Now-m.Listed < a.config.Extension {
 		return a.config.Extension
 	}
 	return a.config.Lease
 }
 
 // Holders returns the daemons that may have authority: all on the list but this
-// one, and those taken off it for less than the extension.
+// one, and those taken off it for less than the extension. To a change they matter
+// as of a confirmation that was asked for after the row was claimed: daemons may
+// have come on the list since an earlier one.
 func (a *Authorizer) Holders() []Member {
 	var holders []Member
-	for _, m := range a.view.Members {
+	for _, m := range a.members() {
 		if m.Daemon == a.self {
 			continue
 		}
@@ -332,6 +273,15 @@
 	return holders
 }
 
+// members returns the list in the order of names.
+func (a *Authorizer) members() []Member {
+	members := make([]Member, 0, len(a.view.Members))
+	for _, d := range slices.Sorted(maps.Keys(a.view.Members)) {
+		members = append(members, a.view.Members[d])
+	}
+	return members
+}
+
 // Ask begins a question for an extension and returns whom to ask. It returns
 // false if none can succeed. An authority that has ended is not extended: the
 // rows may have been changed since.
@@ -341,7 +291,7 @@
 	}
 	a.question = &question{asked: now, missing: make(map[unit.DaemonID]unit.Incarnation)}
 	var asked []Member
-	for _, m := range a.view.Members {
+	for _, m := range a.members() {
 		if m.Daemon != a.self && m.Removed == 0 {
 			a.question.missing[m.Daemon] = m.Incarnation
 			asked = append(asked, m)
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -34,7 +34,7 @@
 		o.mu.Unlock()
 		return
 	}
-	if t.reason != missing && !o.mayBegin(g.Name) {
+	if t.reason != missing && !o.auth.BeginChange(g.Name) {
 		o.mu.Unlock()
 		return
 	}
@@ -47,7 +47,7 @@
 		} else {
 			o.change(g, row, t.reason)
 			o.mu.Lock()
-			o.auth.EndChange(g.Name)
+			o.auth.EndChange(g.Name, o.now())
 			o.mu.Unlock()
 		}
 		o.figures.gap.UpdateSince(began)
@@ -59,39 +59,6 @@
 	}()
 }
 
-// mayBegin reports whether the change may begin, and asks those to give up their
-// authority whom a promise protects still. The lock is held.
-func (o *Overseer) mayBegin(g unit.GroupName) bool {
-	now := o.now()
-	o.auth.Want(g, true)
-	if o.auth.BeginChange(g, now) {
-		return true
-	}
-	for _, d := range o.auth.Promised(g, now) {
-		if m, ok := o.auth.View().Members[d]; ok && !o.releasing[d] {
-			o.releasing[d] = true
-			go o.release(g, m)
-		}
-	}
-	return false
-}
-
-// release asks a daemon to give up its authority over the group.
-func (o *Overseer) release(g unit.GroupName, m authorizer.Member) {
-	asked := o.now()
-	o.ask([]authorizer.Member{m}, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
-		answer, err := c.Withdraw(ctx, connect.NewRequest(&peer.WithdrawRequest{Group: string(g)}))
-		if err == nil && answer.Msg.Daemon == string(m.Daemon) {
-			o.mu.Lock()
-			o.auth.Released(g, m.Daemon, asked)
-			o.mu.Unlock()
-		}
-	})
-	o.mu.Lock()
-	delete(o.releasing, m.Daemon)
-	o.mu.Unlock()
-}
-
 // found writes the first row of a group: the instance that takes itself for the
 // primary is the primary.
 func (o *Overseer) found(g manifest.Group) {
@@ -154,11 +121,7 @@
 	view := o.auth.View()
 	version := func(key string) Expectation { return Expectation{Key: key, Version: o.versions[key]} }
 	expected := []Expectation{version(dutyKey), version(groupKey(g)), version(memberKey(o.self.Daemon))}
-	c := &running{
-		Overseer: o, events: make(chan replacer.Event, 64),
-		wait: o.auth.Wait(), owners: o.auth.Holders(),
-	}
-	o.auth.Drop(g, o.now())
+	c := &running{Overseer: o, events: make(chan replacer.Event, 64)}
 	o.mu.Unlock()
 	c.duty = view.Duty
 	if c.duty.Holder != o.self.Daemon || c.duty.Incarnation != o.self.Incarnation {
@@ -170,7 +133,7 @@
 		Expected: expected,
 		Puts:     []Put{encode(dutyKey, c.duty), encode(groupKey(g), c.row), epochPut()},
 	}
-	o.logger.Info("change of primary claimed", "group", g, "primary", row.Primary, "reason", why, "fence", c.duty.Fence, "wait", c.wait)
+	o.logger.Info("change of primary claimed", "group", g, "primary", row.Primary, "reason", why, "fence", c.duty.Fence)
 	for unknown := false; o.ctx.Err() == nil; unknown = true {
 		ctx, stop := context.WithTimeout(o.ctx, callTimeout)
 		_, err := o.store.Commit(ctx, tx)
@@ -178,13 +141,12 @@
 		switch {
 		case err == nil:
 			c.since = o.now()
-			o.hurry() // The duty has to be confirmed before the promotion.
-			return c, true
+			return c, c.reread()
 		case errors.Is(err, ErrNotDone) && !unknown:
 			o.logger.Warn("change of primary not claimed", "group", g, "cause", err)
 			return nil, false
 		case errors.Is(err, ErrConflict):
-			return c, unknown && c.isMine(g)
+			return c, unknown && c.isMine(g) && c.reread()
 		}
 		o.logger.Warn("outcome of the claim unknown, repeating it", "group", g, "cause", err)
 		time.Sleep(claimPause)
@@ -192,6 +154,28 @@
 	return nil, false
 }
 
+// reread confirms the rows as of a moment after the claim: the list says who may
+// have authority, and the duty has to be confirmed before the promotion. It returns
+// false if the overseer ends.
+func (c *running) reread() bool {
+	for c.Overseer.ctx.Err() == nil {
+		ctx, stop := context.WithTimeout(c.Overseer.ctx, callTimeout)
+		asked := c.now()
+		rows, now, err := c.store.Rows(ctx)
+		stop()
+		if err != nil {
+			time.Sleep(claimPause)
+			continue
+		}
+		c.adopt(rows, now, asked)
+		c.mu.Lock()
+		c.wait, c.owners = c.auth.Wait(), c.auth.Holders()
+		c.mu.Unlock()
+		return true
+	}
+	return false
+}
+
 // isMine reports whether the row is as this daemon claimed it: an earlier call,
 // whose answer was lost, was carried out.
 func (c *running) isMine(g unit.GroupName) bool {
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -139,9 +139,7 @@
 	asked    time.Time // When an extension was last asked for.
 	pruned   time.Time // When the list was last looked through.
 	heard    map[unit.DaemonID]time.Time
-	// releasing holds the daemons that are being asked to give up an authority.
-	releasing map[unit.DaemonID]bool
-	turn      atomic.Int64
+	turn     atomic.Int64
 
 	peersMu sync.Mutex
 	peers   map[string]peerconnect.OverseerClient
@@ -173,16 +171,14 @@
 		self: self, store: store, platform: platform, now: now,
 		logger: log.New(io.Discard), figures: newFigures(metrics.NewRegistry()), dial: dialer.Default,
 		wake:     make(chan struct{}, 1),
-		auth:     authorizer.New(self.Daemon, self.Incarnation, authorizer.Config{Lease: Lease, Extension: Extension}, now()),
+		auth:     authorizer.New(self.Daemon, self.Incarnation, authorizer.Config{Lease: Lease, Extension: Extension}),
 		versions: make(map[string]uint64),
 		changed:  make(chan struct{}),
 		troubles: make(map[unit.GroupName]*trouble),
 		changes:  make(map[unit.GroupName]bool),
 		settled:  make(map[unit.GroupName]time.Time),
 		heard:    make(map[unit.DaemonID]time.Time),
-
-		releasing: make(map[unit.DaemonID]bool),
-		peers:     make(map[string]peerconnect.OverseerClient),
+		peers:    make(map[string]peerconnect.OverseerClient),
 	}
 	for _, option := range options {
 		option(o)
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -91,8 +91,8 @@
 	o.mu.Unlock()
 	if ok {
 		go o.ask(members, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
-			answer, err := c.Vouch(ctx, connect.NewRequest(&peer.VouchRequest{Daemon: string(o.self.Daemon)}))
-			if err != nil || !answer.Msg.Promised {
+			answer, err := c.Vouch(ctx, connect.NewRequest(&peer.VouchRequest{}))
+			if err != nil || !answer.Msg.Vouched {
 				o.logger.Debug("daemon does not vouch", "daemon", m.Daemon, "cause", err)
 				return
 			}
@@ -232,13 +232,13 @@
 }
 
 // Vouch implements [peerconnect.OverseerHandler].
-func (s service) Vouch(_ context.Context, r *connect.Request[peer.VouchRequest]) (*connect.Response[peer.VouchResponse], error) {
+func (s service) Vouch(context.Context, *connect.Request[peer.VouchRequest]) (*connect.Response[peer.VouchResponse], error) {
 	o := s.overseer
 	o.mu.Lock()
-	promised := o.auth.Vouch(unit.DaemonID(r.Msg.Daemon), o.now())
+	vouched := o.auth.Vouch()
 	o.mu.Unlock()
 	return connect.NewResponse(&peer.VouchResponse{
-		Daemon: string(o.self.Daemon), Incarnation: uint64(o.self.Incarnation), Promised: promised,
+		Daemon: string(o.self.Daemon), Incarnation: uint64(o.self.Incarnation), Vouched: vouched,
 	}), nil
 }
 
--- a/tarragonshed/overseer/watch.go
+++ b/tarragonshed/overseer/watch.go
@@ -137,7 +137,6 @@
 	t := o.troubles[g]
 	if found == fine {
 		delete(o.troubles, g)
-		o.auth.Want(g, false)
 		return nil
 	}
 	if t == nil || t.reason != found {
