--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -167,3 +167,22 @@
 	fmt.Printf("%T\n", p.Step(pooler.Take{Ticket: 1, Now: start})[0])
 	// Output: pooler.Open
 }
+
+func TestUnusedConnectionsAreClosed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := pooler.New(pooler.Limits{Share: 5, Warm: 1, Opening: 5, Rate: 100, Unused: 3 * time.Second})
+	for n := range 3 {
+		p.Step(pooler.Take{Ticket: pooler.Ticket(n), Now: now})
+	}
+	for n := range 3 {
+		p.Step(pooler.Opened{Conn: pooler.Conn(n), Now: now})
+	}
+	for n := range 3 {
+		p.Step(pooler.Returned{Conn: pooler.Conn(n), Now: now})
+	}
+	is.Equal(len(p.Step(pooler.Tick{Now: now.Add(3 * time.Second)})), 0)
+	effects := p.Step(pooler.Tick{Now: now.Add(3*time.Second + 1)})
+	is.Equal(effects, []pooler.Effect{pooler.Close{Conn: 0}, pooler.Close{Conn: 1}}) // The warm one stays.
+	is.Equal(p.Idle(), 1)
+}
