--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -249,13 +249,15 @@
 // Wait returns how long after the answer to the transaction a change has to wait
 // for daemons that have not dropped the group.
 func (a *Authorizer) Wait() time.Duration {
-	m := a.view.Members[a.self]
-	if !a.listed() || a.view.Now-m.Listed < a.config.Extension {
+	if !a.listed() || a.Young(a.view.Members[a.self]) {
 		return a.config.Extension
 	}
 	return a.config.Lease
 }
 
+// Young reports whether the daemon came on the list less than the extension ago.
+func (a *Authorizer) Young(m Member) bool { return a.view.Now-m.Listed < a.config.Extension }
+
 // Holders returns the daemons that may have authority: all on the list but this
 // one, and those taken off it for less than the extension. To a change they matter
 // as of a confirmation that was asked for after the row was claimed: daemons may
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -34,6 +34,7 @@
 package replacer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -392,19 +393,34 @@
 	return []Effect{Stop{Err: err}}
 }
 
+// Claimant is a daemon that may carry out a change.
+type Claimant struct {
+	Daemon unit.DaemonID
+	// Young says that the daemon has come on the list so lately that its change
+	// would have to wait for the whole extension of authorities.
+	Young bool
+}
+
 // Rank returns the place of a daemon among those that may carry out the change:
-// the holder of the duty first, then the others by name. A daemon waits longer
-// before it claims the row the higher its place is.
-func Rank(self, holder unit.DaemonID, daemons []unit.DaemonID) int {
-	if self == holder {
-		return 0
-	}
-	others := slices.Sorted(slices.Values(daemons))
-	rank := 1
-	for _, d := range others {
-		if d != holder && d < self {
-			rank++
+// the holder of the duty first, then the others by name, and young ones last. A
+// daemon waits longer before it claims the row the higher its place is.
+func Rank(self, holder unit.DaemonID, claimants []Claimant) int {
+	sorted := slices.Clone(claimants)
+	place := func(c Claimant) int {
+		switch {
+		case c.Young:
+			return 2
+		case c.Daemon == holder:
+			return 0
 		}
+		return 1
+	}
+	slices.SortFunc(sorted, func(a, b Claimant) int {
+		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.Daemon, b.Daemon))
+	})
+	rank := slices.IndexFunc(sorted, func(c Claimant) bool { return c.Daemon == self })
+	if rank < 0 {
+		return len(sorted)
 	}
 	return rank
 }
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -216,10 +216,23 @@
 		case <-c.Overseer.ctx.Done():
 			return
 		}
+		if c.overtaken() {
+			c.figures.failed.Inc(1)
+			c.logger.Warn("change of primary given up: another daemon has claimed it", "group", c.row.Group)
+			return
+		}
 		effects = r.Step(event, c.now())
 	}
 }
 
+// overtaken reports whether the row is not this daemon's any more.
+func (c *running) overtaken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.auth.View().Leaderships[c.row.Group]
+	return l.Fence > c.row.Fence || l.Fence == c.row.Fence && l.Changer != "" && l.Changer != c.row.Changer
+}
+
 func (c *running) plan(g manifest.Group, why reason) replacer.Plan {
 	p := replacer.Plan{
 		Group: g.Name, Primary: c.row.Primary, Term: c.row.Term,
--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -23,9 +23,9 @@
 	readerDoubt = 3 * time.Second
 	// pruneAfter is how long a daemon is not reached before it is taken off the
 	// list.
-	pruneAfter = 20 * time.Second
-	// pruneInterval is how often the list is looked through.
-	pruneInterval = 5 * time.Second
+	pruneAfter = 6 * time.Second
+	// pruneInterval is how often a daemon looks after the next one.
+	pruneInterval = 2 * time.Second
 )
 
 // confirm gets one confirmation and waits until the next one is due. A few daemons
--- a/tarragonshed/overseer/prune.go
+++ b/tarragonshed/overseer/prune.go
@@ -3,22 +3,24 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"tarragonshed.example/authorizer"
-	"tarragonshed.example/unit"
 	"tarragonshed.example/wire/peer"
 	"tarragonshed.example/wire/peer/peerconnect"
 )
 
-// prune takes daemons off the list that have not been reached for long, and drops
-// the rows of those whose authority has certainly ended. The holder of the duty
-// does it.
+// prune takes daemons off the list that have not been reached for long, so that the
+// others need not wait for them, and drops the rows of those whose authority has
+// certainly ended. Each daemon looks after the next one on the list, so the work of
+// one does not grow with their number.
 func (o *Overseer) prune() {
 	o.mu.Lock()
-	due := time.Since(o.pruned) > pruneInterval && o.auth.View().Duty.Holder == o.self.Daemon && o.failing.IsZero()
+	due := time.Since(o.pruned) > pruneInterval && o.failing.IsZero()
 	if due {
 		o.pruned = time.Now()
 	}
@@ -29,30 +31,42 @@
 }
 
 func (o *Overseer) pruneOnce() {
-	reached := make(chan unit.DaemonID, len(o.others()))
-	members := o.others()
-	o.ask(members, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
+	next, former, now := o.successors()
+	for _, m := range former {
+		o.pruneMember(m, now, time.Now())
+	}
+	if next.Daemon == o.self.Daemon || next.Daemon == "" {
+		return
+	}
+	o.ask([]authorizer.Member{next}, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
 		if _, err := c.Announce(ctx, connect.NewRequest(&peer.AnnounceRequest{})); err == nil {
-			reached <- m.Daemon
+			o.mu.Lock()
+			o.heard[m.Daemon] = time.Now()
+			o.mu.Unlock()
 		}
 	})
-	close(reached)
-	now := time.Now()
+	o.pruneMember(next, now, time.Now())
+}
+
+// successors returns the daemon that follows this one on the list, in the order of
+// names and from the last to the first, and those off the list in between.
+func (o *Overseer) successors() (next authorizer.Member, former []authorizer.Member, now time.Duration) {
 	o.mu.Lock()
-	for d := range reached {
-		o.heard[d] = now
-	}
+	defer o.mu.Unlock()
 	view := o.auth.View()
-	o.mu.Unlock()
-	for _, m := range view.Members {
-		o.pruneMember(m, view.Now, now)
+	names := slices.Sorted(maps.Keys(view.Members))
+	self, _ := slices.BinarySearch(names, o.self.Daemon)
+	for n := 1; n <= len(names); n++ {
+		m := view.Members[names[(self+n)%len(names)]]
+		if m.Removed == 0 {
+			return m, former, view.Now
+		}
+		former = append(former, m)
 	}
+	return next, former, view.Now
 }
 
 func (o *Overseer) pruneMember(m authorizer.Member, storeNow time.Duration, now time.Time) {
-	if m.Daemon == o.self.Daemon {
-		return
-	}
 	o.mu.Lock()
 	heard, known := o.heard[m.Daemon]
 	if !known {
--- a/tarragonshed/overseer/watch.go
+++ b/tarragonshed/overseer/watch.go
@@ -20,6 +20,9 @@
 	// rankDelay is how much longer each next daemon waits before it claims a
 	// change.
 	rankDelay = 300 * time.Millisecond
+	// youngRanks is how many places further back a daemon stands whose change
+	// would have to wait for the whole extension.
+	youngRanks = 6
 	// leaveRankDelay is the same for a primary that leaves in good order.
 	leaveRankDelay = 800 * time.Millisecond
 	// gonePatience is how long a primary may be missing from the manifest: an
@@ -52,6 +55,7 @@
 // trouble is a reason and since when it holds.
 type trouble struct {
 	reason    reason
+	row       authorizer.Leadership
 	since     time.Time
 	witnessed bool // Whether the other daemons have been asked.
 	shared    bool // Whether none of them reaches the primary.
@@ -94,7 +98,7 @@
 		return
 	}
 	found := o.diagnose(g, row, exists)
-	t := o.track(g.Name, found)
+	t := o.track(row, g.Name, found)
 	if t == nil {
 		return
 	}
@@ -130,8 +134,8 @@
 	return fine
 }
 
-// track notes since when the reason holds.
-func (o *Overseer) track(g unit.GroupName, found reason) *trouble {
+// track notes since when the reason holds for the row.
+func (o *Overseer) track(row authorizer.Leadership, g unit.GroupName, found reason) *trouble {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.troubles[g]
@@ -139,8 +143,8 @@
 		delete(o.troubles, g)
 		return nil
 	}
-	if t == nil || t.reason != found {
-		t = &trouble{reason: found, since: time.Now()}
+	if t == nil || t.reason != found || t.row != row {
+		t = &trouble{reason: found, row: row, since: time.Now()}
 		o.troubles[g] = t
 		o.logger.Info("primary in trouble", "group", g, "reason", found)
 	}
@@ -149,14 +153,20 @@
 
 // delay returns how long the reason has to hold before this daemon acts on it.
 func (o *Overseer) delay(t *trouble, duty authorizer.Duty) time.Duration {
-	others := o.others()
-	daemons := make([]unit.DaemonID, 0, len(others)+1)
-	for _, m := range others {
-		daemons = append(daemons, m.Daemon)
-	}
-	rank := time.Duration(replacer.Rank(o.self.Daemon, duty.Holder, append(daemons, o.self.Daemon)))
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	var claimants []replacer.Claimant
+	older := false
+	for _, m := range o.auth.View().Members {
+		if m.Removed == 0 {
+			claimants = append(claimants, replacer.Claimant{Daemon: m.Daemon, Young: o.auth.Young(m)})
+			older = older || !o.auth.Young(m)
+		}
+	}
+	rank := time.Duration(replacer.Rank(o.self.Daemon, duty.Holder, claimants))
+	if older && o.auth.Young(o.auth.View().Members[o.self.Daemon]) {
+		rank += youngRanks
+	}
 	switch t.reason {
 	case leaving:
 		return rank * leaveRankDelay
