--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -66,7 +66,8 @@
 	logger    *log.Logger
 	figures   *figures
 	domain    unit.DomainName
-	throttle  throttle
+	refusals  throttle // Of lines about refused statements.
+	retries   throttle // Of lines about statements that are sent again.
 	// daemons is the number of daemons that share the instances.
 	daemons atomic.Int64
 
--- /dev/null
+++ b/tarragonshed/engine/engine_test.go
@@ -0,0 +1,296 @@
+package engine
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonshed.example/authorizer"
+	"tarragonshed.example/manifest"
+	"tarragonshed.example/result"
+)
+
+func TestWhereStatementsGo(t *testing.T) {
+	t.Run("writes to the primary", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		served(t, r.open("own"), Write{Text: "1 one"})
+		is.Equal(len(r.instances["a"].callers()), 1)
+	})
+	t.Run("reads to the near replica, with the position that they must see", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		s := r.open("own")
+		served(t, s, Write{Text: "1 one"})
+		served(t, s, Read{Text: "1"})
+		is.Equal(r.instances["b"].callers(), []Request{{ID: "q", Statement: Read{Text: "1"}, After: at}})
+	})
+	t.Run("reads of the primary's route to the primary", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		served(t, r.open("first"), Read{Text: "1"})
+		is.Equal(len(r.instances["a"].callers()), 1)
+	})
+	t.Run("nothing new to a replica that leaves", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		next := *r.manifest
+		next.Groups = []manifest.Group{{Name: "g", Instances: slices.Clone(r.manifest.Groups[0].Instances)}}
+		next.Groups[0].Instances[1].Leaving = true
+		r.Adopt(&next)
+		s := r.open("old")
+		for range 20 {
+			served(t, s, Read{Text: "1"})
+		}
+		is.Equal(len(r.instances["b"].callers()), 0)
+	})
+}
+
+func TestWritesAreNotRepeated(t *testing.T) {
+	t.Run("a lost reply is in doubt", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		r.instances["a"].answer = func(c *fakeConn, q Request) (*Reply, bool) { return nil, true }
+		refused(t, r.open("own"), Write{Text: "1 one"}, result.ConnectionLost)
+		is.Equal(len(r.instances["a"].callers()), 1)
+	})
+	t.Run("so is a reply that comes when the authority is lost", func(t *testing.T) {
+		r := newRig(t)
+		r.instances["a"].answer = func(c *fakeConn, q Request) (*Reply, bool) {
+			r.lose()
+			return good(c, q)
+		}
+		refused(t, r.open("own"), Write{Text: "1 one"}, result.AuthorityLost)
+	})
+	t.Run("no room means not run: it is sent again", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		busy := 3
+		r.instances["a"].answer = func(c *fakeConn, q Request) (*Reply, bool) {
+			if busy--; busy >= 0 {
+				return failing(result.Overloaded, Idle)(c, q)
+			}
+			return good(c, q)
+		}
+		served(t, r.open("own"), Write{Text: "1 one"})
+		is.Equal(len(r.instances["a"].callers()), 4)
+	})
+	t.Run("an error of the instance's own is passed on", func(t *testing.T) {
+		r := newRig(t)
+		r.instances["a"].answer = failing(result.StatementFailed, Idle)
+		refused(t, r.open("own"), Write{Text: "1 one"}, result.StatementFailed)
+	})
+}
+
+func TestReadsAreRepeatedElsewhere(t *testing.T) {
+	for name, answer := range map[string]func(*fakeConn, Request) (*Reply, bool){
+		"lost reply": func(c *fakeConn, q Request) (*Reply, bool) {
+			if q.ID == "" {
+				return good(c, q)
+			}
+			return nil, true
+		},
+		"behind":  failing(result.InstanceBehind, Idle),
+		"no room": failing(result.Overloaded, Idle),
+		"failed":  failing(result.StatementFailed, Idle),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t)
+			r.instances["b"].answer = answer
+			served(t, r.open("old"), Read{Text: "1"})
+			is.Equal(len(r.instances["b"].callers()), 1)
+		})
+	}
+}
+
+func TestTransactions(t *testing.T) {
+	t.Run("one connection from the first statement to the end", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		s := r.open("first")
+		served(t, s, Begin{})
+		is.Equal(r.instances["a"].conns, 0) // BEGIN is sent with the first statement.
+		served(t, s, Write{Text: "1 one"})
+		served(t, s, Read{Text: "1"})
+		is.Equal(served(t, s, Commit{}).State, Idle)
+		is.Equal(r.instances["a"].all(), []Statement{Begin{}, Write{Text: "1 one"}, Read{Text: "1"}, Commit{}})
+	})
+	t.Run("a lost reply before COMMIT: nothing is kept", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		r.instances["a"].answer = func(c *fakeConn, q Request) (*Reply, bool) {
+			if _, ok := q.Statement.(Write); ok {
+				return nil, true
+			}
+			return good(c, q)
+		}
+		s := r.open("first")
+		served(t, s, Begin{})
+		is.Equal(refused(t, s, Write{Text: "1 one"}, result.RolledBack).State, Failed)
+		refused(t, s, Read{Text: "1"}, result.ProtocolViolation)
+		is.Equal(refused(t, s, Commit{}, result.RolledBack).State, Idle)
+	})
+	commitLost := func(c *fakeConn, q Request) (*Reply, bool) {
+		if _, ok := q.Statement.(Commit); ok {
+			return nil, true
+		}
+		return good(c, q)
+	}
+	t.Run("a lost reply to COMMIT: in doubt", func(t *testing.T) {
+		r := newRig(t)
+		r.instances["a"].answer = commitLost
+		s := r.open("first")
+		served(t, s, Begin{})
+		served(t, s, Write{Text: "1 one"})
+		refused(t, s, Commit{}, result.ConnectionLost)
+	})
+	t.Run("unless it wrote nothing", func(t *testing.T) {
+		r := newRig(t)
+		r.instances["a"].answer = commitLost
+		s := r.open("first")
+		served(t, s, Begin{})
+		served(t, s, Read{Text: "1"})
+		refused(t, s, Commit{}, result.RolledBack)
+	})
+	t.Run("COMMIT is not sent without authority", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		s := r.open("first")
+		served(t, s, Begin{})
+		served(t, s, Write{Text: "1 one"})
+		r.lose()
+		refused(t, s, Commit{}, result.RolledBack)
+		is.True(!slices.Contains(r.instances["a"].all(), Statement(Commit{})))
+	})
+	t.Run("a caller that leaves", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		s := r.open("first")
+		served(t, s, Begin{})
+		served(t, s, Write{Text: "1 one"})
+		s.Close()
+		// Whoever has the connection next waits for the rollback.
+		for range 10 {
+			served(t, r.open("first"), Read{Text: "1"})
+		}
+		is.True(slices.Contains(r.instances["a"].all(), Statement(Rollback{})))
+	})
+	t.Run("one that rests for too long", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		r.manifest.TransactionIdle = time.Millisecond
+		s := r.open("first")
+		served(t, s, Begin{})
+		served(t, s, Write{Text: "1 one"})
+		for s.State() != Failed {
+			time.Sleep(time.Millisecond)
+		}
+		refused(t, s, Read{Text: "1"}, result.RolledBack)
+		is.Equal(served(t, s, Rollback{}).State, Idle)
+	})
+	t.Run("a read-only one begins at the next replica", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		r.instances["b"].answer = func(c *fakeConn, q Request) (*Reply, bool) {
+			if _, ok := q.Statement.(Begin); ok {
+				return &Reply{Err: result.New(result.InstanceBehind, ""), State: Idle, Position: at}, true
+			}
+			return good(c, q)
+		}
+		s := r.open("old")
+		served(t, s, Begin{ReadOnly: true})
+		served(t, s, Read{Text: "1"})
+		served(t, s, Commit{})
+		is.Equal(len(r.instances["b"].callers()), 0)
+	})
+}
+
+func TestConnectionsTakeOverTheSession(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	shape := Shape{Text: "q2c"}
+	one, two := r.open("first"), r.open("first")
+	served(t, one, Set{Name: "colour", Value: "blue"})
+	served(t, one, Prepare{Name: "s1", Shape: shape})
+	served(t, one, Execute{Name: "s1", Text: "1"})
+	served(t, one, Execute{Name: "s1", Text: "2"}) // The connection has it all.
+	served(t, two, Prepare{Name: "other", Shape: shape})
+	served(t, two, Execute{Name: "other", Text: "3"}) // A session without the value.
+	is.Equal(r.instances["a"].all(), []Statement{
+		Set{Name: "colour", Value: "blue"}, Prepare{Name: "p1", Shape: shape}, Execute{Name: "p1", Text: "1"},
+		Execute{Name: "p1", Text: "2"},
+		Discard{}, Prepare{Name: "p1", Shape: shape}, Execute{Name: "p1", Text: "3"},
+	})
+	refused(t, two, Execute{Name: "s1", Text: "1"}, result.UnknownStatement)
+	served(t, one, Forget{Name: "s1"})
+	refused(t, one, Execute{Name: "s1", Text: "1"}, result.UnknownStatement)
+}
+
+// TestValuesOfATransactionAreNotTrusted sets a value in a transaction that is
+// rolled back: what the connection has then is not known.
+func TestValuesOfATransactionAreNotTrusted(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	s := r.open("first")
+	served(t, s, Begin{})
+	served(t, s, Read{Text: "1"})
+	served(t, s, Set{Name: "colour", Value: "blue"})
+	served(t, s, Read{Text: "2"})
+	served(t, s, Commit{})
+	served(t, s, Read{Text: "3"})
+	is.Equal(r.instances["a"].all()[4:], []Statement{
+		Commit{}, Discard{}, Set{Name: "colour", Value: "blue"}, Read{Text: "3"},
+	})
+}
+
+// TestNewTerm lets another instance lead: positions of the old term may have been
+// rolled back, so no replica is asked for them.
+func TestNewTerm(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	s := r.open("own")
+	served(t, s, Write{Text: "1 one"})
+	next := authorizer.Leadership{Group: "g", State: authorizer.Leading, Primary: "c", Term: 2, Life: 1}
+	r.mu.Lock()
+	r.leader = next
+	r.mu.Unlock()
+	led := at
+	led.Term, led.Index = 2, 5
+	r.instances["c"].answer = func(c *fakeConn, q Request) (*Reply, bool) {
+		reply, _ := good(c, q)
+		reply.Position = led
+		return reply, true
+	}
+	served(t, r.open("own"), Write{Text: "2 two"})
+	served(t, s, Read{Text: "1"})
+	is.Equal(r.instances["b"].callers()[0].After, led)
+}
+
+func TestUnknownDatabase(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	_, err := r.Open("nowhere")
+	is.Equal(err.Code, result.UnknownDatabase)
+	s := r.open("own")
+	r.Adopt(&manifest.Manifest{Version: 2}) // The route is dropped.
+	refused(t, s, Read{Text: "1"}, result.UnknownDatabase)
+}
+
+func BenchmarkRead(b *testing.B) {
+	t := &testing.T{}
+	r := newRig(t)
+	defer r.Engine.Close()
+	s, err := r.Open("old")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if a := s.Do("q", Read{Text: "1"}); a.Err != nil {
+			b.Fatal(a.Err)
+		}
+	}
+}
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -168,6 +168,7 @@
 	}
 	j.excluded[t.name()] = true
 	e.figures.retries.Inc(1)
+	e.reportRetry(j.run.id, t, err, len(j.excluded))
 	switch err.Code {
 	case result.InstanceBehind:
 		if j.session.written.Position().IsZero() || j.route.Consistency != manifest.SessionReads {
--- a/tarragonshed/engine/report.go
+++ b/tarragonshed/engine/report.go
@@ -8,7 +8,7 @@
 	"tarragonshed.example/unit"
 )
 
-// linesPerSecond bounds the lines about refused statements.
+// linesPerSecond bounds the lines of each kind about statements.
 const linesPerSecond = 20
 
 // throttle counts the lines of the present second.
@@ -37,11 +37,25 @@
 
 // report writes a line about a statement that was refused or failed.
 func (e *Engine) report(s *Session, id unit.RequestID, err *result.Error) {
-	left, ok := e.throttle.take(time.Now())
+	left, ok := e.refusals.take(time.Now())
 	if !ok {
 		return
 	}
 	entry := err.Code.Entry()
+	l, usable := e.authority.Primary(s.groupName())
 	e.logger.Info("statement refused", "request", id, "database", s.database, "code", err.Code,
-		"name", entry.Name, "outcome", entry.Outcome, "cause", err.Detail, "state", string(s.state), "lines-left-out", left)
+		"name", entry.Name, "outcome", entry.Outcome, "cause", err.Detail, "state", string(s.state),
+		"primary", l.Primary, "primary-usable", usable, "term", l.Term, "fence", l.Fence, "lines-left-out", left)
+}
+
+// reportRetry writes a line about a statement that is sent again.
+func (e *Engine) reportRetry(id unit.RequestID, t *target, err *result.Error, attempt int) {
+	left, ok := e.retries.take(time.Now())
+	if !ok {
+		return
+	}
+	load := t.Load()
+	e.logger.Info("statement sent again", "request", id, "instance", t.name(), "group", t.group.name, "code", err.Code,
+		"cause", err.Detail, "attempt", attempt, "running", load.Running, "queued", load.Queued, "connections", load.Size,
+		"lines-left-out", left)
 }
--- a/tarragonshed/engine/session.go
+++ b/tarragonshed/engine/session.go
@@ -53,6 +53,16 @@
 	return answer
 }
 
+// groupName returns the group that the session's database leads to, if there is
+// one.
+func (s *Session) groupName() unit.GroupName {
+	route, _, err := s.engine.route(s.database)
+	if err != nil {
+		return ""
+	}
+	return route.Group
+}
+
 // State returns the state of the session.
 func (s *Session) State() TransactionState {
 	s.mu.Lock()
