--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -286,6 +286,9 @@
 // Announce implements [peerconnect.OverseerHandler].
 func (s service) Announce(context.Context, *connect.Request[peer.AnnounceRequest]) (*connect.Response[peer.AnnounceResponse], error) {
 	s.overseer.hurry()
+	if s.overseer.storeAway(0) {
+		go s.overseer.relay() // Whoever tells of changed rows has them.
+	}
 	return connect.NewResponse(&peer.AnnounceResponse{}), nil
 }
 
