--- a/tarragonshed/engine/engine_test.go
+++ b/tarragonshed/engine/engine_test.go
@@ -220,9 +220,13 @@
 	served(t, two, Prepare{Name: "other", Shape: shape})
 	served(t, two, Execute{Name: "other", Text: "3"}) // A session without the value.
 	is.Equal(r.instances["a"].all(), []Statement{
-		Set{Name: "colour", Value: "blue"}, Prepare{Name: "p1", Shape: shape}, Execute{Name: "p1", Text: "1"},
+		Set{Name: "colour", Value: "blue"},
+		Prepare{Name: "p1", Shape: shape},
+		Execute{Name: "p1", Text: "1"},
 		Execute{Name: "p1", Text: "2"},
-		Discard{}, Prepare{Name: "p1", Shape: shape}, Execute{Name: "p1", Text: "3"},
+		Discard{},
+		Prepare{Name: "p1", Shape: shape},
+		Execute{Name: "p1", Text: "3"},
 	})
 	refused(t, two, Execute{Name: "s1", Text: "1"}, result.UnknownStatement)
 	served(t, one, Forget{Name: "s1"})
