--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # usage: spec/check.sh [jobs]
-# Checks spec/failover.pml with spin. Every part must hold in all its states and
+# Checks spec/failover.pml and spec/authority.pml with spin. Every part must hold in all its states and
 # every broken variant must yield a counterexample; otherwise the script fails.
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -32,6 +32,15 @@
   "leftover-at-its-own-position fails -DSESSION -DBROKEN_LEFTOVER_POSITION"
   "primary-read-not-withheld fails -DSESSION -DMONOTONIC -DBROKEN_READ_UNCONFIRMED"
   "replica-read-not-withheld fails -DSESSION -DMONOTONIC -DBROKEN_REPLICA_READ_UNCONFIRMED"
+  "authority holds"
+  "authority-young holds -DYOUNG"
+  "authority-checked-on-send fails -DBROKEN_CHECK_ON_SEND"
+  "authority-no-wait fails -DBROKEN_NO_WAIT"
+  "authority-some-vouch fails -DBROKEN_SOME_VOUCH"
+  "authority-vouch-in-change fails -DBROKEN_VOUCH_IN_CHANGE"
+  "authority-late-vouch fails -DBROKEN_LATE_VOUCH"
+  "authority-young-waits-lease fails -DYOUNG -DBROKEN_YOUNG_WAITS_LEASE"
+  "authority-no-end fails -DYOUNG -DBROKEN_NO_END"
   "claim-without-conflict fails -DKEYS -DWRITES=2 -DBROKEN_CLAIM_WITHOUT_CONFLICT"
 )
 
@@ -39,12 +48,15 @@
 # counts as a failure.
 check() {
   local name=$1 expected=$2 definitions=${*:3} found=incomplete
+  local file=failover.pml options=-DNOREDUCE
+  if [[ $name == authority* ]]; then file=authority.pml options=; fi
   mkdir "$work/$name"
-  cp failover.pml "$work/$name"
+  cp "$file" "$work/$name"
   cd "$work/$name"
   # shellcheck disable=SC2086
-  spin -a $definitions failover.pml >spin.out 2>&1 || { cat spin.out; return 1; }
-  gcc -O2 -w -DSAFETY -DNOREDUCE -DCOLLAPSE -DMEMLIM="$memory_mb" -o pan pan.c
+  spin -a $definitions $file >spin.out 2>&1 || { cat spin.out; return 1; }
+  # shellcheck disable=SC2086
+  gcc -O2 -w -DSAFETY $options -DCOLLAPSE -DMEMLIM="$memory_mb" -o pan pan.c
   timeout "$seconds" ./pan -E -m100000 >pan.out 2>&1 || true
   if grep -q "assertion violated" pan.out; then
     found=fails
