--- a/tarragonshed/engine/ports.go
+++ b/tarragonshed/engine/ports.go
@@ -26,7 +26,7 @@
 	// that is empty. The error is of code ConnectionsExhausted if the instance is
 	// there but has too many connections.
 	Connect(ctx context.Context, group unit.GroupName, i manifest.Instance, via string) (Conn, *result.Error)
-	// Status decodes the reply to [Status], [StepDown] or [Pause].
+	// Status decodes the reply to [Status] or [StepDown].
 	Status(Reply) (InstanceStatus, error)
 }
 
--- a/tarragonshed/engine/statement.go
+++ b/tarragonshed/engine/statement.go
@@ -7,7 +7,7 @@
 
 // Statement is what a caller asks for: [Begin], [Commit], [Rollback], [Read],
 // [Write], [Set], [Prepare], [Execute] or [Forget]; or what the engine asks of an
-// instance for itself: [Discard], [Status], [StepDown] or [Pause].
+// instance for itself: [Discard], [Status] or [StepDown].
 type Statement interface{ statement() }
 
 // Begin opens a transaction.
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -110,8 +110,9 @@
 	since  unit.Instant // When the answer to the claim came.
 	events chan replacer.Event
 	wait   time.Duration
-	owners []authorizer.Member
-	ctx    context.Context
+	// holders may have authority over the old primary.
+	holders []authorizer.Member
+	ctx     context.Context
 }
 
 // claim makes the row of the group say that its primary is changing. It returns
@@ -169,7 +170,7 @@
 		}
 		c.adopt(rows, now, asked)
 		c.mu.Lock()
-		c.wait, c.owners = c.auth.Wait(), c.auth.Holders()
+		c.wait, c.holders = c.auth.Wait(), c.auth.Holders()
 		c.mu.Unlock()
 		return true
 	}
@@ -244,7 +245,7 @@
 		}
 		p.Replicas = append(p.Replicas, i.Name)
 	}
-	for _, m := range c.owners {
+	for _, m := range c.holders {
 		p.Holders = append(p.Holders, m.Daemon)
 	}
 	return p
@@ -260,7 +261,7 @@
 
 // withdraw asks the other daemons to give up their authority, until they have.
 func (c *running) withdraw() {
-	missing := c.owners
+	missing := c.holders
 	for len(missing) > 0 && c.ctx.Err() == nil && c.now().Sub(c.since) < c.wait {
 		dropped := make(chan unit.DaemonID, len(missing))
 		c.ask(missing, func(ctx context.Context, m authorizer.Member, client peerconnect.OverseerClient) {
@@ -339,7 +340,7 @@
 // status asks an instance about itself. Without an answer it names the instance
 // alone.
 func (c *running) status(name unit.InstanceName) replacer.Status {
-	s, err := c.ask1(name)
+	s, err := c.instanceStatus(name)
 	if err != nil {
 		c.logger.Info("instance did not tell its status", "group", c.row.Group, "instance", name, "cause", err)
 		return replacer.Status{Instance: name}
@@ -347,7 +348,7 @@
 	return replacer.Status{Instance: name, Primary: s.Primary, Received: s.Received, Term: s.Term}
 }
 
-func (c *running) ask1(name unit.InstanceName) (engine.InstanceStatus, error) {
+func (c *running) instanceStatus(name unit.InstanceName) (engine.InstanceStatus, error) {
 	ctx, stop := context.WithTimeout(c.ctx, callTimeout)
 	defer stop()
 	return (*c.instances.Load()).Status(ctx, c.row.Group, name)
