--- /dev/null
+++ b/tarragonshed/overseer/watch_test.go
@@ -0,0 +1,85 @@
+package overseer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonshed.example/authorizer"
+	"tarragonshed.example/unit"
+)
+
+// listed returns an overseer that has read the rows of the members.
+func listed(self unit.DaemonID, now time.Duration, members ...authorizer.Member) *Overseer {
+	o := New(Self{Daemon: self, Incarnation: 1}, nil, nil, func() unit.Instant { return 1 })
+	var rows []Row
+	for n, m := range members {
+		put := encode(memberKey(m.Daemon), m)
+		rows = append(rows, Row{Key: put.Key, Value: put.Value, Version: uint64(n + 1)})
+	}
+	o.adopt(rows, now, 1)
+	return o
+}
+
+// TestStuckCountsPerClaim is what an incident showed: when one daemon had taken
+// over a change, the next one did so at once, because its time had not begun anew.
+func TestStuckCountsPerClaim(t *testing.T) {
+	is := is.New(t)
+	o := listed("a", 0)
+	defer o.Close()
+	row := authorizer.Leadership{Group: "g", State: authorizer.Changing, Fence: 1, Changer: "b"}
+	first := o.track(row, "g", stuck)
+	first.since = first.since.Add(-time.Hour)
+	is.Equal(o.track(row, "g", stuck), first)
+	row.Fence, row.Changer = 2, "c"
+	is.True(time.Since(o.track(row, "g", stuck).since) < time.Minute)
+	is.Equal(o.track(row, "g", fine), nil)
+}
+
+// TestYoungDaemonsStandLast: the change of a daemon that has just come on the list
+// would have to wait for the whole extension.
+func TestYoungDaemonsStandLast(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	young := authorizer.Member{Daemon: "a", Incarnation: 1, Listed: now - time.Second}
+	old := authorizer.Member{Daemon: "b", Incarnation: 1}
+	trouble := &trouble{reason: unreachable, shared: true}
+	o := listed("a", now, young, old)
+	defer o.Close()
+	is.Equal(o.delay(trouble, authorizer.Duty{}), (1+youngRanks)*rankDelay)
+	alone := listed("a", now, young) // At the first start all are young.
+	defer alone.Close()
+	is.Equal(alone.delay(trouble, authorizer.Duty{}), time.Duration(0))
+}
+
+func TestRowsThatCannotBeRead(t *testing.T) {
+	is := is.New(t)
+	good := encode(groupKey("g"), authorizer.Leadership{Group: "g", State: authorizer.Leading, Primary: "i"})
+	view, versions, bad := decode([]Row{
+		{Key: good.Key, Value: good.Value, Version: 3},
+		{Key: groupKey("h"), Value: []byte("{"), Version: 4},
+		{Key: groupKey("x"), Value: good.Value, Version: 5}, // Of another group.
+		{Key: "stranger", Version: 6},
+	}, time.Second)
+	is.Equal(len(view.Leaderships), 1)
+	is.Equal(versions[groupKey("h")], uint64(4)) // It can still be replaced.
+	is.Equal(bad, []string{groupKey("h"), groupKey("x"), "stranger"})
+}
+
+// TestSuccessors: each daemon looks after the next one, also beyond those that are
+// off the list.
+func TestSuccessors(t *testing.T) {
+	is := is.New(t)
+	gone := authorizer.Member{Daemon: "b", Removed: time.Second}
+	o := listed("a", time.Minute, authorizer.Member{Daemon: "a"}, gone, authorizer.Member{Daemon: "c"})
+	defer o.Close()
+	next, former, _ := o.successors()
+	is.Equal(next.Daemon, unit.DaemonID("c"))
+	is.Equal(former, []authorizer.Member{gone})
+	last := listed("c", time.Minute, authorizer.Member{Daemon: "a"}, gone, authorizer.Member{Daemon: "c"})
+	defer last.Close()
+	next, former, _ = last.successors()
+	is.Equal(next.Daemon, unit.DaemonID("a"))
+	is.Equal(len(former), 0)
+}
