spec: the whole search of authority.pml is not done

Ruled out: a violation (none found).

The broken variants stay in the check; the two whole searches stand in KNOWN-RED.txt.

--- a/spec/authority.pml
+++ b/spec/authority.pml
@@ -6,6 +6,9 @@
  * its own, so messages take any time, and a step that is never taken is a message that is
  * lost or a daemon that stands still. Time is a counter that may go on before any step.
  *
+ * The whole search does not fit into memory yet (KNOWN-RED.txt): check.sh runs the
+ * broken variants only, each of which must yield a counterexample.
+ *
  * Safety: no answer that the old primary gave after the promotion is used.
  *
  * -DYOUNG: C came on the list after A's last confirmation, so A does not ask it.
