porter, platform: no test takes a port that another may have taken

Cause: tests asked the system for a free port, closed it and listened at it later; in between an outgoing connection of the same machine, of which these tests open many, may be given that very port. Ruled out: a listener left open by the daemon that ended before (it had other ports).

--- a/standin/processes_test.go
+++ b/standin/processes_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"tarragonshed.example/adopter"
+	"tarragonshed.example/internal/porter"
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/standin/deployer"
 	"tarragonshed.example/tarragonshed/platformer"
@@ -38,15 +38,12 @@
 	processes map[string]*exec.Cmd
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns an address at which a process can listen later.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+	address, err := porter.Free()
+	is.New(t).NoErr(err)
+	return address
 }
 
 // start runs a built program until the test ends.
--- a/tarragonbench/spreader/deployment.go
+++ b/tarragonbench/spreader/deployment.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	goahttp "goa.design/goa/v3/http"
 
+	"tarragonshed.example/internal/porter"
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/member"
 	"tarragonshed.example/standin/platform"
@@ -30,12 +31,6 @@
 // secret is the verifier of an account that nobody uses.
 const secret = "SCRAM-SHA-256$4096:c2FsdA==$AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=:AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
 
-// The ports of daemons.
-const (
-	firstPort = 21_000
-	lastPort  = 25_000
-)
-
 // stopTimeout is the time that processes have to end.
 const stopTimeout = 10 * time.Second
 
@@ -49,7 +44,6 @@
 	targets   []*target.Target
 	daemons   []*process
 	manifest  manifest.Manifest
-	port      int
 	// cut cuts the last failure domain off from the platform.
 	cut atomic.Bool
 }
@@ -63,7 +57,7 @@
 }
 
 func deploy(ctx context.Context, plan Plan, folder string) (*deployment, error) {
-	d := &deployment{plan: plan, folder: folder, platform: platform.New(), port: firstPort}
+	d := &deployment{plan: plan, folder: folder, platform: platform.New()}
 	d.manifest.Callers = []manifest.Caller{{Name: "caller", SCRAMSecret: secret}}
 	if err := d.start(ctx); err != nil {
 		d.close()
@@ -148,7 +142,7 @@
 	id := fmt.Sprintf("daemon-%03d", n)
 	var addresses [3]string
 	for i := range addresses {
-		address, err := d.freeAddress()
+		address, err := porter.Free()
 		if err != nil {
 			return trace.Wrap(err)
 		}
@@ -171,19 +165,6 @@
 	return nil
 }
 
-// freeAddress returns the next address that is free. Its port is below those that the
-// system gives to outgoing connections.
-func (d *deployment) freeAddress() (string, error) {
-	for d.port < lastPort {
-		d.port++
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", d.port))
-		if err == nil {
-			return listener.Addr().String(), listener.Close()
-		}
-	}
-	return "", trace.LimitExceeded("spreader: no port is free from %d to %d", firstPort, lastPort)
-}
-
 // run starts the processes.
 func (d *deployment) run() error {
 	for _, p := range d.daemons {
