overseer: pass on changed rows instead of all, come on the list once

Rows are now kept as a table at an epoch; the store and the readers are asked for what was written since. A row that was dropped shows by the number of rows.

--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -120,8 +120,9 @@
 func (o *Overseer) claim(g unit.GroupName, row authorizer.Leadership, why reason) (*running, bool) {
 	o.mu.Lock()
 	view := o.auth.View()
-	version := func(key string) Expectation { return Expectation{Key: key, Version: o.versions[key]} }
-	expected := []Expectation{version(dutyKey), version(groupKey(g)), version(memberKey(o.self.Daemon))}
+	expected := []Expectation{
+		o.table.expect(dutyKey), o.table.expect(groupKey(g)), o.table.expect(memberKey(o.self.Daemon)),
+	}
 	c := &running{Overseer: o, events: make(chan replacer.Event, 64)}
 	o.mu.Unlock()
 	c.duty = view.Duty
@@ -161,14 +162,12 @@
 func (c *running) reread() bool {
 	for c.Overseer.ctx.Err() == nil {
 		ctx, stop := context.WithTimeout(c.Overseer.ctx, callTimeout)
-		asked := c.now()
-		rows, now, err := c.store.Rows(ctx)
+		err := c.refresh(ctx)
 		stop()
 		if err != nil {
 			time.Sleep(claimPause)
 			continue
 		}
-		c.adopt(rows, now, asked)
 		c.mu.Lock()
 		c.wait, c.holders = c.auth.Wait(), c.auth.Holders()
 		c.mu.Unlock()
@@ -188,7 +187,7 @@
 			time.Sleep(claimPause)
 			continue
 		}
-		view, _, _ := decode([]Row{row}, now)
+		view, _ := decode(newTable([]Row{row}), now)
 		c.since = c.now()
 		return view.Leaderships[g] == c.row
 	}
@@ -391,7 +390,7 @@
 		c.send(replacer.Published{})
 		return
 	}
-	view, _, _ := decode([]Row{row}, now)
+	view, _ := decode(newTable([]Row{row}), now)
 	if current := view.Leaderships[c.row.Group]; current != c.row {
 		c.send(replacer.Published{Done: current == l, Refused: current != l})
 		return
--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -120,25 +120,47 @@
 	}
 	o.mu.Lock()
 	_, known := o.auth.Confirmed()
-	if known && epoch.Version == o.epoch {
+	if known && epoch.Version == o.table.epoch() {
 		o.auth.Reconfirm(asked, now)
 		o.mu.Unlock()
 		o.figures.confirmed.Inc(1)
 		return o.enlist(ctx)
 	}
 	o.mu.Unlock()
-	asked = o.now()
+	if err := o.refresh(ctx); err != nil {
+		return err
+	}
+	return o.enlist(ctx)
+}
+
+// refresh reads the rows that have changed, or all when the store can't tell them.
+func (o *Overseer) refresh(ctx context.Context) error {
+	o.mu.Lock()
+	known := o.table
+	o.mu.Unlock()
+	asked := o.now()
+	if known.epoch() > 0 {
+		changes, now, err := o.store.Changes(ctx, known.epoch())
+		if err == nil {
+			o.adopt(known.with(changes), now, asked)
+			return nil
+		}
+		if !errors.Is(err, ErrForgotten) {
+			return err
+		}
+		o.logger.Info("all rows are read, the store has dropped its history", "epoch", known.epoch())
+	}
 	rows, now, err := o.store.Rows(ctx)
 	if err != nil {
 		return err
 	}
-	o.adopt(rows, now, asked)
-	return o.enlist(ctx)
+	o.adopt(newTable(rows), now, asked)
+	return nil
 }
 
-// adopt takes all rows in.
-func (o *Overseer) adopt(rows []Row, now time.Duration, asked unit.Instant) {
-	view, versions, bad := decode(rows, now)
+// adopt takes in all rows as of the moment at which the store was asked.
+func (o *Overseer) adopt(rows table, now time.Duration, asked unit.Instant) {
+	view, bad := decode(rows, now)
 	for _, key := range bad {
 		o.logger.Error("row can't be read", "key", key)
 	}
@@ -149,8 +171,7 @@
 	}
 	before := o.auth.View()
 	o.auth.Confirm(view, asked)
-	o.rows, o.versions = rows, versions
-	o.epoch = versions[epochKey]
+	o.table = rows
 	o.figures.confirmed.Inc(1)
 	for name, l := range view.Leaderships {
 		if before.Leaderships[name] != l {
@@ -165,7 +186,7 @@
 	o.mu.Lock()
 	view := o.auth.View()
 	m, ok := view.Members[o.self.Daemon]
-	version := o.versions[memberKey(o.self.Daemon)]
+	unchanged := o.table.expect(memberKey(o.self.Daemon))
 	o.mu.Unlock()
 	wanted := authorizer.Member{
 		Daemon: o.self.Daemon, Incarnation: o.self.Incarnation, Domain: o.self.Domain,
@@ -178,12 +199,11 @@
 		return nil
 	}
 	_, err := o.store.Commit(ctx, Transaction{
-		Expected: []Expectation{{Key: memberKey(o.self.Daemon), Version: version}},
+		Expected: []Expectation{unchanged},
 		Puts:     []Put{encode(memberKey(o.self.Daemon), wanted), epochPut()},
 	})
 	if err == nil || errors.Is(err, ErrConflict) {
-		o.hurry()
-		return nil
+		return o.refresh(ctx) // A reader may not have the row yet.
 	}
 	return err
 }
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -128,9 +128,7 @@
 
 	mu       sync.Mutex
 	auth     *authorizer.Authorizer
-	epoch    uint64 // Version of the epoch's row as last read.
-	rows     []Row  // All rows as last read.
-	versions map[string]uint64
+	table    table // The rows that auth was told of last.
 	changed  chan struct{}
 	troubles map[unit.GroupName]*trouble
 	changes  map[unit.GroupName]bool
@@ -174,7 +172,6 @@
 		logger: log.New(io.Discard), figures: newFigures(metrics.NewRegistry()), dial: dialer.Default,
 		wake:     make(chan struct{}, 1),
 		auth:     authorizer.New(self.Daemon, self.Incarnation, authorizer.Config{Lease: Lease, Extension: Extension}),
-		versions: make(map[string]uint64),
 		changed:  make(chan struct{}),
 		troubles: make(map[unit.GroupName]*trouble),
 		changes:  make(map[unit.GroupName]bool),
@@ -293,7 +290,7 @@
 func (o *Overseer) Leave(ctx context.Context) error {
 	o.mu.Lock()
 	m, ok := o.auth.View().Members[o.self.Daemon]
-	version := o.versions[memberKey(o.self.Daemon)]
+	unchanged := o.table.expect(memberKey(o.self.Daemon))
 	o.mu.Unlock()
 	if !ok || m.Incarnation != o.self.Incarnation {
 		return nil
@@ -301,7 +298,7 @@
 	o.Close()
 	m.Removed = max(1, o.storeNow())
 	_, err := o.store.Commit(ctx, Transaction{
-		Expected: []Expectation{{Key: memberKey(o.self.Daemon), Version: version}},
+		Expected: []Expectation{unchanged},
 		Puts:     []Put{encode(memberKey(o.self.Daemon), m), epochPut()},
 	})
 	if errors.Is(err, ErrConflict) {
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -163,10 +163,16 @@
 	ctx, stop := context.WithTimeout(o.ctx, relayTimeout)
 	defer stop()
 	o.mu.Lock()
-	epoch := o.epoch
+	known := o.table
 	o.mu.Unlock()
+	return o.relaySince(ctx, address, known)
+}
+
+// relaySince takes a confirmation from the daemon at the address, with the rows
+// that have changed since those known.
+func (o *Overseer) relaySince(ctx context.Context, address string, known table) error {
 	asked := o.now()
-	answer, err := o.peer(address).Relay(ctx, connect.NewRequest(&peer.RelayRequest{Epoch: epoch}))
+	answer, err := o.peer(address).Relay(ctx, connect.NewRequest(&peer.RelayRequest{Epoch: known.epoch()}))
 	if err != nil {
 		return err
 	}
@@ -176,7 +182,9 @@
 	o.figures.relayed.Inc(1)
 	// The store was asked no earlier than this: the other daemon answered after
 	// the question was sent.
-	o.takeRelayed(answer.Msg, epoch, asked.Add(-time.Duration(answer.Msg.Age)))
+	if !o.takeRelayed(answer.Msg, known, asked.Add(-time.Duration(answer.Msg.Age))) {
+		return o.relaySince(ctx, address, table{})
+	}
 	if o.documents != nil && o.lacks(answer.Msg.Documents) {
 		o.fetchFrom(address)
 	}
@@ -197,21 +205,30 @@
 	return false
 }
 
-// takeRelayed takes the rows of another daemon's confirmation in.
-func (o *Overseer) takeRelayed(answer *peer.RelayResponse, epoch uint64, confirmed unit.Instant) {
-	if answer.Epoch == epoch && len(answer.Rows) == 0 {
+// takeRelayed takes the rows of another daemon's confirmation in. It returns false
+// if the answer lacks that rows were dropped.
+func (o *Overseer) takeRelayed(answer *peer.RelayResponse, known table, confirmed unit.Instant) bool {
+	if answer.Epoch < known.epoch() {
+		return true // The other daemon will know the newer rows in a moment.
+	}
+	if answer.Epoch == known.epoch() {
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		if o.epoch == epoch {
+		if o.table.epoch() == answer.Epoch {
 			o.auth.Reconfirm(confirmed, time.Duration(answer.StoreNow))
 		}
-		return
+		return true
 	}
 	rows := make([]Row, 0, len(answer.Rows))
 	for _, r := range answer.Rows {
 		rows = append(rows, Row{Key: r.Key, Value: r.Value, Version: r.Version})
 	}
-	o.adopt(rows, time.Duration(answer.StoreNow), confirmed)
+	now := known.with(rows)
+	if len(now.rows) != int(answer.Count) {
+		return false
+	}
+	o.adopt(now, time.Duration(answer.StoreNow), confirmed)
+	return true
 }
 
 // fetch asks another daemon for newer documents.
@@ -299,18 +316,19 @@
 	defer o.mu.Unlock()
 	confirmed, ok := o.auth.Confirmed()
 	answer := &peer.RelayResponse{
-		Confirmed: ok, Epoch: o.epoch, StoreNow: int64(o.auth.View().Now),
-		Age: int64(o.now().Sub(confirmed)),
+		Confirmed: ok, Epoch: o.table.epoch(), StoreNow: int64(o.auth.View().Now),
+		Age: int64(o.now().Sub(confirmed)), Count: int64(len(o.table.rows)),
 	}
 	if o.documents != nil {
 		for _, d := range o.documents.Have() {
 			answer.Documents = append(answer.Documents, &peer.Document{Name: d.Name, Version: d.Version})
 		}
 	}
-	if ok && r.Msg.Epoch != o.epoch {
-		for _, row := range o.rows {
-			answer.Rows = append(answer.Rows, &peer.RelayedRow{Key: row.Key, Value: row.Value, Version: row.Version})
-		}
+	if !ok {
+		return connect.NewResponse(answer), nil
+	}
+	for _, row := range o.table.since(r.Msg.Epoch) {
+		answer.Rows = append(answer.Rows, &peer.RelayedRow{Key: row.Key, Value: row.Value, Version: row.Version})
 	}
 	return connect.NewResponse(answer), nil
 }
--- a/tarragonshed/overseer/prune.go
+++ b/tarragonshed/overseer/prune.go
@@ -72,10 +72,10 @@
 	if !known {
 		o.heard[m.Daemon], heard = now, now
 	}
-	version := o.versions[memberKey(m.Daemon)]
+	unchanged := o.table.expect(memberKey(m.Daemon))
 	o.mu.Unlock()
 	tx := Transaction{
-		Expected: []Expectation{{Key: memberKey(m.Daemon), Version: version}},
+		Expected: []Expectation{unchanged},
 		Puts:     []Put{epochPut()},
 	}
 	switch {
--- a/tarragonshed/overseer/store.go
+++ b/tarragonshed/overseer/store.go
@@ -18,12 +18,19 @@
 // ErrNotDone says that a transaction was certainly not carried out.
 var ErrNotDone = errors.New("overseer: the store did not carry out the transaction")
 
+// ErrForgotten says that the store has dropped the history asked for.
+var ErrForgotten = errors.New("overseer: the store has dropped the history")
+
 // Store keeps the rows of one table. Its answers are linearizable.
 type Store interface {
 	// Row returns one row. Its version is zero if there is none.
 	Row(ctx context.Context, key string) (Row, time.Duration, error)
 	// Rows returns all rows as of one moment, and the store's clock.
 	Rows(ctx context.Context) ([]Row, time.Duration, error)
+	// Changes returns the rows that were written or dropped after the version, in
+	// their order and up to one moment, and the store's clock. The error is
+	// ErrForgotten if the store does not know them any more.
+	Changes(ctx context.Context, after uint64) ([]Row, time.Duration, error)
 	// Commit carries out all of the transaction or nothing. The error is
 	// ErrConflict or ErrNotDone when it was not carried out; with any other
 	// error it may have been, or may be later while its expectations hold. The
@@ -31,11 +38,13 @@
 	Commit(ctx context.Context, tx Transaction) (time.Duration, error)
 }
 
-// Row is a row with its version, which rises with each change.
+// Row is a row with its version: the number of the transaction that wrote it last.
 type Row struct {
 	Key     string
 	Value   []byte
 	Version uint64
+	// Deleted marks a row that was dropped, among changes.
+	Deleted bool
 }
 
 // Expectation names the version that a row must have. Zero: there must be none.
@@ -76,22 +85,20 @@
 	return Put{Key: key, Value: body}
 }
 
-// decode returns the view that the rows make, their versions and the rows that
-// could not be read.
-func decode(rows []Row, now time.Duration) (view authorizer.View, versions map[string]uint64, bad []string) {
+// decode returns the view that the rows make and the keys of those that could not
+// be read.
+func decode(rows table, now time.Duration) (view authorizer.View, bad []string) {
 	view = authorizer.View{
 		Leaderships: make(map[unit.GroupName]authorizer.Leadership),
 		Members:     make(map[unit.DaemonID]authorizer.Member),
 		Now:         now,
 	}
-	versions = make(map[string]uint64, len(rows))
-	for _, row := range rows {
-		versions[row.Key] = row.Version
+	for _, row := range rows.since(0) {
 		if !decodeRow(&view, row) {
 			bad = append(bad, row.Key)
 		}
 	}
-	return view, versions, bad
+	return view, bad
 }
 
 func decodeRow(view *authorizer.View, row Row) bool {
--- /dev/null
+++ b/tarragonshed/overseer/table.go
@@ -0,0 +1,63 @@
+package overseer
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// table is what is known of the store's rows: all rows as of one moment. Every
+// transaction writes the epoch's row, so its version is the newest of the table.
+// The zero table is that of a daemon that has read nothing.
+type table struct {
+	rows map[string]Row
+}
+
+// newTable returns the table that has the rows.
+func newTable(rows []Row) table {
+	t := table{rows: make(map[string]Row, len(rows))}
+	t.apply(rows)
+	return t
+}
+
+// with returns the table after the changes, which are given in their order.
+func (t table) with(changes []Row) table {
+	next := table{rows: maps.Clone(t.rows)}
+	if next.rows == nil {
+		next.rows = make(map[string]Row, len(changes))
+	}
+	next.apply(changes)
+	return next
+}
+
+func (t table) apply(changes []Row) {
+	for _, row := range changes {
+		if row.Deleted {
+			delete(t.rows, row.Key)
+			continue
+		}
+		t.rows[row.Key] = row
+	}
+}
+
+// epoch is the version of the epoch's row, zero if nothing is known.
+func (t table) epoch() uint64 { return t.rows[epochKey].Version }
+
+// expect returns the expectation that the row is as it is known.
+func (t table) expect(key string) Expectation {
+	return Expectation{Key: key, Version: t.rows[key].Version}
+}
+
+// since returns the rows that were written after the epoch, in the order of keys.
+// Those dropped since are not among them: whoever applies the rows has more rows
+// than the table then.
+func (t table) since(epoch uint64) []Row {
+	var rows []Row
+	for _, row := range t.rows {
+		if row.Version > epoch {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows
+}
--- /dev/null
+++ b/tarragonshed/overseer/table_test.go
@@ -0,0 +1,165 @@
+package overseer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonshed.example/authorizer"
+	"tarragonshed.example/unit"
+)
+
+// memory is a store in memory that counts its calls.
+type memory struct {
+	mu       sync.Mutex
+	rows     table
+	history  []Row
+	epoch    uint64
+	forgot   bool
+	commits  int
+	readings int // Of all rows.
+}
+
+func (s *memory) Row(_ context.Context, key string) (Row, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows.rows[key], time.Second, nil
+}
+
+func (s *memory) Rows(context.Context) ([]Row, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readings++
+	return s.rows.since(0), time.Second, nil
+}
+
+func (s *memory) Changes(_ context.Context, after uint64) ([]Row, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.forgot {
+		return nil, 0, ErrForgotten
+	}
+	var changes []Row
+	for _, row := range s.history {
+		if row.Version > after {
+			changes = append(changes, row)
+		}
+	}
+	return changes, time.Second, nil
+}
+
+func (s *memory) Commit(_ context.Context, tx Transaction) (time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	for _, e := range tx.Expected {
+		if s.rows.expect(e.Key) != e {
+			return 0, ErrConflict
+		}
+	}
+	s.epoch++
+	var changes []Row
+	for _, p := range tx.Puts {
+		changes = append(changes, Row{Key: p.Key, Value: p.Value, Version: s.epoch})
+	}
+	for _, key := range tx.Deletes {
+		changes = append(changes, Row{Key: key, Version: s.epoch, Deleted: true})
+	}
+	s.history = append(s.history, changes...)
+	s.rows = s.rows.with(changes)
+	return time.Second, nil
+}
+
+// put writes the row of a group.
+func (s *memory) put(t *testing.T, g unit.GroupName) {
+	t.Helper()
+	_, err := s.Commit(t.Context(), Transaction{Puts: []Put{encode(groupKey(g), authorizer.Leadership{Group: g}), epochPut()}})
+	is.New(t).NoErr(err)
+}
+
+// drop drops the row of a group.
+func (s *memory) drop(t *testing.T, g unit.GroupName) {
+	t.Helper()
+	_, err := s.Commit(t.Context(), Transaction{Puts: []Put{epochPut()}, Deletes: []string{groupKey(g)}})
+	is.New(t).NoErr(err)
+}
+
+// served returns an overseer whose service runs, but that does nothing by itself.
+func served(t *testing.T, daemon unit.DaemonID, store Store) *Overseer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	var clock unit.Instant
+	var mu sync.Mutex
+	now := func() unit.Instant {
+		mu.Lock()
+		defer mu.Unlock()
+		clock++ // Two events are never of the same moment.
+		return clock
+	}
+	o := New(Self{Daemon: daemon, Incarnation: 1, Address: l.Addr().String()}, store, nil, now)
+	mux := http.NewServeMux()
+	mux.Handle(o.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }() // Ends with the test.
+	t.Cleanup(func() { _ = server.Close(); o.Close() })
+	return o
+}
+
+// TestEnlistOnce is what the sweep over 100 daemons showed: a daemon that had put
+// itself on the list did so again and again until its reader knew of it.
+func TestEnlistOnce(t *testing.T) {
+	is := is.New(t)
+	store := &memory{}
+	reader, o := served(t, "a", store), served(t, "b", store)
+	is.NoErr(reader.read())
+	is.NoErr(o.relayFrom(reader.self.Address))
+	for range 5 { // The reader does not read again.
+		is.NoErr(o.enlist(t.Context()))
+		is.NoErr(o.relayFrom(reader.self.Address))
+	}
+	is.Equal(store.commits, 2) // One for each daemon.
+}
+
+// TestRelayedChanges: whoever knows the rows of an epoch is sent what came later.
+func TestRelayedChanges(t *testing.T) {
+	is := is.New(t)
+	store := &memory{}
+	store.put(t, "kept")
+	store.put(t, "dropped")
+	reader, o := served(t, "a", store), served(t, "b", store)
+	agree := func() {
+		t.Helper()
+		is.NoErr(reader.read())
+		is.NoErr(o.relayFrom(reader.self.Address))
+		is.Equal(o.table, store.rows)
+		is.Equal(reader.table, store.rows)
+	}
+	agree()
+	store.put(t, "new")
+	agree()
+	store.drop(t, "dropped")
+	agree()
+	store.put(t, "newest")
+	store.forgot = true
+	readings := store.readings
+	agree()
+	is.Equal(store.readings, readings+1) // The history is gone.
+}
+
+// TestOlderRelay: a daemon that knows newer rows than its reader keeps them.
+func TestOlderRelay(t *testing.T) {
+	is := is.New(t)
+	store := &memory{}
+	reader, o := served(t, "a", store), served(t, "b", store)
+	is.NoErr(reader.read())
+	store.put(t, "new")
+	is.NoErr(o.read())
+	is.NoErr(o.relayFrom(reader.self.Address))
+	is.Equal(o.table, store.rows)
+}
--- a/tarragonshed/overseer/watch_test.go
+++ b/tarragonshed/overseer/watch_test.go
@@ -18,7 +18,7 @@
 		put := encode(memberKey(m.Daemon), m)
 		rows = append(rows, Row{Key: put.Key, Value: put.Value, Version: uint64(n + 1)})
 	}
-	o.adopt(rows, now, 1)
+	o.adopt(newTable(rows), now, 1)
 	return o
 }
 
@@ -56,14 +56,15 @@
 func TestRowsThatCannotBeRead(t *testing.T) {
 	is := is.New(t)
 	good := encode(groupKey("g"), authorizer.Leadership{Group: "g", State: authorizer.Leading, Primary: "i"})
-	view, versions, bad := decode([]Row{
+	rows := newTable([]Row{
 		{Key: good.Key, Value: good.Value, Version: 3},
 		{Key: groupKey("h"), Value: []byte("{"), Version: 4},
 		{Key: groupKey("x"), Value: good.Value, Version: 5}, // Of another group.
 		{Key: "stranger", Version: 6},
-	}, time.Second)
+	})
+	view, bad := decode(rows, time.Second)
 	is.Equal(len(view.Leaderships), 1)
-	is.Equal(versions[groupKey("h")], uint64(4)) // It can still be replaced.
+	is.Equal(rows.expect(groupKey("h")).Version, uint64(4)) // It can still be replaced.
 	is.Equal(bad, []string{groupKey("h"), groupKey("x"), "stranger"})
 }
 
