spec: search authority.pml whole

The whole search had used up 2500 MB after 48.8 million states (KNOWN-RED). Cause: state that can't change the outcome. A daemon that only vouches delays an extension, which may come late anyway; an answer is checked when it comes, so a statement on its way needs no process: a state in which the old primary is replaced and the authority holds is one in which such an answer is used; spent extensions and questions, and the time a claim has waited, are set to one value; steps after the last moment are gone.

Before: no result.

--- a/spec/authority.pml
+++ b/spec/authority.pml
@@ -2,21 +2,29 @@
  * Authority to use a primary that the platform replaces (package authorizer).
  *
  * Daemon A uses the primary and extends its authority while the store is away. Daemon
- * C changes the primary, daemon D only vouches. Every step of a message is a step of
- * its own, so messages take any time, and a step that is never taken is a message that is
- * lost or a daemon that stands still. Time is a counter that may go on before any step.
+ * C changes the primary. Daemons that only vouch are left out: they delay A's extension,
+ * and it may come at any time in any case. Every step of a message is a step of its own,
+ * so messages take any time, and a step that is never taken is a message that is lost or
+ * a daemon that stands still. Time is a counter that may go on before any step.
  *
- * The whole search does not fit into memory yet (KNOWN-RED.txt): check.sh runs the
- * broken variants only, each of which must yield a counterexample.
+ * Safety: no answer that the old primary gave after the promotion is used. Whether A may
+ * use an answer is checked when it comes, and the primary may have given it at any time
+ * before. So a state in which the primary is replaced and A holds its authority is one
+ * in which such an answer is used.
  *
- * Safety: no answer that the old primary gave after the promotion is used.
+ * Values that can't matter any more are set to one value (the Clock), so that states
+ * which differ in nothing else are one.
  *
  * -DYOUNG: C came on the list after A's last confirmation, so A does not ask it.
  * Broken variants: -DBROKEN_...; each must fail.
  */
+#ifndef LEASE
 #define LEASE 2
 #define EXTENSION 3
-#define END 6
+#endif
+#ifndef END
+#define END 10
+#endif
 #define NEVER 255
 
 #define LEADING_OLD 0
@@ -33,24 +41,44 @@
 byte extended = 0;
 byte dropped = NEVER;    /* When A gave up its authority. */
 byte asked = NEVER;      /* When A's question was asked. */
-bool vouchedC = false, vouchedD = false;
+bool vouched = false;    /* Whether C has answered it. */
+bool used = false;       /* Whether A has sent a statement. */
 
 /* C */
 bool changing = false;
 bool claimed = false;
-byte claimedAt = 0;
+byte left = 0;           /* How much longer C has to wait. */
 bool heardDrop = false;
-byte wait = LEASE;
 
 #define MIN(a, b) ((a) < (b) -> (a) : (b))
 #define MAX(a, b) ((a) > (b) -> (a) : (b))
 #define UNTIL MAX(confirmed + LEASE, extended)
 #define HOLDS (seen == LEADING_OLD && now < UNTIL && (dropped == NEVER || confirmed > dropped))
 
+/* The time that C waits for daemons that it could not reach. */
+#ifdef BROKEN_NO_WAIT
+#define WAIT 0
+#else
+#ifdef YOUNG
+#ifdef BROKEN_YOUNG_WAITS_LEASE
+#define WAIT LEASE
+#else
+#define WAIT EXTENSION
+#endif
+#else
+#define WAIT LEASE
+#endif
+#endif
+
 active proctype Clock() {
 	do
-	:: now < END -> now++
-	:: now >= END -> break
+	:: atomic { now < END ->
+		now++;
+		if :: left > 0 -> left-- :: else fi;
+		if :: extended <= now -> extended = 0 :: else fi;
+		/* An extension that would be over already changes nothing. */
+		if :: asked != NEVER && asked + LEASE <= now -> asked = NEVER; vouched = false :: else fi
+	   }
 	od
 }
 
@@ -60,8 +88,10 @@
 	do
 	:: sent = now;
 	   found = row;
-	   atomic { if :: sent > confirmed -> confirmed = sent; seen = found :: else fi }
-	:: break /* The store is away for good. */
+	   atomic {
+		if :: sent > confirmed -> confirmed = sent; seen = found :: else fi;
+		sent = 0; found = 0
+	   }
 	od
 }
 
@@ -70,12 +100,12 @@
 	do
 	:: atomic {
 		now < UNTIL && now < confirmed + EXTENSION ->
-		asked = now; vouchedC = false; vouchedD = false
+		asked = now; vouched = false
 #ifdef YOUNG
-		; vouchedC = true /* It is not on A's list. */
+		; vouched = true /* C is not on A's list. */
 #endif
 #ifdef BROKEN_SOME_VOUCH
-		; vouchedC = true
+		; vouched = true
 #endif
 	   }
 	:: atomic { /* C's answer is given and comes later. */
@@ -84,77 +114,46 @@
 #else
 		asked != NEVER && !changing ->
 #endif
-		vouchedC = true
+		vouched = true
 	   }
-	:: atomic { asked != NEVER -> vouchedD = true }
 	:: atomic {
 #ifdef BROKEN_LATE_VOUCH
-		asked != NEVER && vouchedC && vouchedD ->
+		asked != NEVER && vouched ->
 #else
-		asked != NEVER && vouchedC && vouchedD && now < UNTIL ->
+		asked != NEVER && vouched && now < UNTIL ->
 #endif
 #ifdef BROKEN_NO_END
 		extended = MAX(extended, asked + LEASE);
 #else
 		extended = MAX(extended, MIN(asked + LEASE, confirmed + EXTENSION));
 #endif
-		asked = NEVER
+		asked = NEVER; vouched = false
 	   }
-	:: now >= END -> break
 	od
 }
 
-/* One statement: sent, run by the old primary, its answer used. */
+/* The use of the old primary. */
 active proctype Use() {
-	bool late;
-	do
-	:: HOLDS ->
-	   late = promoted; /* The primary runs it. */
 #ifdef BROKEN_CHECK_ON_SEND
-	   assert(!late)
+	atomic { HOLDS -> used = true }
+	atomic { promoted -> assert(!used) }
 #else
-	   atomic { if :: HOLDS -> assert(!late) :: else fi }
+	atomic { promoted && HOLDS -> assert(false) }
 #endif
-	:: now >= END -> break
-	od
 }
 
 /* The change of the primary. */
 active proctype Change() {
 	changing = true;
-	if
-	:: atomic { row == LEADING_OLD -> row = CHANGING } /* At any time: the call may be late. */
-	:: now >= END -> goto done
-	fi;
-	claimedAt = now; /* Its answer. */
-	claimed = true;
-#ifdef YOUNG
-#ifndef BROKEN_YOUNG_WAITS_LEASE
-	wait = EXTENSION;
-#endif
-#endif
-#ifdef BROKEN_NO_WAIT
-	wait = 0;
-#endif
-	if
-	:: heardDrop
-	:: now >= claimedAt + wait
-	:: now >= END -> goto done
-	fi;
-	promoted = true;
+	atomic { row == LEADING_OLD -> row = CHANGING } /* At any time: the call may be late. */
+	atomic { claimed = true; left = WAIT }          /* Its answer. */
+	atomic { heardDrop || left == 0 -> promoted = true; left = 0 }
 	row = LEADING_NEW;
-	changing = false;
-done:
-	skip
+	changing = false
 }
 
 /* C asks A to give up its authority, and hears that it has. */
 active proctype Withdraw() {
-	if
-	:: claimed -> atomic { dropped = now }
-	:: now >= END -> goto done
-	fi;
-	heardDrop = true;
-done:
-	skip
+	atomic { claimed -> dropped = now }
+	heardDrop = true
 }
