--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"tarragonshed.example/authorizer"
@@ -36,8 +37,7 @@
 	if reader, ok := o.reader(); ok && o.takeFrom(reader) == nil {
 		pause = relayInterval
 	} else if err := o.read(); err != nil {
-		pause = retryPause
-		o.lost(err)
+		pause = o.lost(err)
 	} else {
 		o.regained()
 	}
@@ -208,8 +208,8 @@
 	return err
 }
 
-// lost notes that the store did not answer.
-func (o *Overseer) lost(err error) {
+// lost notes that the store did not answer and returns when to ask again.
+func (o *Overseer) lost(err error) time.Duration {
 	o.figures.unconfirmed.Inc(1)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -217,6 +217,8 @@
 		o.failing = time.Now()
 		o.logger.Warn("the store does not confirm the rows", "cause", err)
 	}
+	o.failures++
+	return retryPause.Delay(o.failures-1, rand.Float64())
 }
 
 // regained notes that the store answers.
@@ -225,7 +227,7 @@
 	defer o.mu.Unlock()
 	if !o.failing.IsZero() {
 		o.logger.Info("the store confirms the rows again", "after", time.Since(o.failing))
-		o.failing = time.Time{}
+		o.failing, o.failures = time.Time{}, 0
 	}
 }
 
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -30,6 +30,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,7 @@
 	"tarragonshed.example/authorizer"
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/replacer"
+	"tarragonshed.example/retrier"
 	"tarragonshed.example/tarragonshed/dialer"
 	"tarragonshed.example/tarragonshed/engine"
 	"tarragonshed.example/unit"
@@ -63,12 +65,14 @@
 	confirmInterval = 450 * time.Millisecond
 	// confirmTimeout bounds one read.
 	confirmTimeout = 400 * time.Millisecond
-	// retryPause is the time before a failed read is made again.
-	retryPause = 60 * time.Millisecond
 	// watchInterval is how often primaries are looked at.
 	watchInterval = 50 * time.Millisecond
 )
 
+// retryPause is the time before a failed read is made again. It grows, because a
+// store that refuses reads has too many of them when all daemons start at once.
+var retryPause = retrier.Backoff{First: 60 * time.Millisecond, Limit: 300 * time.Millisecond}
+
 // Self is what a daemon says about itself.
 type Self struct {
 	Daemon      unit.DaemonID
@@ -133,6 +137,7 @@
 	troubles map[unit.GroupName]*trouble
 	changes  map[unit.GroupName]bool
 	failing  time.Time // Since when the store has not confirmed anything.
+	failures int       // Failed reads since then.
 	settled  map[unit.GroupName]time.Time
 	// unrelayed is when a reader last gave no confirmation.
 	unrelayed time.Time
@@ -183,6 +188,8 @@
 		option(o)
 	}
 	o.client = newPeerClient(o.dial)
+	// Daemons that start together ask different ones first.
+	o.turn.Store(rand.Int64N(1 << 20))
 	o.ctx, o.stop = context.WithCancel(context.Background())
 	return o
 }
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -138,11 +138,20 @@
 	return true
 }
 
-// nextPeer returns the address of another daemon, each time the next one.
+// nextPeer returns the address of another daemon, each time the next one. Every
+// second one is of the same failure domain, if there are any: it is close, but may be
+// cut off like this daemon.
 func (o *Overseer) nextPeer() (string, bool) {
-	addresses := make([]string, 0, 8)
+	turn := int(o.turn.Add(1))
+	var addresses, near []string
 	for _, m := range o.others() {
 		addresses = append(addresses, m.Address)
+		if m.Domain == o.self.Domain {
+			near = append(near, m.Address)
+		}
+	}
+	if len(near) > 0 && turn%2 == 0 {
+		addresses = near
 	}
 	if len(addresses) == 0 {
 		for _, seed := range o.seeds {
@@ -155,7 +164,7 @@
 		return "", false
 	}
 	slices.Sort(addresses)
-	return addresses[int(o.turn.Add(1))%len(addresses)], true
+	return addresses[turn/2%len(addresses)], true
 }
 
 // relay asks other daemons for a confirmation that the store gave to them, until
@@ -338,7 +347,7 @@
 			answer.Documents = append(answer.Documents, &peer.Document{Name: d.Name, Version: d.Version})
 		}
 	}
-	if !ok {
+	if !ok || time.Duration(answer.Age) > relayedAge { // The sender can't use it.
 		return connect.NewResponse(answer), nil
 	}
 	for _, row := range o.table.since(r.Msg.Epoch) {
--- a/tarragonshed/overseer/watch_test.go
+++ b/tarragonshed/overseer/watch_test.go
@@ -118,3 +118,35 @@
 	trouble.silent = map[unit.DaemonID]bool{"a": true, "b": true}
 	is.Equal(o.delay(trouble, authorizer.Duty{Holder: "b"}), rankDelay)
 }
+
+// TestPauseGrows is what 98 daemons showed that started together: the store refused
+// most reads, and each was made again after 60 ms.
+func TestPauseGrows(t *testing.T) {
+	is := is.New(t)
+	o := New(Self{Daemon: "a"}, nil, nil, func() unit.Instant { return 1 })
+	defer o.Close()
+	for range 10 {
+		o.lost(ErrNotDone)
+	}
+	is.True(o.lost(ErrNotDone) >= retryPause.Limit/2)
+	o.regained()
+	is.True(o.lost(ErrNotDone) <= retryPause.First*3/2)
+}
+
+// TestPeersOfTheOwnDomain: rows are passed on within a failure domain if possible,
+// and other domains are asked as well.
+func TestPeersOfTheOwnDomain(t *testing.T) {
+	is := is.New(t)
+	o := listed("a", time.Minute,
+		authorizer.Member{Daemon: "a", Domain: "d"}, authorizer.Member{Daemon: "b", Domain: "d", Address: "near"},
+		authorizer.Member{Daemon: "c", Domain: "e", Address: "far"})
+	o.self.Domain = "d"
+	defer o.Close()
+	asked := make(map[string]int)
+	for range 40 {
+		address, ok := o.nextPeer()
+		is.True(ok)
+		asked[address]++
+	}
+	is.Equal(asked, map[string]int{"near": 30, "far": 10})
+}
