router, engine: reads avoid instances that lag, by the age that they accept

Passes now double to 0.5 s, hold for reads that accept no older data than the one that failed, and count a session's own write by its age.

--- /dev/null
+++ b/router/lag_test.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestLag(t *testing.T) {
+	now := time.Unix(100, 0)
+	const young, old = time.Second, 3 * time.Second
+	t.Run("an instance without a lag", func(t *testing.T) {
+		is := is.New(t)
+		var l Lag
+		is.True(!l.Behind(young, now))
+		l.Had(young)
+	})
+	t.Run("reads that accept older data are sent", func(t *testing.T) {
+		is := is.New(t)
+		var l Lag
+		l.Lacked(young, now)
+		is.True(l.Behind(young, now))
+		is.True(!l.Behind(old, now))
+		is.True(!l.Behind(young, now.Add(firstPass)))
+		l.Lacked(old, now)
+		is.True(l.Behind(young, now))
+		is.True(l.Behind(0, now))
+	})
+	t.Run("passes grow", func(t *testing.T) {
+		is := is.New(t)
+		var l Lag
+		at := now
+		sent := 0
+		for at.Before(now.Add(10 * time.Second)) {
+			if !l.Behind(young, at) {
+				sent++
+				l.Lacked(young, at)
+				l.Lacked(young, at) // Another one on its way at the same time.
+			}
+			at = at.Add(time.Millisecond)
+		}
+		is.True(sent <= 24) // In 10 s of lag: 4 to grow, then two a second.
+		l.Lacked(young, at)
+		l.Had(old)
+		is.True(l.Behind(young, at)) // That a read of older data ran proves nothing.
+		l.Had(young)
+		is.True(!l.Behind(young, at))
+		l.Lacked(young, at)
+		is.True(!l.Behind(young, at.Add(firstPass))) // They begin anew.
+	})
+}
+
+func TestNearestBehind(t *testing.T) {
+	is := is.New(t)
+	replica := Site{Instance: "replica", Behind: true}
+	primary := Site{Instance: "primary", Primary: true, Expected: 20 * time.Millisecond}
+	chosen, _ := Nearest([]Site{replica, primary})
+	is.Equal(chosen, primary)
+	primary.Expected = 400 * time.Millisecond // The replica may have caught up.
+	chosen, _ = Nearest([]Site{replica, primary})
+	is.Equal(chosen, replica)
+}
--- a/router/placement.go
+++ b/router/placement.go
@@ -64,11 +64,18 @@
 	// Primary tells that the instance leads its group. Its room is kept for
 	// what only it can serve.
 	Primary bool
+	// Behind tells that the instance probably lacks what the read must see, see
+	// [Lag].
+	Behind bool
 }
 
 // primaryPatience is what a read on a replica may cost more than on the primary.
 const primaryPatience = 60 * time.Millisecond
 
+// lagPatience is what a read elsewhere may cost more than on an instance that probably
+// lacks what it must see: often it has caught up, otherwise a round trip is lost.
+const lagPatience = 250 * time.Millisecond
+
 // Nearest returns the site with the lowest expected cost of a read, or false if
 // there is none. It answers loads that one failure domain's instance can't bear:
 // reads stay near until their wait there outweighs the way to another instance.
@@ -96,5 +103,8 @@
 	if s.Primary {
 		price += primaryPatience
 	}
+	if s.Behind {
+		price += lagPatience
+	}
 	return price
 }
--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -214,8 +214,8 @@
 	g.observe(reply.Position, asked)
 }
 
-// sites returns where a read may go.
-func (g *group) sites(excluded map[unit.InstanceName]bool) []router.Site {
+// sites returns where a read may go that accepts data of the age.
+func (g *group) sites(excluded map[unit.InstanceName]bool, age time.Duration) []router.Site {
 	l, _ := g.engine.authority.Primary(g.name)
 	now := time.Now()
 	var fit, doubtful []router.Site
@@ -228,8 +228,11 @@
 		if h.cut {
 			distance = router.OtherRegion // It is reached by a detour.
 		}
-		site := router.Site{Instance: t.name(), Distance: distance, Expected: h.expected, Primary: t.name() == l.Primary}
-		if h.troubled || h.behind {
+		site := router.Site{
+			Instance: t.name(), Distance: distance, Expected: h.expected,
+			Primary: t.name() == l.Primary, Behind: t.behind(age, now),
+		}
+		if h.troubled {
 			doubtful = append(doubtful, site)
 		} else {
 			fit = append(fit, site)
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -76,6 +76,7 @@
 			continue
 		}
 		reply, err := j.execute(t, limiter.StaleRead, after)
+		t.learnLag(j.session.accepts(j.route, j.began), err)
 		if err == nil {
 			e.figures.ran(false, site.Primary, e.now().Sub(j.began))
 			return answerOf(reply)
@@ -94,7 +95,7 @@
 		return router.Site{}, after, err
 	}
 	for {
-		if site, ok := router.Nearest(j.group.sites(j.excluded)); ok {
+		if site, ok := router.Nearest(j.group.sites(j.excluded, j.session.accepts(j.route, j.began))); ok {
 			return site, after, nil
 		}
 		if len(j.excluded) == 0 && !time.Now().Before(until) {
@@ -117,6 +118,14 @@
 	return g.awaitFloor(ctx, began.Add(-r.MaxStaleness), own, until)
 }
 
+// accepts returns the age of the data that a read accepts which began at began.
+func (s *Session) accepts(r manifest.Route, began unit.Instant) time.Duration {
+	if r.Consistency != manifest.SessionReads || s.written.Position().IsZero() {
+		return r.MaxStaleness
+	}
+	return min(r.MaxStaleness, began.Sub(s.wroteAt))
+}
+
 // execute runs the statement on the target.
 func (j *job) execute(t *target, p limiter.Priority, after unit.Position) (Reply, *result.Error) {
 	e := j.session.engine
@@ -171,9 +180,6 @@
 	e.reportRetry(j.run.id, t, err, len(j.excluded))
 	switch err.Code {
 	case result.InstanceBehind:
-		if j.session.written.Position().IsZero() || j.route.Consistency != manifest.SessionReads {
-			t.passOver(time.Now())
-		}
 		return true // The instance did no work for it.
 	case result.Overloaded, result.StatementFailed, result.ConnectionLost:
 		if !j.group.takeRetry() {
--- a/tarragonshed/engine/session.go
+++ b/tarragonshed/engine/session.go
@@ -29,6 +29,7 @@
 	values   map[string]string
 	prepared map[string]Shape
 	written  tracker.Session
+	wroteAt  unit.Instant
 	tx       *transaction
 	closed   bool
 	// expired is the error of the next statement after the transaction was
@@ -202,7 +203,10 @@
 }
 
 // wrote records the position of a commit that is about to be acknowledged.
-func (s *Session) wrote(p unit.Position) { s.written.Raise(p) }
+func (s *Session) wrote(p unit.Position) {
+	s.written.Raise(p)
+	s.wroteAt = s.engine.now()
+}
 
 // leaveTransaction rolls back what is open.
 func (s *Session) leaveTransaction(next TransactionState) {
--- a/tarragonshed/engine/target.go
+++ b/tarragonshed/engine/target.go
@@ -42,8 +42,6 @@
 	// leavingPrimaryUse is how long a leaving primary is used while another one
 	// is promoted.
 	leavingPrimaryUse = 5 * time.Second
-	// behindPause is how long an instance that lacked a position is passed over.
-	behindPause = 60 * time.Millisecond
 )
 
 // target is one life of an instance with the connections to it.
@@ -66,8 +64,8 @@
 	unreachable bool
 	// via is the daemon through which the instance is reached meanwhile, empty
 	// if none is known.
-	via    string
-	behind time.Time // Until when reads pass it over.
+	via string
+	lag router.Lag
 
 	heard atomic.Int64 // When the last reply came, in nanoseconds since the Unix epoch.
 }
@@ -258,7 +256,6 @@
 	// any more either.
 	mustLeave bool
 	troubled  bool
-	behind    bool
 	expected  time.Duration
 }
 
@@ -271,14 +268,28 @@
 		leaving:     !t.left.IsZero(),
 		mustLeave:   !t.left.IsZero() && now.Sub(t.left) > leavingPrimaryUse,
 		troubled:    !t.trouble.IsZero(),
-		behind:      now.Before(t.behind), expected: t.load.Expected(),
+		expected:    t.load.Expected(),
 	}
 }
 
-func (t *target) passOver(now time.Time) {
+// learnLag notes what the outcome of a read tells about the instance's lag that accepts
+// data of the age.
+func (t *target) learnLag(age time.Duration, err *result.Error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.behind = now.Add(behindPause)
+	switch {
+	case err == nil:
+		t.lag.Had(age)
+	case err.Code == result.InstanceBehind:
+		t.lag.Lacked(age, time.Now())
+	}
+}
+
+// behind reports whether such reads pass the instance over.
+func (t *target) behind(age time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lag.Behind(age, now)
 }
 
 // loan is a slot and a connection of a target, held for one statement or for a
--- a/tarragonshed/engine/transaction.go
+++ b/tarragonshed/engine/transaction.go
@@ -166,6 +166,9 @@
 		target, after, err := t.choose(excluded, wait)
 		if err == nil {
 			err = t.startAt(target, values, after, until)
+			if !t.primary {
+				target.learnLag(t.session.accepts(t.route, t.began), err)
+			}
 		}
 		if err == nil {
 			return nil
@@ -180,7 +183,7 @@
 		if err.Code != result.InstanceBehind && !t.group.takeRetry() {
 			return err
 		}
-		if t.primary || len(t.group.sites(excluded)) == 0 {
+		if t.primary || len(t.group.sites(excluded, t.session.accepts(t.route, t.began))) == 0 {
 			attempts++
 			excluded = nil
 			if !pause(t.session.engine.ctx, retrier.Backoff{}.Delay(attempts, rand.Float64()), wait) {
@@ -211,7 +214,7 @@
 	if err != nil {
 		return nil, after, err
 	}
-	site, ok := router.Nearest(t.group.sites(excluded))
+	site, ok := router.Nearest(t.group.sites(excluded, t.session.accepts(t.route, t.began)))
 	if !ok {
 		return nil, after, result.New(result.NoReplica, "group %s has no instance for the transaction", t.group.name)
 	}
