limiter, engine: a window of statements for instances that shed

Now a shed statement narrows the daemon's window (one fewer than ran, one at least; wider with statements that end), counts neither as a short statement nor against the retry budget, and waits. Tests: TestWindow, TestShedStatementsWait.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -7,6 +7,12 @@
 // statement that begins a transaction also needs one of the home's connections,
 // which its transaction keeps.
 //
+// # Window
+//
+// Other daemons share the instance, and nobody counts what all of them run. When the
+// instance refuses a statement because its slots are taken, [Shed], one statement fewer
+// than ran then is admitted at a time; statements that end widen the window again.
+//
 // # Queue
 //
 // What can't be admitted waits in a bounded queue. A statement is refused at once
@@ -71,6 +77,10 @@
 // statements take, as a divisor.
 const meanWeight = 16
 
+// growth is how many times the window of statements has to end before it is one
+// wider.
+const growth = 8
+
 // maxOutlier bounds what one statement adds to the mean time, in mean times.
 const maxOutlier = 16
 
@@ -98,7 +108,7 @@
 }
 
 // Event is what happened: [Request], [Withdraw], [Finished],
-// [TransactionEnded], [Overdue], [Resize] or [Expire].
+// [Shed], [TransactionEnded], [Overdue], [Resize] or [Expire].
 type Event interface{ event() }
 
 // Request asks for admission.
@@ -120,6 +130,10 @@
 	Took time.Duration
 }
 
+// Shed tells that an admitted statement gave its slot back because the instance had no
+// slot for it.
+type Shed struct{ Now time.Time }
+
 // TransactionEnded tells that a transaction gave its connection back.
 type TransactionEnded struct{ Now time.Time }
 
@@ -139,6 +153,7 @@
 func (Request) event()          {}
 func (Withdraw) event()         {}
 func (Finished) event()         {}
+func (Shed) event()             {}
 func (TransactionEnded) event() {}
 func (Overdue) event()          {}
 func (Resize) event()           {}
@@ -163,6 +178,7 @@
 // Limiter admits statements to one instance on behalf of one home.
 type Limiter struct {
 	limits  Limits
+	window  float64 // Statements that run at once, zero while nothing was shed.
 	running int
 	open    int
 	mean    time.Duration
@@ -190,7 +206,26 @@
 	if l.admissible(p) && l.ahead(p) == 0 {
 		return 0
 	}
-	return l.mean * time.Duration(l.ahead(p)+1) / time.Duration(max(1, l.limits.Slots))
+	return l.mean * time.Duration(l.ahead(p)+1) / time.Duration(max(1, l.slots()))
+}
+
+// slots returns the number of statements that may run at once.
+func (l *Limiter) slots() int {
+	if l.window == 0 {
+		return l.limits.Slots
+	}
+	return min(l.limits.Slots, int(l.window))
+}
+
+// widen lets the window grow with each statement that ended.
+func (l *Limiter) widen() {
+	if l.window == 0 {
+		return
+	}
+	l.window += 1 / (growth * l.window)
+	if int(l.window) >= l.limits.Slots {
+		l.window = 0
+	}
 }
 
 // Step takes an event in and returns what has to be done, in order.
@@ -203,6 +238,11 @@
 	case Finished:
 		l.running--
 		l.learn(event.Took)
+		l.widen()
+		return l.admit(event.Now)
+	case Shed:
+		l.window = float64(max(1, l.running-1))
+		l.running--
 		return l.admit(event.Now)
 	case TransactionEnded:
 		l.open--
@@ -279,7 +319,7 @@
 }
 
 func (l *Limiter) admissible(p Priority) bool {
-	if l.running >= l.limits.Slots {
+	if l.running >= l.slots() {
 		return false
 	}
 	return p == OpenTransaction || l.open < l.limits.Connections
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -68,6 +68,35 @@
 	})
 }
 
+// TestWindow: an instance that refuses a statement because others have taken its slots
+// is sent fewer at a time, and more again as statements end.
+func TestWindow(t *testing.T) {
+	l := limiter.New(limiter.Limits{Slots: 4, Connections: 999, Queue: 9})
+	for id := range limiter.ID(4) {
+		expect(t, l, request(id, "x", limiter.StaleRead), fmt.Sprint("admit ", id))
+	}
+	for id := range limiter.ID(2) {
+		expect(t, l, request(10+id, "x", limiter.StaleRead))
+	}
+	expect(t, l, limiter.Shed{Now: start}) // 3 run, no more are admitted.
+	expect(t, l, limiter.Shed{Now: start}) // 2 run.
+	expect(t, l, finished(time.Millisecond), "admit 10")
+	expect(t, l, limiter.Shed{Now: start})
+	expect(t, l, limiter.Shed{Now: start}, "admit 11") // One at least.
+	expect(t, l, limiter.Shed{Now: start})
+	is := is.New(t)
+	is.True(l.Try(limiter.StaleRead))
+	is.True(!l.Try(limiter.StaleRead))
+	for range 200 {
+		l.Step(finished(time.Millisecond))
+		is.True(l.Try(limiter.StaleRead))
+	}
+	is.True(l.Try(limiter.StaleRead)) // All four slots again.
+	is.True(l.Try(limiter.StaleRead))
+	is.True(l.Try(limiter.StaleRead))
+	is.True(!l.Try(limiter.StaleRead))
+}
+
 func TestOverdue(t *testing.T) {
 	l := limiter.New(limiter.Limits{Slots: 1, Connections: 9, Queue: 9})
 	expect(t, l, request(1, "x", limiter.Write), "admit 1") // It waits for a lock of the transaction of 2.
--- a/router/placement.go
+++ b/router/placement.go
@@ -74,7 +74,7 @@
 
 // lagPatience is what a read elsewhere may cost more than on an instance that probably
 // lacks what it must see: often it has caught up, otherwise a round trip is lost.
-const lagPatience = 250 * time.Millisecond
+const lagPatience = 500 * time.Millisecond
 
 // Nearest returns the site with the lowest expected cost of a read, or false if
 // there is none. It answers loads that one failure domain's instance can't bear:
--- a/tarragonshed/engine/engine_test.go
+++ b/tarragonshed/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"tarragonshed.example/authorizer"
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/result"
+	"tarragonshed.example/unit"
 )
 
 func TestWhereStatementsGo(t *testing.T) {
@@ -318,3 +320,30 @@
 		}
 	}
 }
+
+// TestShedStatementsWait is what a primary showed whose replicas lagged: its slots were
+// taken by other daemons at times, and statements were refused after a few tries although
+// most of their time was left.
+func TestShedStatementsWait(t *testing.T) {
+	for _, database := range []unit.DatabaseName{"first", "old"} {
+		t.Run(string(database), func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t)
+			var mu sync.Mutex
+			shed := 0
+			for _, f := range r.instances {
+				f.answer = func(c *fakeConn, q Request) (*Reply, bool) {
+					mu.Lock()
+					defer mu.Unlock()
+					if q.ID != "" && shed < 12 {
+						shed++
+						return &Reply{Err: result.New(result.Overloaded, "as the test says"), State: Idle, Position: at}, true
+					}
+					return good(c, q)
+				}
+			}
+			served(t, r.open(database), Read{Text: "1"})
+			is.Equal(shed, 12)
+		})
+	}
+}
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -34,6 +34,8 @@
 
 	excluded map[unit.InstanceName]bool
 	attempts int
+	// shed tells that the last instance had no slot for the statement.
+	shed bool
 }
 
 // atPrimary runs the statement at the primary.
@@ -129,6 +131,7 @@
 // execute runs the statement on the target.
 func (j *job) execute(t *target, p limiter.Priority, after unit.Position) (Reply, *result.Error) {
 	e := j.session.engine
+	j.shed = false
 	b, err := t.borrow(e.ctx, p, latest(j.deadline))
 	if err != nil {
 		return Reply{}, err
@@ -143,6 +146,7 @@
 		b.settle(Idle)
 		return Reply{}, err
 	}
+	j.shed = b.shed
 	if reply.State != Idle {
 		b.settle(reply.State)
 	} else {
@@ -182,7 +186,9 @@
 	case result.InstanceBehind:
 		return true // The instance did no work for it.
 	case result.Overloaded, result.StatementFailed, result.ConnectionLost:
-		if !j.group.takeRetry() {
+		// What an instance shed waits for the window of statements, which has
+		// narrowed: it needs no other bound.
+		if !j.shed && !j.group.takeRetry() {
 			return false
 		}
 	}
--- a/tarragonshed/engine/target.go
+++ b/tarragonshed/engine/target.go
@@ -39,6 +39,9 @@
 	// drainLimit is how long a reply is waited for that the caller doesn't wait
 	// for any more.
 	drainLimit = 5 * time.Second
+	// shedCost is added to the time of a statement for which an instance had no
+	// slot, so that reads prefer others for a moment.
+	shedCost = 50 * time.Millisecond
 	// leavingPrimaryUse is how long a leaving primary is used while another one
 	// is promoted.
 	leavingPrimaryUse = 5 * time.Second
@@ -298,7 +301,9 @@
 	target *target
 	link   *link
 	slot   bool
-	begun  time.Time
+	// shed tells that the instance had no slot for the statement.
+	shed  bool
+	begun time.Time
 }
 
 // borrow waits for a slot and a connection.
@@ -398,6 +403,12 @@
 	}
 	b.slot = false
 	took := time.Since(b.begun)
+	if b.shed {
+		b.shed = false
+		b.target.Shed()
+		b.target.endLoad(took + shedCost)
+		return
+	}
 	b.target.Finish(took)
 	b.target.endLoad(took)
 }
@@ -447,6 +458,7 @@
 		}
 	}
 	reply, err := b.receive(timer.C)
+	b.shed = err == nil && reply.Err != nil && reply.Err.Code == result.Overloaded
 	if err == nil && refused != nil {
 		// The connection is not in the state that the statement needs.
 		b.link.Close()
--- a/tarragonshed/lender/slot.go
+++ b/tarragonshed/lender/slot.go
@@ -63,6 +63,13 @@
 	l.limit(l.limiter.Step(limiter.Finished{Now: time.Now(), Took: took}))
 }
 
+// Shed gives a slot back because the instance had none for the statement.
+func (l *Lender[C]) Shed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit(l.limiter.Step(limiter.Shed{Now: time.Now()}))
+}
+
 // EndTransaction gives the right to a connection back.
 func (l *Lender[C]) EndTransaction() {
 	l.mu.Lock()
