--- a/tarragonshed/engine/transaction.go
+++ b/tarragonshed/engine/transaction.go
@@ -129,32 +129,10 @@
 
 // slot gets a slot for the next statement. The first one has it from the start.
 func (t *transaction) slot(until time.Time) *result.Error {
-	b := t.loan
-	if b.slot {
-		return nil
-	}
-	b.begun = time.Now()
-	b.target.beginLoad()
-	if b.target.TryAdmit(limiter.OpenTransaction) {
-		b.slot = true
+	if t.loan.slot {
 		return nil
 	}
-	id, answer := b.target.Admit("", limiter.OpenTransaction, until)
-	defer time.AfterFunc(lockPatience, func() { b.target.Overdue(id) }).Stop()
-	err, ok := await(t.session.engine.ctx, until, answer)
-	if !ok {
-		if b.target.Withdraw(id) {
-			b.target.cancelLoad()
-			return result.New(result.DeadlinePassed, "no slot of instance %s became free in time", b.target.name())
-		}
-		err = <-answer
-	}
-	if err != nil {
-		b.target.cancelLoad()
-		return err
-	}
-	b.slot = true
-	return nil
+	return t.loan.admit(t.session.engine.ctx, limiter.OpenTransaction, until)
 }
 
 // start finds an instance and begins the transaction there.
