engine: a daemon that starts lets callers wait

Those that come within 1.2 s of the start now wait for the first manifest and the first authority. Two tests that failed.

The PostgreSQL side is not touched: its readiness holds callers back.

--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -72,6 +72,10 @@
 	// daemons is the number of daemons that share the instances.
 	daemons atomic.Int64
 
+	started   time.Time
+	adopted   chan struct{} // Closed when the first manifest is in force.
+	wasActive atomic.Bool   // Whether there has been authority over a primary.
+
 	mu     sync.Mutex // Guards adoption.
 	groups map[unit.GroupName]*group
 
@@ -108,7 +112,8 @@
 	e := &Engine{
 		connector: connector, authority: authority, now: now,
 		logger: log.New(io.Discard), figures: newFigures(metrics.NewRegistry()),
-		groups: make(map[unit.GroupName]*group),
+		groups:  make(map[unit.GroupName]*group),
+		started: time.Now(), adopted: make(chan struct{}),
 	}
 	e.daemons.Store(1)
 	for _, option := range options {
@@ -154,7 +159,9 @@
 		}
 		next.groups[g.Name] = e.groups[g.Name]
 	}
-	e.current.Store(next)
+	if e.current.Swap(next).manifest == nil {
+		close(e.adopted)
+	}
 	for _, g := range m.Groups {
 		next.groups[g.Name].adopt(g.Instances)
 	}
@@ -187,6 +194,7 @@
 
 // Open opens a session with the database.
 func (e *Engine) Open(database unit.DatabaseName) (*Session, *result.Error) {
+	e.awaitManifest()
 	if _, _, err := e.route(database); err != nil {
 		return nil, err
 	}
@@ -197,6 +205,25 @@
 	}, nil
 }
 
+// awaitManifest waits for the first manifest of a daemon that is starting.
+func (e *Engine) awaitManifest() {
+	select {
+	case <-e.adopted:
+	case <-time.After(time.Until(e.started.Add(startPatience))):
+	case <-e.ctx.Done():
+	}
+}
+
+// cutOff reports whether the daemon has no authority over any primary and is not
+// expected to get it in a moment, as when it is starting.
+func (e *Engine) cutOff() bool {
+	if e.authority.Active() {
+		e.wasActive.Store(true)
+		return false
+	}
+	return e.wasActive.Load() || time.Since(e.started) > startPatience
+}
+
 // route returns how callers of the database are served.
 func (e *Engine) route(database unit.DatabaseName) (manifest.Route, *group, *result.Error) {
 	now := e.current.Load()
@@ -237,6 +264,11 @@
 // unusedLimit is how long a connection beyond the warm ones is kept idle.
 const unusedLimit = 4 * time.Second
 
+// startPatience is how long after its start a daemon lets callers wait for the first
+// manifest and for its first authority, instead of refusing what it could run in a moment.
+// Callers wait two seconds for a session.
+const startPatience = 1200 * time.Millisecond
+
 // limits returns what this daemon may ask of an instance. Slots are shared by
 // demand, because most daemons have no work for most instances at most times:
 // the instance refuses what it has no room for, and nothing has run then.
--- a/tarragonshed/engine/engine_test.go
+++ b/tarragonshed/engine/engine_test.go
@@ -347,3 +347,39 @@
 		})
 	}
 }
+
+// TestStartingDaemonLetsCallersWait is what a day showed on which all machines lost power:
+// for the 0.2 s until they were on the list, the daemons refused all statements.
+func TestStartingDaemonLetsCallersWait(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.lose()
+	answers := make(chan Answer, 2)
+	for _, database := range []unit.DatabaseName{"first", "old"} {
+		s := r.open(database)
+		go func() { answers <- s.Do("q", Read{Text: "1"}) }()
+	}
+	time.Sleep(2 * primaryPoll)
+	r.gain()
+	for range 2 {
+		is.True((<-answers).Err == nil)
+	}
+	served(t, r.open("first"), Read{Text: "1"})
+	r.lose()
+	refused(t, r.open("first"), Read{Text: "1"}, result.CutOff) // It is not starting any more.
+}
+
+func TestStartingDaemonWaitsForTheManifest(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	e := New(r, r, r.now)
+	defer e.Close()
+	opened := make(chan *result.Error, 1)
+	go func() {
+		_, err := e.Open("first")
+		opened <- err
+	}()
+	time.Sleep(primaryPoll)
+	e.Adopt(r.manifest)
+	is.Equal(<-opened, nil)
+}
--- a/tarragonshed/engine/fake_test.go
+++ b/tarragonshed/engine/fake_test.go
@@ -232,3 +232,10 @@
 	}
 	return a
 }
+
+// gain gives the authority back.
+func (r *rig) gain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holds = true
+}
--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -123,7 +123,7 @@
 		if t, l, ok := g.primary(); ok {
 			return t, l, nil
 		}
-		if !g.engine.authority.Active() {
+		if g.engine.cutOff() {
 			return nil, authorizer.Leadership{}, result.New(result.CutOff, "this daemon has no confirmation of who leads group %s", g.name)
 		}
 		wait := min(primaryPoll, time.Until(deadline))
@@ -161,7 +161,7 @@
 		if p, ok := g.floor(since, own); ok {
 			return p, nil
 		}
-		if !g.engine.authority.Active() {
+		if g.engine.cutOff() {
 			return unit.Position{}, result.New(result.CutOff, "this daemon has no confirmation of who leads group %s", g.name)
 		}
 		if !time.Now().Before(deadline) {
