overseer: one daemon of a region reads the store, not one of each failure domain

Within a region a reader's answer costs little to pass on. Ruled out: one reader for all, whose answers would cross regions.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -98,6 +98,15 @@
 	return first(rank(view.In(domain), relayKind, string(domain)), n)
 }
 
+// RelaysOf is Relays for an area of several failure domains.
+func RelaysOf(view member.View, area unit.RegionName, domains []unit.DomainName, n int) []member.Daemon {
+	var candidates []member.Daemon
+	for _, d := range domains {
+		candidates = append(candidates, view.In(d)...)
+	}
+	return first(rank(candidates, relayKind, string(area)), n)
+}
+
 // IsRelay reports whether the view's own daemon is one of the first n relays of
 // its failure domain.
 func IsRelay(view member.View, n int) bool {
--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// readersPerDomain is the number of daemons of a failure domain that read
-	// the store.
-	readersPerDomain = 1
+	// readersPerRegion is the number of daemons of a region that read the store. A
+	// read costs more than passing its answer on within the region.
+	readersPerRegion = 1
 	// relayInterval is the time between two questions to a reader: together
 	// with the age of its confirmations it leaves time for a second try.
 	relayInterval = 300 * time.Millisecond
@@ -30,7 +30,7 @@
 )
 
 // confirm gets one confirmation and waits until the next one is due. A few daemons
-// of each failure domain read the store; the others take their confirmations, and
+// of each region read the store; the others take their confirmations, and
 // read the store themselves when they can't.
 func (o *Overseer) confirm() {
 	pause := confirmInterval
@@ -87,7 +87,7 @@
 		}
 	}
 	o.mu.Unlock()
-	readers := placer.Relays(view, o.self.Domain, readersPerDomain)
+	readers := placer.RelaysOf(view, o.region, o.domains, readersPerRegion)
 	if len(readers) == 0 {
 		return member.Daemon{}, false
 	}
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -124,6 +124,8 @@
 	dial      dialer.Func
 	documents Documents
 	seeds     []string
+	region    unit.RegionName   // The own one.
+	domains   []unit.DomainName // Those of the region.
 	ctx       context.Context
 	stop      context.CancelFunc
 	wake      chan struct{}
@@ -170,6 +172,24 @@
 // is known.
 func WithSeeds(addresses []string) Option { return func(o *Overseer) { o.seeds = addresses } }
 
+// WithDomains sets the failure domains of the deployment. Without it each is a region
+// of its own.
+func WithDomains(domains []manifest.Domain) Option {
+	return func(o *Overseer) {
+		for _, d := range domains {
+			if d.Name == o.self.Domain {
+				o.region = d.Region
+			}
+		}
+		o.domains = nil
+		for _, d := range domains {
+			if d.Region == o.region {
+				o.domains = append(o.domains, d.Name)
+			}
+		}
+	}
+}
+
 // New returns an Overseer that is not yet on the list. Watch starts it.
 func New(self Self, store Store, platform Platform, now func() unit.Instant, options ...Option) *Overseer {
 	o := &Overseer{
@@ -183,6 +203,7 @@
 		settled:  make(map[unit.GroupName]time.Time),
 		heard:    make(map[unit.DaemonID]time.Time),
 		peers:    make(map[string]peerconnect.OverseerClient),
+		domains:  []unit.DomainName{self.Domain},
 	}
 	for _, option := range options {
 		option(o)
--- a/tarragonshed/overseer/watch_test.go
+++ b/tarragonshed/overseer/watch_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"tarragonshed.example/authorizer"
+	"tarragonshed.example/manifest"
 	"tarragonshed.example/unit"
 )
 
@@ -150,3 +151,29 @@
 	}
 	is.Equal(asked, map[string]int{"near": 30, "far": 10})
 }
+
+// TestReadersOfARegion: one daemon of each region reads the store, whatever its failure
+// domain is.
+func TestReadersOfARegion(t *testing.T) {
+	is := is.New(t)
+	members := []authorizer.Member{{Daemon: "a", Domain: "d"}, {Daemon: "b", Domain: "e"}, {Daemon: "c", Domain: "f"}}
+	domains := []manifest.Domain{{Name: "d", Region: "west"}, {Name: "e", Region: "west"}, {Name: "f", Region: "east"}}
+	reading := 0
+	for _, m := range members {
+		o := New(Self{Daemon: m.Daemon, Domain: m.Domain}, nil, nil, func() unit.Instant { return 1 }, WithDomains(domains))
+		defer o.Close()
+		var rows []Row
+		for _, other := range members {
+			put := encode(memberKey(other.Daemon), other)
+			rows = append(rows, Row{Key: put.Key, Value: put.Value, Version: 1})
+		}
+		o.adopt(newTable(rows), time.Minute, 1)
+		reader, other := o.reader()
+		if !other {
+			reading++
+			continue
+		}
+		is.True(m.Daemon != "c" && reader.Domain != "f") // Of the same region.
+	}
+	is.Equal(reading, 2)
+}
