overseer: a reader holds its answer until the store has confirmed the rows again

Cause: a confirmation that was passed on was up to 0.45 s old when it came and 0.3 s older at the next question, so on busy daemons it often passed 0.9 s, and each time one asked all others. The time that the answer was held counts for its age, so no clock is compared.

A region gets one reader for 40 daemons, and connections to daemons that are not asked any more are closed after 5 s.

--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tarragonshed.example/authorizer"
@@ -13,11 +14,15 @@
 )
 
 const (
-	// readersPerRegion is the number of daemons of a region that read the store. A
-	// read costs more than passing its answer on within the region.
-	readersPerRegion = 1
-	// relayInterval is the time between two questions to a reader: together
-	// with the age of its confirmations it leaves time for a second try.
+	// readerServes is the number of daemons of a region for which one of them reads
+	// the store: a read costs more than passing its answer on within the region,
+	// but each daemon that is served costs the reader about 1 kB a second.
+	readerServes = 40
+	// relayPatience is how long a reader holds its answer until the store has
+	// confirmed the rows once more: longer than the time between two readings.
+	relayPatience = confirmInterval + 50*time.Millisecond
+	// relayInterval is the time between two questions to a reader that does not
+	// hold its answers.
 	relayInterval = 300 * time.Millisecond
 	// readerDoubt is how long a daemon reads for itself after a reader has
 	// failed it.
@@ -34,8 +39,8 @@
 // read the store themselves when they can't.
 func (o *Overseer) confirm() {
 	pause := confirmInterval
-	if reader, ok := o.reader(); ok && o.takeFrom(reader) == nil {
-		pause = relayInterval
+	if reader, ok := o.reader(); ok && o.takeFrom(reader, &pause) == nil {
+		// The next question is sent after the pause.
 	} else if err := o.read(); err != nil {
 		pause = o.lost(err)
 	} else {
@@ -48,9 +53,11 @@
 	}
 }
 
-// takeFrom takes a reader's confirmation.
-func (o *Overseer) takeFrom(reader member.Daemon) error {
-	err := o.relayFrom(reader.PeerAddress)
+// takeFrom takes a reader's next confirmation and sets the pause until the question
+// after it.
+func (o *Overseer) takeFrom(reader member.Daemon, pause *time.Duration) error {
+	held, err := o.relayFrom(reader.PeerAddress, relayPatience)
+	*pause = max(0, relayInterval-held)
 	o.mu.Lock()
 	if err != nil {
 		if time.Since(o.unrelayed) > readerDoubt {
@@ -80,14 +87,14 @@
 	o.mu.Lock()
 	view := member.View{Self: o.self.Daemon}
 	for _, m := range o.auth.View().Members {
-		if m.Removed == 0 {
+		if m.Removed == 0 && slices.Contains(o.domains, m.Domain) {
 			view.Daemons = append(view.Daemons, member.Daemon{
 				ID: m.Daemon, Incarnation: m.Incarnation, Domain: m.Domain, State: member.Live, PeerAddress: m.Address,
 			})
 		}
 	}
 	o.mu.Unlock()
-	readers := placer.RelaysOf(view, o.region, o.domains, readersPerRegion)
+	readers := placer.RelaysOf(view, o.region, o.domains, 1+len(view.Daemons)/readerServes)
 	if len(readers) == 0 {
 		return member.Daemon{}, false
 	}
@@ -122,6 +129,7 @@
 	_, known := o.auth.Confirmed()
 	if known && epoch.Version == o.table.epoch() {
 		o.auth.Reconfirm(asked, now)
+		o.answerHeld()
 		o.mu.Unlock()
 		o.figures.confirmed.Inc(1)
 		return o.enlist(ctx)
@@ -143,6 +151,9 @@
 		changes, now, err := o.store.Changes(ctx, known.epoch())
 		if err == nil {
 			o.adopt(known.with(changes), now, asked)
+			o.mu.Lock()
+			o.answerHeld()
+			o.mu.Unlock()
 			return nil
 		}
 		if !errors.Is(err, ErrForgotten) {
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -136,6 +136,7 @@
 	auth     *authorizer.Authorizer
 	table    table // The rows that auth was told of last.
 	changed  chan struct{}
+	fresh    chan struct{} // Closed when the store has confirmed the rows once more.
 	troubles map[unit.GroupName]*trouble
 	changes  map[unit.GroupName]bool
 	failing  time.Time // Since when the store has not confirmed anything.
@@ -198,6 +199,7 @@
 		wake:     make(chan struct{}, 1),
 		auth:     authorizer.New(self.Daemon, self.Incarnation, authorizer.Config{Lease: Lease, Extension: Extension}),
 		changed:  make(chan struct{}),
+		fresh:    make(chan struct{}),
 		troubles: make(map[unit.GroupName]*trouble),
 		changes:  make(map[unit.GroupName]bool),
 		settled:  make(map[unit.GroupName]time.Time),
@@ -306,6 +308,13 @@
 	o.changed = make(chan struct{})
 }
 
+// answerHeld lets the answers go that are held until the store confirms the rows. The
+// lock is held.
+func (o *Overseer) answerHeld() {
+	close(o.fresh)
+	o.fresh = make(chan struct{})
+}
+
 // hurry lets the next confirmation come at once.
 func (o *Overseer) hurry() {
 	select {
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -40,6 +40,9 @@
 	// relayTries is the number of daemons that are asked for a confirmation in
 	// one round.
 	relayTries = 3
+	// peerIdle is how long a connection to a daemon is kept that is not asked any
+	// more. An extension asks them all.
+	peerIdle = 5 * time.Second
 	// maxPeerBytes bounds a message of another daemon.
 	maxPeerBytes = 32 << 20
 )
@@ -48,7 +51,7 @@
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     20 * time.Second,
+		IdleConnTimeout:     peerIdle,
 		DisableCompression:  true,
 	}}
 }
@@ -172,7 +175,10 @@
 func (o *Overseer) relay() {
 	for range relayTries {
 		address, ok := o.nextPeer()
-		if !ok || o.relayFrom(address) == nil {
+		if !ok {
+			return
+		}
+		if _, err := o.relayFrom(address, 0); err == nil {
 			return
 		}
 	}
@@ -181,37 +187,40 @@
 // errNoConfirmation says that a daemon has no young confirmation to pass on.
 var errNoConfirmation = errors.New("overseer: the daemon has no young confirmation")
 
-// relayFrom takes a confirmation from the daemon at the address.
-func (o *Overseer) relayFrom(address string) error {
-	ctx, stop := context.WithTimeout(o.ctx, relayTimeout)
+// relayFrom takes a confirmation from the daemon at the address, which may hold its
+// answer for the patience. It returns for how long it did.
+func (o *Overseer) relayFrom(address string, patience time.Duration) (time.Duration, error) {
+	ctx, stop := context.WithTimeout(o.ctx, patience+relayTimeout)
 	defer stop()
 	o.mu.Lock()
 	known := o.table
 	o.mu.Unlock()
-	return o.relaySince(ctx, address, known)
+	return o.relaySince(ctx, address, known, patience)
 }
 
 // relaySince takes a confirmation from the daemon at the address, with the rows
 // that have changed since those known.
-func (o *Overseer) relaySince(ctx context.Context, address string, known table) error {
+func (o *Overseer) relaySince(ctx context.Context, address string, known table, patience time.Duration) (time.Duration, error) {
 	asked := o.now()
-	answer, err := o.peer(address).Relay(ctx, connect.NewRequest(&peer.RelayRequest{Epoch: known.epoch()}))
+	request := &peer.RelayRequest{Epoch: known.epoch(), Patience: int64(patience)}
+	answer, err := o.peer(address).Relay(ctx, connect.NewRequest(request))
 	if err != nil {
-		return err
+		return 0, err
 	}
-	if !answer.Msg.Confirmed || time.Duration(answer.Msg.Age) > relayedAge {
-		return errNoConfirmation
+	held, age := time.Duration(answer.Msg.Held), time.Duration(answer.Msg.Age)
+	if !answer.Msg.Confirmed || age > relayedAge {
+		return held, errNoConfirmation
 	}
 	o.figures.relayed.Inc(1)
-	// The store was asked no earlier than this: the other daemon answered after
-	// the question was sent.
-	if !o.takeRelayed(answer.Msg, known, asked.Add(-time.Duration(answer.Msg.Age))) {
-		return o.relaySince(ctx, address, table{})
+	// The store was asked no earlier than this: the question was sent before it
+	// came, and the other daemon answered as much later as it held the answer.
+	if !o.takeRelayed(answer.Msg, known, asked.Add(held-age)) {
+		return o.relaySince(ctx, address, table{}, 0)
 	}
 	if o.documents != nil && o.lacks(answer.Msg.Documents) {
 		o.fetchFrom(address)
 	}
-	return nil
+	return held, nil
 }
 
 // lacks reports whether one of the documents is newer than the own one.
@@ -333,14 +342,15 @@
 }
 
 // Relay implements [peerconnect.OverseerHandler].
-func (s service) Relay(_ context.Context, r *connect.Request[peer.RelayRequest]) (*connect.Response[peer.RelayResponse], error) {
+func (s service) Relay(ctx context.Context, r *connect.Request[peer.RelayRequest]) (*connect.Response[peer.RelayResponse], error) {
 	o := s.overseer
+	held := o.hold(ctx, r.Msg)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	confirmed, ok := o.auth.Confirmed()
 	answer := &peer.RelayResponse{
 		Confirmed: ok, Epoch: o.table.epoch(), StoreNow: int64(o.auth.View().Now),
-		Age: int64(o.now().Sub(confirmed)), Count: int64(len(o.table.rows)),
+		Age: int64(o.now().Sub(confirmed)), Count: int64(len(o.table.rows)), Held: int64(held),
 	}
 	if o.documents != nil {
 		for _, d := range o.documents.Have() {
@@ -356,6 +366,28 @@
 	return connect.NewResponse(answer), nil
 }
 
+// hold waits until the store confirms the rows once more, as long as the sender has
+// patience, and returns how long. A sender that lacks rows gets them at once, and so do
+// all when this daemon does not read the store or the store is away.
+func (o *Overseer) hold(ctx context.Context, r *peer.RelayRequest) time.Duration {
+	if _, other := o.reader(); other || r.Patience <= 0 || o.storeAway(0) {
+		return 0
+	}
+	began := o.now()
+	o.mu.Lock()
+	fresh, current := o.fresh, o.table.epoch()
+	o.mu.Unlock()
+	if r.Epoch < current {
+		return 0
+	}
+	select {
+	case <-fresh:
+	case <-time.After(time.Duration(r.Patience)):
+	case <-ctx.Done():
+	}
+	return o.now().Sub(began)
+}
+
 // Fetch implements [peerconnect.OverseerHandler].
 func (s service) Fetch(_ context.Context, r *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error) {
 	known := make(map[string]uint64)
--- a/tarragonshed/overseer/table_test.go
+++ b/tarragonshed/overseer/table_test.go
@@ -110,6 +110,12 @@
 	return o
 }
 
+// relay lets o take the reader's confirmation as it is.
+func relay(o, reader *Overseer) error {
+	_, err := o.relayFrom(reader.self.Address, 0)
+	return err
+}
+
 // TestEnlistOnce is what the sweep over 100 daemons showed: a daemon that had put
 // itself on the list did so again and again until its reader knew of it.
 func TestEnlistOnce(t *testing.T) {
@@ -117,10 +123,10 @@
 	store := &memory{}
 	reader, o := served(t, "a", store), served(t, "b", store)
 	is.NoErr(reader.read())
-	is.NoErr(o.relayFrom(reader.self.Address))
+	is.NoErr(relay(o, reader))
 	for range 5 { // The reader does not read again.
 		is.NoErr(o.enlist(t.Context()))
-		is.NoErr(o.relayFrom(reader.self.Address))
+		is.NoErr(relay(o, reader))
 	}
 	is.Equal(store.commits, 2) // One for each daemon.
 }
@@ -135,7 +141,7 @@
 	agree := func() {
 		t.Helper()
 		is.NoErr(reader.read())
-		is.NoErr(o.relayFrom(reader.self.Address))
+		is.NoErr(relay(o, reader))
 		is.Equal(o.table, store.rows)
 		is.Equal(reader.table, store.rows)
 	}
@@ -159,6 +165,33 @@
 	is.NoErr(reader.read())
 	store.put(t, "new")
 	is.NoErr(o.read())
-	is.NoErr(o.relayFrom(reader.self.Address))
+	is.NoErr(relay(o, reader))
 	is.Equal(o.table, store.rows)
 }
+
+// TestHeldRelay: a reader answers when the store has confirmed the rows once more, so
+// what it passes on is young, however long the question waited.
+func TestHeldRelay(t *testing.T) {
+	is := is.New(t)
+	store := &memory{}
+	reader, o := served(t, "a", store), served(t, "b", store)
+	is.NoErr(reader.read())
+	is.NoErr(relay(o, reader))
+	before, _ := o.auth.Confirmed()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := o.relayFrom(reader.self.Address, time.Minute)
+		answered <- err
+	}()
+	for waiting := true; waiting; { // The question comes at some time.
+		select {
+		case err := <-answered:
+			is.NoErr(err)
+			waiting = false
+		case <-time.After(10 * time.Millisecond):
+			is.NoErr(reader.read())
+		}
+	}
+	after, _ := o.auth.Confirmed()
+	is.True(after > before)
+}
