engine: a detour lasts, and one that hangs does not hold up the others

Two causes, from the logs: neighbours were tried one after the other, and one that was cut off itself hung for 1.5 s; replies that came through a neighbour counted as a sign that the instance is reached directly, so the detour was dropped, and another one was not found within the 0.9 s of patience. Both have a test that failed.

--- a/tarragonshed/engine/engine_test.go
+++ b/tarragonshed/engine/engine_test.go
@@ -295,6 +295,30 @@
 	is.True(r.Reach("g", "a").Detour)
 }
 
+// TestDetourLasts is what a day showed: replies that came through the other daemon were
+// taken for a sign that the instance is reached directly.
+func TestDetourLasts(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.instances["a"].connect = result.New(result.InstanceUnreachable, "cut")
+	s := r.open("own")
+	for end := time.Now().Add(4 * probePause); time.Now().Before(end); time.Sleep(probePause / 20) {
+		served(t, s, Write{Text: "1 one"})
+		is.True(r.Reach("g", "a").Detour)
+	}
+}
+
+// TestDetourPastHungNeighbours: neighbours that don't reach the instance either cost no
+// time.
+func TestDetourPastHungNeighbours(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.instances["a"].connect = result.New(result.InstanceUnreachable, "cut")
+	r.neighbours = []string{"hung", "neighbour"}
+	served(t, r.open("own"), Write{Text: "1 one"})
+	is.True(!r.timedOut.Load())
+}
+
 func TestUnknownDatabase(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
--- a/tarragonshed/engine/fake_test.go
+++ b/tarragonshed/engine/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,6 +118,10 @@
 	instances map[unit.InstanceName]*fakeInstance
 	manifest  *manifest.Manifest
 
+	neighbours []string // Those through which instances are said to be reached.
+	// timedOut tells that a try through the neighbour "hung" took all its time.
+	timedOut atomic.Bool
+
 	mu      sync.Mutex
 	leader  authorizer.Leadership
 	holds   bool
@@ -125,7 +130,8 @@
 
 func newRig(t *testing.T) *rig {
 	r := &rig{
-		t: t, instances: make(map[unit.InstanceName]*fakeInstance), holds: true, changed: make(chan struct{}),
+		neighbours: []string{"neighbour"},
+		t:          t, instances: make(map[unit.InstanceName]*fakeInstance), holds: true, changed: make(chan struct{}),
 		leader: authorizer.Leadership{Group: "g", State: authorizer.Leading, Primary: "a", Term: 1, Life: 1},
 	}
 	g := manifest.Group{Name: "g"}
@@ -152,7 +158,12 @@
 var start = time.Now().Add(-time.Hour)
 
 // Connect implements [Connector].
-func (r *rig) Connect(_ context.Context, _ unit.GroupName, i manifest.Instance, via string) (Conn, *result.Error) {
+func (r *rig) Connect(ctx context.Context, _ unit.GroupName, i manifest.Instance, via string) (Conn, *result.Error) {
+	if via == "hung" {
+		<-ctx.Done()
+		r.timedOut.Store(errors.Is(ctx.Err(), context.DeadlineExceeded))
+		return nil, result.New(result.InstanceUnreachable, "cut off itself")
+	}
 	f := r.instances[i.Name]
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -170,7 +181,7 @@
 
 // Reaching implements [Neighbours].
 func (r *rig) Reaching(context.Context, unit.GroupName, unit.InstanceName) []string {
-	return []string{"neighbour"}
+	return r.neighbours
 }
 
 // Primary implements [Authority].
--- a/tarragonshed/engine/probe.go
+++ b/tarragonshed/engine/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"tarragonshed.example/pooler"
@@ -64,7 +65,9 @@
 func (t *target) probed(alive bool, cause *result.Error) bool {
 	t.mu.Lock()
 	now := time.Now()
-	alive = alive || time.Unix(0, t.heard.Load()).After(t.trouble)
+	// Replies that came after the instance was taken to be unreachable may have
+	// come through another daemon.
+	alive = alive || !t.unreachable && time.Unix(0, t.heard.Load()).After(t.trouble)
 	refused := cause != nil && cause.Code == result.InstanceRefuses
 	condemned := false
 	switch {
@@ -88,29 +91,48 @@
 	return alive
 }
 
-// seekDetour looks for a daemon through which the instance is reached.
+// seekDetour looks for a daemon through which the instance is reached: the first that
+// opens a connection. One that is cut off itself and does not know it yet opens none.
 func (t *target) seekDetour() {
 	if t.engine.others == nil {
 		return
 	}
 	ctx, stop := context.WithTimeout(t.engine.ctx, openTimeout)
 	defer stop()
+	found := make(chan string)
+	var tries sync.WaitGroup
 	for _, via := range t.engine.others.Reaching(ctx, t.group.name, t.instance.Name) {
-		conn, err := t.engine.connector.Connect(ctx, t.group.name, t.instance, via)
-		if conn != nil {
-			conn.Close()
-		}
-		if err != nil && err.Code != result.ConnectionsExhausted {
-			continue
-		}
-		t.mu.Lock()
-		if t.unreachable {
-			t.via = via
-		}
-		t.mu.Unlock()
-		t.engine.logger.Info("instance reached through another daemon", "instance", t.instance.Name, "group", t.group.name, "via", via)
-		return
+		tries.Go(func() {
+			conn, err := t.engine.connector.Connect(ctx, t.group.name, t.instance, via)
+			if conn != nil {
+				conn.Close()
+			}
+			if err != nil && err.Code != result.ConnectionsExhausted {
+				return
+			}
+			select {
+			case found <- via:
+			case <-ctx.Done():
+			}
+		})
 	}
+	go func() {
+		tries.Wait()
+		close(found)
+	}()
+	if via, ok := <-found; ok {
+		t.detour(via)
+	}
+}
+
+// detour notes the daemon through which the instance is reached.
+func (t *target) detour(via string) {
+	t.mu.Lock()
+	if t.unreachable {
+		t.via = via
+	}
+	t.mu.Unlock()
+	t.engine.logger.Info("instance reached through another daemon", "instance", t.instance.Name, "group", t.group.name, "via", via)
 }
 
 // abandon closes the connections that owe replies, so that those who wait learn
