overseer: ask again whether others reach a primary that is silent here

A primary that goes dark is found out by one daemon after the other. The first asked the others once, heard that some still reached it, and waited 0.9 s. It now asks again every 0.2 s.

--- a/tarragonshed/overseer/watch.go
+++ b/tarragonshed/overseer/watch.go
@@ -32,6 +32,9 @@
 	gonePatience = 2200 * time.Millisecond
 	// partialPatience is how long a primary is kept that other daemons reach.
 	partialPatience = 900 * time.Millisecond
+	// witnessInterval is the time between two questions whether others reach the
+	// primary.
+	witnessInterval = 200 * time.Millisecond
 	// stuckPatience is how long another daemon's change may take before it is
 	// taken over.
 	stuckPatience = 5 * time.Second
@@ -56,11 +59,12 @@
 
 // trouble is a reason and since when it holds.
 type trouble struct {
-	reason    reason
-	row       authorizer.Leadership
-	since     time.Time
-	witnessed bool // Whether the other daemons have been asked.
-	shared    bool // Whether none of them reaches the primary.
+	reason reason
+	row    authorizer.Leadership
+	since  time.Time
+	asked  time.Time // When the other daemons were last asked.
+	asking bool      // Whether they have not all answered.
+	shared bool      // Whether none of them reaches the primary.
 	// silent are the daemons that did not answer. Nobody waits for them to go first.
 	silent map[unit.DaemonID]bool
 }
@@ -106,8 +110,10 @@
 	if t == nil {
 		return
 	}
-	if t.reason != missing && !t.witnessed {
-		t.witnessed = true
+	o.mu.Lock()
+	asks := t.asksAgain(time.Now())
+	o.mu.Unlock()
+	if asks {
 		go o.witness(g.Name, row.Primary, t)
 	}
 	if time.Since(t.since) < o.delay(t, duty) || o.storeAway(0) {
@@ -116,6 +122,17 @@
 	o.begin(g, row, t)
 }
 
+// asksAgain notes and reports whether the other daemons are to be asked. Those that still reached
+// the primary may find out that it is silent a moment later.
+func (t *trouble) asksAgain(now time.Time) bool {
+	once := t.reason != unreachable || t.shared
+	if t.reason == missing || t.asking || once && !t.asked.IsZero() || now.Sub(t.asked) < witnessInterval {
+		return false
+	}
+	t.asked, t.asking = now, true
+	return true
+}
+
 // diagnose returns why the primary of the group is to be replaced, if it is.
 func (o *Overseer) diagnose(g manifest.Group, row authorizer.Leadership, exists bool) reason {
 	switch {
@@ -233,7 +250,7 @@
 		}
 	})
 	o.mu.Lock()
-	t.shared, t.silent = reached == 0, silent
+	t.shared, t.silent, t.asking = reached == 0, silent, false
 	o.mu.Unlock()
 	o.logger.Info("other daemons asked about the primary", "group", g, "primary", i, "reached-by", reached, "silent", len(silent))
 }
--- a/tarragonshed/overseer/watch_test.go
+++ b/tarragonshed/overseer/watch_test.go
@@ -177,3 +177,21 @@
 	}
 	is.Equal(reading, 2)
 }
+
+// TestOthersAreAskedAgain: daemons find out one after the other that a primary is silent.
+func TestOthersAreAskedAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	silent := &trouble{reason: unreachable}
+	is.True(silent.asksAgain(now))
+	is.True(!silent.asksAgain(now.Add(time.Minute))) // They have not all answered.
+	silent.asking = false
+	is.True(!silent.asksAgain(now.Add(witnessInterval / 2)))
+	is.True(silent.asksAgain(now.Add(witnessInterval)))
+	silent.asking, silent.shared = false, true // Nobody reaches it.
+	is.True(!silent.asksAgain(now.Add(time.Minute)))
+	left := &trouble{reason: leaving}
+	is.True(left.asksAgain(now))
+	is.True(!left.asksAgain(now.Add(time.Minute)))
+	is.True(!(&trouble{reason: missing}).asksAgain(now))
+}
