overseer: ask few others, and only when the answer is needed

Now a trouble that may pass is asked about shortly before it would be acted on, and 32 daemons are asked at most: those that go before, and some others. Tests: TestOthersAreAskedAgain (a starting daemon), TestFewWitnesses.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -405,7 +405,17 @@
 // the holder of the duty first, then the others by name, and young ones last. A
 // daemon waits longer before it claims the row the higher its place is.
 func Rank(self, holder unit.DaemonID, claimants []Claimant) int {
-	sorted := slices.Clone(claimants)
+	order := Order(holder, claimants)
+	rank := slices.Index(order, self)
+	if rank < 0 {
+		return len(order)
+	}
+	return rank
+}
+
+// Order returns the claimants, the one that goes first at the start: the holder of the
+// duty, then the others by name, then those that are young.
+func Order(holder unit.DaemonID, claimants []Claimant) []unit.DaemonID {
 	place := func(c Claimant) int {
 		switch {
 		case c.Young:
@@ -415,12 +425,12 @@
 		}
 		return 1
 	}
-	slices.SortFunc(sorted, func(a, b Claimant) int {
+	sorted := slices.SortedFunc(slices.Values(claimants), func(a, b Claimant) int {
 		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.Daemon, b.Daemon))
 	})
-	rank := slices.IndexFunc(sorted, func(c Claimant) bool { return c.Daemon == self })
-	if rank < 0 {
-		return len(sorted)
+	order := make([]unit.DaemonID, 0, len(sorted))
+	for _, c := range sorted {
+		order = append(order, c.Daemon)
 	}
-	return rank
+	return order
 }
--- a/tarragonshed/overseer/watch.go
+++ b/tarragonshed/overseer/watch.go
@@ -35,6 +35,8 @@
 	// witnessInterval is the time between two questions whether others reach the
 	// primary.
 	witnessInterval = 200 * time.Millisecond
+	// maxWitnesses bounds the daemons that one asks.
+	maxWitnesses = 32
 	// stuckPatience is how long another daemon's change may take before it is
 	// taken over.
 	stuckPatience = 5 * time.Second
@@ -126,8 +128,11 @@
 // the primary may find out that it is silent a moment later.
 func (t *trouble) asksAgain(now time.Time) bool {
 	once := t.reason != unreachable || t.shared
-	if t.reason == missing || t.asking || once && !t.asked.IsZero() || now.Sub(t.asked) < witnessInterval {
+	switch {
+	case t.reason == missing, t.asking, once && !t.asked.IsZero(), now.Sub(t.asked) < witnessInterval:
 		return false
+	case once && now.Sub(t.since) < t.patience()-peerTimeout:
+		return false // The reason may pass, as it does when a daemon starts.
 	}
 	t.asked, t.asking = now, true
 	return true
@@ -176,31 +181,40 @@
 func (o *Overseer) delay(t *trouble, duty authorizer.Duty) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var claimants []replacer.Claimant
-	older := false
-	for _, m := range o.auth.View().Members {
-		if m.Removed == 0 && !t.silent[m.Daemon] {
-			claimants = append(claimants, replacer.Claimant{Daemon: m.Daemon, Young: o.auth.Young(m)})
-			older = older || !o.auth.Young(m)
-		}
-	}
+	claimants := o.claimants(t)
 	rank := time.Duration(replacer.Rank(o.self.Daemon, duty.Holder, claimants))
+	older := slices.ContainsFunc(claimants, func(c replacer.Claimant) bool { return !c.Young })
 	if older && o.auth.Young(o.auth.View().Members[o.self.Daemon]) {
 		rank += youngRanks
 	}
-	switch t.reason {
-	case leaving:
+	if t.reason == leaving {
 		return rank * leaveRankDelay
-	case gone:
-		return gonePatience + rank*rankDelay
-	case stuck:
-		return stuckPatience + rank*rankDelay
-	case unreachable:
-		if !t.shared {
-			return partialPatience + rank*rankDelay
+	}
+	return t.patience() + rank*rankDelay
+}
+
+// claimants returns the daemons that may replace the primary. The lock is held.
+func (o *Overseer) claimants(t *trouble) []replacer.Claimant {
+	var claimants []replacer.Claimant
+	for _, m := range o.auth.View().Members {
+		if m.Removed == 0 && !t.silent[m.Daemon] {
+			claimants = append(claimants, replacer.Claimant{Daemon: m.Daemon, Young: o.auth.Young(m)})
 		}
 	}
-	return rank * rankDelay
+	return claimants
+}
+
+// patience returns how long the reason has to hold before anybody acts on it.
+func (t *trouble) patience() time.Duration {
+	switch {
+	case t.reason == gone:
+		return gonePatience
+	case t.reason == stuck:
+		return stuckPatience
+	case t.reason == unreachable && !t.shared:
+		return partialPatience
+	}
+	return 0
 }
 
 // neighbours is the number of daemons that are asked for a way to an instance.
@@ -228,9 +242,31 @@
 	return slices.DeleteFunc(reached, func(a string) bool { return a == "" })
 }
 
-// witness asks the other daemons whether they reach the primary.
-func (o *Overseer) witness(g unit.GroupName, i unit.InstanceName, t *trouble) {
+// witnesses returns the daemons that are asked about the primary: those that go before
+// this one, and some others. On a small list these are all.
+func (o *Overseer) witnesses(t *trouble) []authorizer.Member {
 	others := o.others()
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	o.mu.Lock()
+	order := replacer.Order(o.auth.View().Duty.Holder, o.claimants(t))
+	o.mu.Unlock()
+	before := order[:max(0, slices.Index(order, o.self.Daemon))]
+	before = before[:min(len(before), maxWitnesses*3/4)]
+	slices.SortStableFunc(others, func(a, b authorizer.Member) int {
+		place := func(m authorizer.Member) int {
+			if slices.Contains(before, m.Daemon) {
+				return 0
+			}
+			return 1
+		}
+		return place(a) - place(b)
+	})
+	return others[:min(len(others), maxWitnesses)]
+}
+
+// witness asks other daemons whether they reach the primary.
+func (o *Overseer) witness(g unit.GroupName, i unit.InstanceName, t *trouble) {
+	others := o.witnesses(t)
 	silent := make(map[unit.DaemonID]bool, len(others))
 	for _, m := range others {
 		silent[m.Daemon] = true
--- a/tarragonshed/overseer/watch_test.go
+++ b/tarragonshed/overseer/watch_test.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -190,8 +191,32 @@
 	is.True(silent.asksAgain(now.Add(witnessInterval)))
 	silent.asking, silent.shared = false, true // Nobody reaches it.
 	is.True(!silent.asksAgain(now.Add(time.Minute)))
+	// When a daemon starts, it knows who leads before it knows the instances.
+	lost := &trouble{reason: gone, since: now}
+	is.True(!lost.asksAgain(now.Add(time.Second)))
+	is.True(lost.asksAgain(now.Add(gonePatience)))
 	left := &trouble{reason: leaving}
 	is.True(left.asksAgain(now))
 	is.True(!left.asksAgain(now.Add(time.Minute)))
 	is.True(!(&trouble{reason: missing}).asksAgain(now))
 }
+
+// TestFewWitnesses: on a long list a daemon asks those that go before it, and not all
+// others.
+func TestFewWitnesses(t *testing.T) {
+	is := is.New(t)
+	var members []authorizer.Member
+	for n := range 200 {
+		members = append(members, authorizer.Member{Daemon: unit.DaemonID(fmt.Sprintf("d%03d", n))})
+	}
+	o := listed("d010", time.Hour, members...)
+	defer o.Close()
+	asked := make(map[unit.DaemonID]bool)
+	for _, m := range o.witnesses(&trouble{reason: unreachable}) {
+		asked[m.Daemon] = true
+	}
+	is.Equal(len(asked), maxWitnesses)
+	for _, m := range members[:10] {
+		is.True(asked[m.Daemon]) // It goes before.
+	}
+}
