overseer: the ring of the list makes no reads

Each daemon asked the next one by the call that tells of changed rows, which made that one read the store at once: half a call a second and reader for nothing.

--- a/tarragonshed/overseer/prune.go
+++ b/tarragonshed/overseer/prune.go
@@ -39,7 +39,8 @@
 		return
 	}
 	o.ask([]authorizer.Member{next}, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
-		if _, err := c.Announce(ctx, connect.NewRequest(&peer.AnnounceRequest{})); err == nil {
+		// Any call would do that makes the other daemon do nothing.
+		if _, err := c.Vouch(ctx, connect.NewRequest(&peer.VouchRequest{})); err == nil {
 			o.mu.Lock()
 			o.heard[m.Daemon] = time.Now()
 			o.mu.Unlock()
--- a/tarragonshed/overseer/table_test.go
+++ b/tarragonshed/overseer/table_test.go
@@ -195,3 +195,17 @@
 	after, _ := o.auth.Confirmed()
 	is.True(after > before)
 }
+
+// TestRingMakesNoReads: that a daemon asks the next one whether it lives does not make
+// that one ask the store.
+func TestRingMakesNoReads(t *testing.T) {
+	is := is.New(t)
+	store := &memory{}
+	first, second := served(t, "a", store), served(t, "b", store)
+	is.NoErr(second.read())
+	is.NoErr(first.read())
+	is.NoErr(second.read())
+	first.pruneOnce()
+	is.Equal(len(second.wake), 0)
+	is.True(!first.heard["b"].IsZero())
+}
