--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -330,10 +330,3 @@
 	a.extended = max(a.extended, until)
 	a.question = nil
 }
-
-// Clone returns a copy of the rows.
-func (v View) Clone() View {
-	v.Leaderships = maps.Clone(v.Leaderships)
-	v.Members = maps.Clone(v.Members)
-	return v
-}
--- a/authorizer/model_test.go
+++ b/authorizer/model_test.go
@@ -235,7 +235,7 @@
 		if !d.reaches() {
 			return
 		}
-		view, versions := w.rows.Clone(), maps.Clone(w.versions)
+		view, versions := copied(w.rows), maps.Clone(w.versions)
 		view.Now = w.now
 		d.deliver(func() {
 			if w.fault == confirmAtReceipt {
@@ -459,7 +459,7 @@
 			d.deliver(func() { d.reread(then) })
 			return
 		}
-		view, versions := w.rows.Clone(), maps.Clone(w.versions)
+		view, versions := copied(w.rows), maps.Clone(w.versions)
 		view.Now = w.now
 		d.deliver(func() {
 			d.auth.Confirm(view, asked)
@@ -565,3 +565,10 @@
 		})
 	}
 }
+
+// copied returns a copy of the rows.
+func copied(v authorizer.View) authorizer.View {
+	v.Leaderships = maps.Clone(v.Leaderships)
+	v.Members = maps.Clone(v.Members)
+	return v
+}
