overseer: a daemon whose reader failed reads for itself for a while

The constant said so, but only the tables were followed: at each confirmation the reader that had died was asked first, for 0.8 s now that it may hold its answer, so confirmations came 1.1 s apart and each time the daemon asked all others for an extension, until the reader was taken off the list 6 s later. Test: TestDoubtedReader.

--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -34,30 +34,42 @@
 	pruneInterval = 2 * time.Second
 )
 
-// confirm gets one confirmation and waits until the next one is due. A few daemons
-// of each region read the store; the others take their confirmations, and
-// read the store themselves when they can't.
+// confirm gets one confirmation and waits until the next one is due.
 func (o *Overseer) confirm() {
-	pause := confirmInterval
-	if reader, ok := o.reader(); ok && o.takeFrom(reader, &pause) == nil {
-		// The next question is sent after the pause.
-	} else if err := o.read(); err != nil {
-		pause = o.lost(err)
-	} else {
-		o.regained()
-	}
 	select {
-	case <-time.After(pause):
+	case <-time.After(o.confirmation()):
 	case <-o.wake:
 	case <-o.ctx.Done():
 	}
 }
 
-// takeFrom takes a reader's next confirmation and sets the pause until the question
+// confirmation gets one confirmation and returns the pause until the next. A few
+// daemons of each region read the store; the others take their confirmations, and read
+// the store themselves when they can't, and for a while after.
+func (o *Overseer) confirmation() time.Duration {
+	if reader, ok := o.reader(); ok && !o.doubts() {
+		if pause, err := o.takeFrom(reader); err == nil {
+			return pause
+		}
+	}
+	if err := o.read(); err != nil {
+		return o.lost(err)
+	}
+	o.regained()
+	return confirmInterval
+}
+
+// doubts reports whether a reader has failed this daemon lately.
+func (o *Overseer) doubts() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return time.Since(o.unrelayed) < readerDoubt
+}
+
+// takeFrom takes a reader's next confirmation and returns the pause until the question
 // after it.
-func (o *Overseer) takeFrom(reader member.Daemon, pause *time.Duration) error {
+func (o *Overseer) takeFrom(reader member.Daemon) (time.Duration, error) {
 	held, err := o.relayFrom(reader.PeerAddress, relayPatience)
-	*pause = max(0, relayInterval-held)
 	o.mu.Lock()
 	if err != nil {
 		if time.Since(o.unrelayed) > readerDoubt {
@@ -67,7 +79,7 @@
 	}
 	o.mu.Unlock()
 	if err != nil {
-		return err
+		return 0, err
 	}
 	o.regained()
 	ctx, stop := context.WithTimeout(o.ctx, confirmTimeout)
@@ -75,7 +87,7 @@
 	if err := o.enlist(ctx); err != nil {
 		o.logger.Warn("not put on the list", "cause", err)
 	}
-	return nil
+	return max(0, relayInterval-held), nil
 }
 
 // reader returns the daemon that reads the store for this one, or false if it
@@ -109,12 +121,8 @@
 // Reads reports whether the daemon reads the store for itself: it is a reader, or
 // could not get a confirmation from one lately.
 func (o *Overseer) Reads() bool {
-	if _, other := o.reader(); !other {
-		return true
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return time.Since(o.unrelayed) < readerDoubt
+	_, other := o.reader()
+	return !other || o.doubts()
 }
 
 func (o *Overseer) read() error {
--- a/tarragonshed/overseer/watch_test.go
+++ b/tarragonshed/overseer/watch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -220,3 +222,38 @@
 		is.True(asked[m.Daemon]) // It goes before.
 	}
 }
+
+// TestDoubtedReader: a reader that does not answer is not asked again at once, or each
+// confirmation would come as late as its answer is waited for.
+func TestDoubtedReader(t *testing.T) {
+	is := is.New(t)
+	store := &memory{}
+	o := served(t, "b", store)
+	var asked atomic.Int32
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	other := false
+	for n := 0; !other; n++ { // Until one comes before b.
+		dead := authorizer.Member{Daemon: unit.DaemonID(fmt.Sprint("dead-", n)), Address: l.Addr().String()}
+		_, err = store.Commit(t.Context(), Transaction{Puts: []Put{encode(memberKey(dead.Daemon), dead), epochPut()}})
+		is.NoErr(err)
+		is.NoErr(o.read())
+		_, other = o.reader()
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			asked.Add(1)
+			_ = c.Close()
+		}
+	}()
+	for range 3 {
+		is.Equal(o.confirmation(), confirmInterval)
+	}
+	_ = l.Close()
+	is.True(asked.Load() <= 2) // One question, which the client may send again.
+}
