engine: eight replies are kept for a connection, not 64

A reply is 88 bytes, so the channel of each connection took 5.6 KB, of 2,880 at the target size 16 MB. A connection that is given up while more are owed ends all the same (TestClosedLinkEnds).

--- a/tarragonshed/engine/link.go
+++ b/tarragonshed/engine/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -9,8 +10,9 @@
 	"tarragonshed.example/unit"
 )
 
-// maxOwed bounds the replies that a connection may owe.
-const maxOwed = 64
+// maxWaiting bounds the replies that wait to be taken in. Most statements have one, and
+// a daemon has thousands of connections.
+const maxWaiting = 8
 
 // maxPrepared bounds the statements that are prepared on a connection.
 const maxPrepared = 512
@@ -23,6 +25,8 @@
 	conn    Conn
 	replies chan Reply
 	lost    chan struct{} // Closed when no reply will come any more.
+	closed  chan struct{} // Closed when nobody takes replies in any more.
+	once    sync.Once
 
 	// values and prepared are touched by whoever has the link.
 	values   map[string]string
@@ -38,31 +42,44 @@
 func newLink(id pooler.Conn, c Conn, heard *atomic.Int64, gone func()) *link {
 	l := &link{
 		id: id, conn: c,
-		replies:  make(chan Reply, maxOwed),
+		replies:  make(chan Reply, maxWaiting),
 		lost:     make(chan struct{}),
+		closed:   make(chan struct{}),
 		values:   make(map[string]string),
 		prepared: make(map[Shape]string),
 	}
 	go func() {
-		for {
-			reply, err := c.Receive()
-			if err != nil || l.owed.Add(-1) < 0 {
-				c.Close()
-				close(l.lost)
-				gone()
-				return
-			}
-			now := time.Now().UnixNano()
-			l.since.Store(now)
-			heard.Store(now)
-			l.replies <- reply
-		}
+		l.receive(heard)
+		c.Close()
+		close(l.lost)
+		gone()
 	}()
 	return l
 }
 
+// receive takes replies in until the connection is lost.
+func (l *link) receive(heard *atomic.Int64) {
+	for {
+		reply, err := l.conn.Receive()
+		if err != nil || l.owed.Add(-1) < 0 {
+			return
+		}
+		now := time.Now().UnixNano()
+		l.since.Store(now)
+		heard.Store(now)
+		select {
+		case l.replies <- reply:
+		case <-l.closed:
+			return
+		}
+	}
+}
+
 // Close ends the connection. The instance rolls back what is open on it.
-func (l *link) Close() { l.conn.Close() }
+func (l *link) Close() {
+	l.once.Do(func() { close(l.closed) })
+	l.conn.Close()
+}
 
 // send sends the requests.
 func (l *link) send(requests ...Request) error {
