overseer: an old confirmation makes a daemon read the store, not ask all others

An old confirmation now makes a daemon read the store; the others are asked when that fails, then at once. The age is 0.75 s, since held answers never get so old.

--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -148,6 +148,7 @@
 	pruned    time.Time // When the list was last looked through.
 	heard     map[unit.DaemonID]time.Time
 	turn      atomic.Int64
+	reading   atomic.Bool // Whether the store is read beside the confirmations.
 
 	peersMu sync.Mutex
 	peers   map[string]peerconnect.OverseerClient
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -27,11 +27,10 @@
 	extendEvery = Lease / 3
 	// extendAfter is how long the store may fail before the others are asked.
 	extendAfter = 150 * time.Millisecond
-	// extendAge is the age of a confirmation at which the others are asked although
-	// the store is not known to fail: one that was passed on is younger than this
-	// in good order (confirmInterval and relayInterval), and two questions fit into
-	// what is left of the lease.
-	extendAge = 900 * time.Millisecond
+	// extendAge is the age of a confirmation at which the daemon reads the store
+	// whatever its reader does, and asks the others at once if that fails. In good
+	// order none gets so old, and two questions fit into what is left of the lease.
+	extendAge = 750 * time.Millisecond
 
 	// relayTimeout bounds a question for a confirmation.
 	relayTimeout = 300 * time.Millisecond
@@ -95,7 +94,12 @@
 
 // extend asks the other daemons to vouch while the store does not confirm.
 func (o *Overseer) extend() {
-	if !o.storeAway(extendAfter) && !o.expiring() || !o.extensionDue() {
+	expiring := o.expiring()
+	if expiring && !o.storeAway(0) {
+		o.readNow()
+	}
+	away := o.storeAway(extendAfter) || expiring && o.storeAway(0)
+	if !away || !o.extensionDue() {
 		return
 	}
 	o.mu.Lock()
@@ -130,6 +134,21 @@
 	return known && o.now().Sub(confirmed) > extendAge
 }
 
+// readNow reads the store beside the confirmations that come by the reader.
+func (o *Overseer) readNow() {
+	if o.reading.Swap(true) {
+		return
+	}
+	go func() {
+		defer o.reading.Store(false)
+		if err := o.read(); err != nil {
+			o.lost(err)
+			return
+		}
+		o.regained()
+	}()
+}
+
 // extensionDue reports whether the last question is old enough.
 func (o *Overseer) extensionDue() bool {
 	o.mu.Lock()
