overseer: troubles and the service in files of their own; who was silent stays known

watch.go held why a primary is in trouble and who was asked about it, peers.go both sides of the daemons' calls. On a list of more than 33 daemons those that did not answer an earlier question are remembered until they are asked again.

--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -10,7 +10,15 @@
 //
 // One table holds a row for each group's primary, the duty to promote, each daemon
 // on the list, and an epoch that every transaction touches. Who finds the epoch
-// unchanged knows that all rows are: one small read confirms everything.
+// unchanged knows that all rows are: one small read confirms everything. Who finds
+// another one asks for the rows written since.
+//
+// # Who reads the store
+//
+// One daemon reads it for up to 40 of its region. The others ask that one, which answers
+// when the store has confirmed the rows once more. A daemon whose reader fails it reads
+// for itself for a while. When the store itself is away, the daemons extend their
+// authority among themselves, see [authorizer.Authorizer.Ask].
 //
 // # Who replaces a primary
 //
--- /dev/null
+++ b/tarragonshed/overseer/service.go
@@ -0,0 +1,119 @@
+package overseer
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"tarragonshed.example/unit"
+	"tarragonshed.example/wire/peer"
+)
+
+// service serves the other daemons.
+type service struct{ overseer *Overseer }
+
+// Withdraw implements [peerconnect.OverseerHandler].
+func (s service) Withdraw(_ context.Context, r *connect.Request[peer.WithdrawRequest]) (*connect.Response[peer.WithdrawResponse], error) {
+	o := s.overseer
+	group := unit.GroupName(r.Msg.Group)
+	o.mu.Lock()
+	dropped := o.auth.Drop(group, o.now())
+	o.mu.Unlock()
+	o.hurry()
+	o.logger.Info("authority given up", "group", group, "dropped", dropped)
+	if r.Msg.Instance != "" {
+		go o.stepDown(group, unit.InstanceName(r.Msg.Instance), unit.Term(r.Msg.Term))
+	}
+	return connect.NewResponse(&peer.WithdrawResponse{Daemon: string(o.self.Daemon), Dropped: dropped}), nil
+}
+
+// Vouch implements [peerconnect.OverseerHandler].
+func (s service) Vouch(context.Context, *connect.Request[peer.VouchRequest]) (*connect.Response[peer.VouchResponse], error) {
+	o := s.overseer
+	o.mu.Lock()
+	vouched := o.auth.Vouch()
+	o.mu.Unlock()
+	return connect.NewResponse(&peer.VouchResponse{
+		Daemon: string(o.self.Daemon), Incarnation: uint64(o.self.Incarnation), Vouched: vouched,
+	}), nil
+}
+
+// Witness implements [peerconnect.OverseerHandler].
+func (s service) Witness(_ context.Context, r *connect.Request[peer.WitnessRequest]) (*connect.Response[peer.WitnessResponse], error) {
+	reach := s.overseer.reach(unit.GroupName(r.Msg.Group), unit.InstanceName(r.Msg.Instance))
+	return connect.NewResponse(&peer.WitnessResponse{Reached: reach.Known && !reach.Unreachable}), nil
+}
+
+// Announce implements [peerconnect.OverseerHandler].
+func (s service) Announce(context.Context, *connect.Request[peer.AnnounceRequest]) (*connect.Response[peer.AnnounceResponse], error) {
+	s.overseer.hurry()
+	if s.overseer.storeAway(0) {
+		go s.overseer.relay() // Whoever tells of changed rows has them.
+	}
+	return connect.NewResponse(&peer.AnnounceResponse{}), nil
+}
+
+// Relay implements [peerconnect.OverseerHandler].
+func (s service) Relay(ctx context.Context, r *connect.Request[peer.RelayRequest]) (*connect.Response[peer.RelayResponse], error) {
+	o := s.overseer
+	held := o.hold(ctx, r.Msg)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	confirmed, ok := o.auth.Confirmed()
+	answer := &peer.RelayResponse{
+		Confirmed: ok, Epoch: o.table.epoch(), StoreNow: int64(o.auth.View().Now),
+		Age: int64(o.now().Sub(confirmed)), Count: int64(len(o.table.rows)), Held: int64(held),
+	}
+	if o.documents != nil {
+		for _, d := range o.documents.Have() {
+			answer.Documents = append(answer.Documents, &peer.Document{Name: d.Name, Version: d.Version})
+		}
+	}
+	if !ok || time.Duration(answer.Age) > relayedAge { // The sender can't use it.
+		return connect.NewResponse(answer), nil
+	}
+	for _, row := range o.table.since(r.Msg.Epoch) {
+		answer.Rows = append(answer.Rows, &peer.RelayedRow{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// hold waits until the store confirms the rows once more, as long as the sender has
+// patience, and returns how long. A sender that lacks rows gets them at once, and so do
+// all when this daemon does not read the store or the store is away.
+func (o *Overseer) hold(ctx context.Context, r *peer.RelayRequest) time.Duration {
+	if _, other := o.reader(); other || r.Patience <= 0 || o.storeAway(0) {
+		return 0
+	}
+	began := o.now()
+	o.mu.Lock()
+	fresh, current := o.fresh, o.table.epoch()
+	o.mu.Unlock()
+	if r.Epoch < current {
+		return 0
+	}
+	select {
+	case <-fresh:
+	case <-time.After(time.Duration(r.Patience)):
+	case <-ctx.Done():
+	}
+	return o.now().Sub(began)
+}
+
+// Fetch implements [peerconnect.OverseerHandler].
+func (s service) Fetch(_ context.Context, r *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error) {
+	known := make(map[string]uint64)
+	for _, d := range r.Msg.Known {
+		known[d.Name] = d.Version
+	}
+	answer := &peer.FetchResponse{}
+	if s.overseer.documents != nil {
+		for _, d := range s.overseer.documents.Have() {
+			if d.Version > known[d.Name] {
+				answer.Documents = append(answer.Documents, &peer.Document{Name: d.Name, Version: d.Version, Body: d.Body})
+			}
+		}
+	}
+	return connect.NewResponse(answer), nil
+}
--- a/tarragonshed/overseer/watch_test.go
+++ b/tarragonshed/overseer/watch_test.go
@@ -209,6 +209,19 @@
 	is.True(!(&trouble{reason: missing}).asksAgain(now))
 }
 
+// TestSilentSinceLastAsked: what one question has shown stays until the daemon answers.
+func TestSilentSinceLastAsked(t *testing.T) {
+	is := is.New(t)
+	store := &memory{}
+	first, second := served(t, "a", store), served(t, "b", store)
+	is.NoErr(second.read())
+	is.NoErr(first.read())
+	trouble := &trouble{reason: unreachable, silent: map[unit.DaemonID]bool{"b": true, "long-gone": true}}
+	first.witness("g", "i", trouble)
+	is.Equal(trouble.silent, map[unit.DaemonID]bool{"b": false, "long-gone": true})
+	is.True(trouble.shared) // b does not know the instance.
+}
+
 // TestFewWitnesses: on a long list a daemon asks those that go before it, and not all
 // others.
 func TestFewWitnesses(t *testing.T) {
