entry: the fake home severs what it had when the batch came

Cause: a race of the test with its fake. The test waits until the claim of the key has been opened and then ends the severing; the fake noted the claim first and read whether to sever only when it ran the batch, so the claim could run and succeed. With a pause of 20 ms between the two the old fake fails each time, the new one never: it decides when the batch comes, under the lock under which the claim is noted.

--- a/tarragonshed/entry/fake_test.go
+++ b/tarragonshed/entry/fake_test.go
@@ -147,6 +147,8 @@
 	statements map[string]string
 	portal     string
 	answer     []byte
+	// sever and severRows are those of the instance when the batch came.
+	sever, severRows bool
 }
 
 func (l *fakeLane) Close() {
@@ -179,6 +181,10 @@
 		if !l.begin(open) {
 			return nil
 		}
+	} else {
+		l.fake.mu.Lock()
+		l.sever, l.severRows = l.instance.sever, l.instance.severRows
+		l.fake.mu.Unlock()
 	}
 	if request.GetCancel() != nil && l.instance.silent {
 		// Held back at the home.
@@ -201,6 +207,7 @@
 	defer l.fake.mu.Unlock()
 	l.instance = l.fake.instances[unit.InstanceName(open.Instance)]
 	l.fake.opened = append(l.fake.opened, open)
+	l.sever, l.severRows = l.instance.sever, l.instance.severRows
 	l.read, l.status = open.Class == peer.Class_CLASS_READ, statusIdle
 	code := l.instance.refuse
 	if l.instance.report.Applied.Before(translator.FromPosition(open.Floor)) {
@@ -228,10 +235,10 @@
 		held = held || l.portal == "SELECT hang"
 		return true
 	})
-	if l.instance.severRows {
+	if l.severRows {
 		l.responses <- &peer.CarryResponse{Kind: &peer.CarryResponse_Answer{Answer: &peer.Answer{Messages: l.answer}}}
 	}
-	if l.instance.sever || l.instance.severRows {
+	if l.sever || l.severRows {
 		l.fake.replicate(l.instance.report.Instance)
 		l.Close()
 		return nil
@@ -330,7 +337,7 @@
 			l.reply(showDescription("value"))
 		}
 		l.reply(&pgproto3.DataRow{Values: [][]byte{[]byte(l.instance.report.Instance)}})
-		if !l.instance.severRows {
+		if !l.severRows {
 			l.reply(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
 		}
 	case "BEGIN":
