--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -17,11 +17,20 @@
 // # While the store is away
 //
 // No row can change while nobody reaches the store, but a daemon can't tell that
-// from a failure of its own path. It asks all daemons of the list that came with
-// its last confirmation to vouch that they are not changing any row. When every
-// one of them has answered, before the authority ends, it lasts for a lease from the
-// sending of the question, but never past [Config.Extension] after the last
-// confirmation. One daemon that does not answer ends it.
+// from a failure of its own path. It asks the daemons of the list that came with its
+// last confirmation to vouch, before its authority ends. Each answer that it counts
+// was given to a question sent less than a lease ago, so the authority lasts for a
+// lease from the sending of the question, and it ends in two cases at the latest:
+//
+//   - When all of them vouch, nobody is changing a row: [Config.Extension] after the last
+//     confirmation.
+//   - When the daemon and those that vouch are more than half of the list, or half of
+//     it with its first by name, somebody may have claimed a row: [Config.Majority] after
+//     the last confirmation. So the larger side of a network partition goes on without
+//     the store.
+//
+// A daemon that has dropped a group names it when it vouches, and one that knows newer
+// rows than the asker is not counted to a majority.
 //
 // From [Authorizer.BeginChange] to [Authorizer.EndChange] a daemon vouches for
 // nothing, because a call to the store whose answer was lost may still be carried
@@ -30,10 +39,7 @@
 //
 // # Who waits how long
 //
-// A change waits until all listed daemons have dropped the group, or for
-// [Authorizer.Wait]. That is a lease, or the whole extension if this daemon has
-// been on the list for less than that: daemons may extend their authority by an
-// older list that does not have it.
+// A change waits until nobody can have authority any more, see [Settlement].
 //
 // # Usage
 //
@@ -109,14 +115,18 @@
 	Members     map[unit.DaemonID]Member
 	// Now is the store's clock at that moment.
 	Now time.Duration
+	// Epoch is the version of the newest row.
+	Epoch uint64
 }
 
 // Config holds the times of an [Authorizer]. All daemons must have the same.
 type Config struct {
 	// Lease is how long a confirmation lasts.
 	Lease time.Duration
-	// Extension is how long the daemons may keep their authority among
-	// themselves without a confirmation by the store.
+	// Majority is how long more than half of the daemons may keep their authority
+	// without a confirmation by the store: no shorter than Lease.
+	Majority time.Duration
+	// Extension is the same for all of the daemons: no shorter than Majority.
 	Extension time.Duration
 }
 
@@ -130,19 +140,13 @@
 	view      View
 	confirmed unit.Instant // When the last confirmation was asked for.
 	known     bool         // Whether there has been one.
-	extended  unit.Instant // Until when the daemons extended the authority.
+	extended  unit.Instant // Until when the daemons have extended the authority.
 	dropped   map[unit.GroupName]unit.Instant
 
 	own      map[unit.GroupName]bool // Groups whose row this daemon is changing.
 	question *question
 }
 
-// question asks all daemons for an extension.
-type question struct {
-	asked   unit.Instant
-	missing map[unit.DaemonID]unit.Incarnation
-}
-
 // New returns an Authorizer without authority.
 func New(self unit.DaemonID, incarnation unit.Incarnation, config Config) *Authorizer {
 	return &Authorizer{
@@ -190,10 +194,7 @@
 	if a.view.Leaderships[l.Group] != l || l.State != Leading || a.own[l.Group] || !a.listed() {
 		return false
 	}
-	if at, ok := a.dropped[l.Group]; ok && a.confirmed <= at {
-		return false
-	}
-	return now < a.until()
+	return !a.gaveUp(l.Group) && now < a.until()
 }
 
 // Active reports whether the daemon has authority over any group that has a primary.
@@ -219,6 +220,13 @@
 	return len(a.own) == 0
 }
 
+// gaveUp reports whether the daemon has dropped the group since the last confirmation
+// was asked for.
+func (a *Authorizer) gaveUp(group unit.GroupName) bool {
+	at, ok := a.dropped[group]
+	return ok && a.confirmed <= at
+}
+
 // HoldsDuty reports whether the daemon is known to hold the duty at now. An
 // extension by other daemons does not count.
 func (a *Authorizer) HoldsDuty(fence unit.Fence, now unit.Instant) bool {
@@ -227,9 +235,6 @@
 		now < a.confirmed.Add(a.config.Lease)
 }
 
-// Vouch reports whether the daemon vouches that it is not changing any row.
-func (a *Authorizer) Vouch() bool { return len(a.own) == 0 }
-
 // BeginChange tells that a transaction is about to be sent that takes a primary
 // out of use. It returns false if it must not be sent. The daemon itself has no
 // authority over the group until [Authorizer.EndChange]: the store may confirm the
@@ -249,15 +254,6 @@
 	a.Drop(group, now)
 }
 
-// Wait returns how long after the answer to the transaction a change has to wait
-// for daemons that have not dropped the group.
-func (a *Authorizer) Wait() time.Duration {
-	if !a.listed() || a.Young(a.view.Members[a.self]) {
-		return a.config.Extension
-	}
-	return a.config.Lease
-}
-
 // Young reports whether the daemon came on the list less than the extension ago.
 func (a *Authorizer) Young(m Member) bool { return a.view.Now-m.Listed < a.config.Extension }
 
@@ -291,47 +287,3 @@
 	}
 	return members
 }
-
-// Ask begins a question for an extension and returns whom to ask. It returns
-// false if none can succeed. An authority that has ended is not extended: the
-// rows may have been changed since.
-func (a *Authorizer) Ask(now unit.Instant) ([]Member, bool) {
-	if !a.listed() || now >= a.until() || now >= a.confirmed.Add(a.config.Extension) {
-		return nil, false
-	}
-	a.question = &question{asked: now, missing: make(map[unit.DaemonID]unit.Incarnation)}
-	var asked []Member
-	for _, m := range a.view.Listed() {
-		if m.Daemon != a.self {
-			a.question.missing[m.Daemon] = m.Incarnation
-			asked = append(asked, m)
-		}
-	}
-	a.settle()
-	return asked, true
-}
-
-// Vouched records that a daemon has vouched in answer to the question that was
-// asked at the moment given. An answer counts only while the authority holds: a
-// change that waited for its end may have been made before a later answer was
-// given. A later incarnation than that of the list counts as well, because the
-// earlier one, with whatever it was changing, has ended.
-func (a *Authorizer) Vouched(daemon unit.DaemonID, incarnation unit.Incarnation, asked, now unit.Instant) {
-	q := a.question
-	if q == nil || q.asked != asked || q.missing[daemon] > incarnation || now >= a.until() {
-		return
-	}
-	delete(q.missing, daemon)
-	a.settle()
-}
-
-// settle extends the authority when nobody is left to answer.
-func (a *Authorizer) settle() {
-	q := a.question
-	if len(q.missing) > 0 {
-		return
-	}
-	until := min(q.asked.Add(a.config.Lease), a.confirmed.Add(a.config.Extension))
-	a.extended = max(a.extended, until)
-	a.question = nil
-}
--- a/authorizer/authorizer_test.go
+++ b/authorizer/authorizer_test.go
@@ -11,10 +11,11 @@
 
 const (
 	lease     = time.Second
+	majority  = 4 * time.Second
 	extension = 10 * time.Second
 )
 
-var config = Config{Lease: lease, Extension: extension}
+var config = Config{Lease: lease, Majority: majority, Extension: extension}
 
 func at(d time.Duration) unit.Instant { return unit.Instant(time.Hour + d) }
 
@@ -27,6 +28,7 @@
 		},
 		Members: make(map[unit.DaemonID]Member),
 		Now:     now,
+		Epoch:   7,
 	}
 	for _, d := range daemons {
 		v.Members[d] = Member{Daemon: d, Incarnation: 1}
@@ -47,6 +49,11 @@
 	is.Equal(ok, want)
 }
 
+// vouches is the answer of a daemon that is changing no row.
+func vouches(daemon unit.DaemonID, incarnation unit.Incarnation) Vouch {
+	return Vouch{Daemon: daemon, Incarnation: incarnation, Idle: true}
+}
+
 func TestLeaseCountsFromTheSendingOfTheRequest(t *testing.T) {
 	a := confirmed("other")
 	holds(t, a, lease-1, true)
@@ -140,11 +147,11 @@
 	is.True(ok)
 	is.Equal(len(members), 2)
 	answered := at(950 * time.Millisecond)
-	a.Vouched("b", 2, asked, answered) // It has restarted since the list was made.
-	holds(t, a, lease, false)          // One has not answered.
-	a.Vouched("c", 0, asked, answered)
+	a.Vouched(vouches("b", 2), asked, answered) // It has restarted since the list was made.
+	holds(t, a, lease, false)                   // One has not answered.
+	a.Vouched(vouches("c", 0), asked, answered)
 	holds(t, a, lease, false) // That was one that has ended since.
-	a.Vouched("c", 1, asked, answered)
+	a.Vouched(vouches("c", 1), asked, answered)
 	holds(t, a, lease, true)
 	holds(t, a, 900*time.Millisecond+lease, false)
 }
@@ -157,7 +164,7 @@
 	asked := at(900 * time.Millisecond)
 	_, ok := a.Ask(asked)
 	is.True(ok)
-	a.Vouched("b", 1, asked, at(lease))
+	a.Vouched(vouches("b", 1), asked, at(lease))
 	holds(t, a, lease, false)
 }
 
@@ -167,7 +174,7 @@
 		now := 500 * time.Millisecond
 		for ; now < extension; now += 500 * time.Millisecond {
 			if _, ok := a.Ask(at(now)); ok {
-				a.Vouched("b", 1, at(now), at(now))
+				a.Vouched(vouches("b", 1), at(now), at(now))
 			}
 		}
 		holds(t, a, extension-1, true)
@@ -183,7 +190,7 @@
 		a := confirmed("b")
 		a.Ask(at(100 * time.Millisecond))
 		a.Ask(at(900 * time.Millisecond))
-		a.Vouched("b", 1, at(100*time.Millisecond), at(950*time.Millisecond))
+		a.Vouched(vouches("b", 1), at(100*time.Millisecond), at(950*time.Millisecond))
 		holds(t, a, lease, false)
 	})
 }
@@ -191,23 +198,163 @@
 func TestVouch(t *testing.T) {
 	is := is.New(t)
 	a := confirmed("b")
-	is.True(a.Vouch())
+	is.True(a.Vouch(7).Idle)
 	is.True(a.BeginChange("g"))
-	is.True(!a.Vouch())
+	is.True(!a.Vouch(7).Idle)
 	a.EndChange("g", at(1))
-	is.True(a.Vouch())
+	is.Equal(a.Vouch(7), Vouch{Daemon: "me", Incarnation: 1, Idle: true, Dropped: []unit.GroupName{"g"}})
+	a.Reconfirm(at(2), time.Minute)
+	is.Equal(a.Vouch(7), vouches("me", 1)) // It knows the outcome of the change.
+	is.True(a.Vouch(6).Ahead)
 }
 
-func TestWait(t *testing.T) {
-	is := is.New(t)
+func TestMajority(t *testing.T) {
+	// ask returns a daemon of a list of four that has asked for an extension.
+	asked := at(900 * time.Millisecond)
+	ask := func() *Authorizer {
+		a := confirmed("a", "b", "c")
+		a.Ask(asked)
+		a.Vouched(vouches("b", 1), asked, asked)
+		return a
+	}
+	t.Run("half of the list is none", func(t *testing.T) {
+		holds(t, ask(), lease, false)
+	})
+	t.Run("half of it with the first by name", func(t *testing.T) {
+		a := confirmed("a", "b", "c")
+		a.Ask(asked)
+		a.Vouched(vouches("a", 1), asked, asked)
+		holds(t, a, lease, true)
+	})
+	t.Run("more than half", func(t *testing.T) {
+		a := ask()
+		a.Vouched(vouches("c", 1), asked, asked)
+		holds(t, a, 900*time.Millisecond+lease-1, true)
+		holds(t, a, 900*time.Millisecond+lease, false)
+	})
+	t.Run("the same daemon twice counts once", func(t *testing.T) {
+		a := ask()
+		a.Vouched(vouches("b", 1), asked, asked)
+		holds(t, a, lease, false)
+	})
+	t.Run("one that was restarted may have dropped a group", func(t *testing.T) {
+		a := ask()
+		a.Vouched(vouches("c", 2), asked, asked)
+		holds(t, a, lease, false)
+	})
+	t.Run("one that knows newer rows does not count", func(t *testing.T) {
+		a := ask()
+		ahead := vouches("c", 1)
+		ahead.Ahead = true
+		a.Vouched(ahead, asked, asked)
+		holds(t, a, lease, false)
+	})
+	t.Run("one that is changing a row does not count", func(t *testing.T) {
+		a := ask()
+		a.Vouched(Vouch{Daemon: "c", Incarnation: 1}, asked, asked)
+		holds(t, a, lease, false)
+	})
+	t.Run("groups that one has dropped are not used", func(t *testing.T) {
+		is := is.New(t)
+		a := ask()
+		dropped := vouches("c", 1)
+		dropped.Dropped = []unit.GroupName{"g"}
+		a.Vouched(dropped, asked, asked)
+		holds(t, a, lease, false)
+		_, other := a.Primary("h", at(lease))
+		is.True(other)
+	})
+	t.Run("it ends earlier than that of all", func(t *testing.T) {
+		a := confirmed("b", "c")
+		for now := 500 * time.Millisecond; now < extension; now += 500 * time.Millisecond {
+			if _, ok := a.Ask(at(now)); ok {
+				a.Vouched(vouches("b", 1), at(now), at(now))
+			}
+		}
+		holds(t, a, majority-1, true)
+		holds(t, a, majority, false)
+	})
+}
+
+// settle returns the settlement of a claim at zero by a daemon that came on the list
+// at listed, as the others did at theirs. The store's clock is at one minute.
+func settle(listed time.Duration, others map[unit.DaemonID]time.Duration) *Settlement {
 	a := New("me", 1, config)
-	v := view(20*time.Second, "me")
-	v.Members["me"] = Member{Daemon: "me", Incarnation: 1, Listed: 11 * time.Second}
+	v := view(time.Minute, "me")
+	v.Members["me"] = Member{Daemon: "me", Incarnation: 1, Listed: listed}
+	for d, at := range others {
+		v.Members[d] = Member{Daemon: d, Incarnation: 1, Listed: at}
+	}
 	a.Confirm(v, at(0))
-	is.Equal(a.Wait(), extension) // Lists older than this daemon may be in use.
-	v.Now = 21 * time.Second
-	a.Confirm(v, at(1))
-	is.Equal(a.Wait(), lease)
+	return a.Settle(at(0), at(0))
+}
+
+// settles checks when the settlement is reached if nobody else answers.
+func settles(t *testing.T, s *Settlement, when time.Duration) {
+	t.Helper()
+	is := is.NewRelaxed(t)
+	is.True(!s.Settled(at(when - 1)))
+	is.True(s.Settled(at(when)))
+}
+
+func TestSettlement(t *testing.T) {
+	old := time.Duration(0)
+	four := map[unit.DaemonID]time.Duration{"b": old, "c": old, "d": old}
+	t.Run("all have dropped the group", func(t *testing.T) {
+		is := is.New(t)
+		s := settle(old, four)
+		for _, d := range []unit.DaemonID{"b", "c", "d"} {
+			is.True(!s.Settled(at(1)))
+			s.Drop(d, at(1))
+		}
+		is.True(s.Settled(at(1)))
+	})
+	t.Run("half of the daemons are a majority with the first", func(t *testing.T) {
+		s := settle(old, four)
+		s.Drop("c", at(1))
+		settles(t, s, majority)
+	})
+	t.Run("the rest is no majority", func(t *testing.T) {
+		s := settle(old, four)
+		s.Drop("c", at(100*time.Millisecond))
+		s.Drop("d", at(300*time.Millisecond))
+		settles(t, s, 300*time.Millisecond+lease)
+	})
+	t.Run("half of them is none without the first", func(t *testing.T) {
+		s := settle(old, four)
+		s.Drop("b", at(300*time.Millisecond))
+		settles(t, s, 300*time.Millisecond+lease)
+	})
+	t.Run("one alone is none from the start", func(t *testing.T) {
+		settles(t, settle(old, map[unit.DaemonID]time.Duration{"z": old}), lease)
+	})
+	t.Run("a row that named no primary before the claim", func(t *testing.T) {
+		a := confirmed("b", "c", "d")
+		settles(t, a.Settle(at(0), at(-2*time.Second)), majority-2*time.Second)
+		settles(t, a.Settle(at(0), at(-time.Minute)), lease)
+	})
+	t.Run("the same daemon twice counts once", func(t *testing.T) {
+		s := settle(old, map[unit.DaemonID]time.Duration{"b": old, "c": old, "d": old, "e": old, "f": old})
+		s.Drop("c", at(1))
+		s.Drop("c", at(2))
+		settles(t, s, majority)
+	})
+	t.Run("one that came on the list lately is not on all lists in use", func(t *testing.T) {
+		s := settle(old, map[unit.DaemonID]time.Duration{"b": time.Minute - majority + 1, "c": old, "d": old})
+		s.Drop("b", at(1))
+		settles(t, s, majority)
+	})
+	t.Run("one long enough on the list is", func(t *testing.T) {
+		s := settle(old, map[unit.DaemonID]time.Duration{"b": time.Minute - majority, "c": old, "d": old})
+		s.Drop("b", at(1))
+		settles(t, s, lease+1)
+	})
+	t.Run("lists older than this daemon may be in use", func(t *testing.T) {
+		s := settle(time.Minute-extension+1, four)
+		s.Drop("b", at(1))
+		s.Drop("c", at(1))
+		settles(t, s, extension)
+	})
 }
 
 func TestHoldersIncludeThoseJustRemoved(t *testing.T) {
--- a/authorizer/model_test.go
+++ b/authorizer/model_test.go
@@ -31,14 +31,23 @@
 	monotonicClock   fault = "leases are measured by a clock that stands still in suspensions"
 	forgetRemoved    fault = "daemons just taken off the list are not waited for"
 	staleHolders     fault = "the list from before the claim says who is to be waited for"
+	minorityWaits    fault = "a change waits for a lease whoever has dropped the group"
+	majorityEndless  fault = "extensions by a majority end as late as those by all"
+	hiddenDrop       fault = "a daemon vouches for a group that it has dropped"
+	vouchAhead       fault = "a daemon vouches to a majority that knows newer rows"
+	vouchRestarted   fault = "a daemon restarted since vouches to a majority"
+	unsteadyCounts   fault = "daemons new on the list count against a majority"
 )
 
 const (
 	modelLease     = time.Second
+	modelMajority  = 3 * time.Second
 	modelExtension = 5 * time.Second
 	modelStep      = 20 * time.Millisecond
 	modelLength    = 40 * time.Second
 	modelDaemons   = 4
+	// splitDaemons is the number of daemons in a world with partitions.
+	splitDaemons = 5
 )
 
 // world is a deployment in virtual time: daemons with an [authorizer.Authorizer]
@@ -52,8 +61,12 @@
 	rows     authorizer.View
 	versions map[string]int
 	version  int
-	down     time.Duration // Until when the store is away for all.
-	reign    int           // Counts the promotions that took effect.
+	down     time.Duration          // Until when the store is away for all.
+	splits   bool                   // Whether there are partitions.
+	split    time.Duration          // Until when there is one.
+	beyond   map[unit.DaemonID]bool // Daemons that don't reach the store then.
+	bridge   unit.DaemonID          // One that reaches both sides.
+	reign    int                    // Counts the promotions that took effect.
 	primary  map[int]unit.InstanceName
 
 	daemons []*node
@@ -76,6 +89,7 @@
 	auth        *authorizer.Authorizer
 	versions    map[string]int
 	alive       bool
+	absent      bool          // Not there yet.
 	frozen      time.Duration // Until when it stands still.
 	lost        time.Duration // Time spent frozen, for the wrong clock.
 	cut         time.Duration // Until when it does not reach the store.
@@ -84,9 +98,9 @@
 	settling    authorizer.Leadership // The same once its claim is known to be carried out.
 }
 
-func newWorld(seed uint64, f fault) *world {
+func newWorld(seed uint64, f fault, splits bool) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 11)), fault: f,
+		random: rand.New(rand.NewPCG(seed, 11)), fault: f, splits: splits,
 		versions: make(map[string]int), primary: map[int]unit.InstanceName{0: "i-0"},
 		rows: authorizer.View{
 			Leaderships: map[unit.GroupName]authorizer.Leadership{
@@ -95,14 +109,36 @@
 			Members: make(map[unit.DaemonID]authorizer.Member),
 		},
 	}
-	for n := range modelDaemons {
+	daemons := modelDaemons
+	if splits {
+		daemons = splitDaemons - w.random.IntN(2) // Ties need an even number.
+	}
+	for n := range daemons {
 		d := &node{world: w, id: unit.DaemonID(fmt.Sprintf("d-%d", n))}
 		w.daemons = append(w.daemons, d)
 		d.start()
 	}
+	if daemons == splitDaemons && w.random.IntN(2) == 0 {
+		w.joinLate(w.daemons[daemons-2:])
+	}
 	return w
 }
 
+// joinLate lets the daemons begin right after a partition.
+func (w *world) joinLate(late []*node) {
+	joins := time.Duration(2000+w.random.IntN(6000)) * time.Millisecond
+	for _, d := range late {
+		d.alive, d.absent = false, true
+	}
+	w.after(joins, func() {
+		w.partition([]int{2, 0, 1}, 2)
+		for _, d := range late {
+			d.absent = false
+			d.start()
+		}
+	})
+}
+
 func (w *world) after(d time.Duration, f func()) {
 	w.queue = append(w.queue, timed{at: w.now + d, f: f})
 }
@@ -135,6 +171,9 @@
 		for _, e := range events {
 			e.f()
 		}
+		if w.splits && w.now >= w.split && w.random.IntN(400) == 0 {
+			w.partition(w.random.Perm(len(w.daemons)), 1+w.random.IntN(len(w.daemons)-2))
+		}
 		if w.random.IntN(250) == 0 {
 			w.down = w.now + time.Duration(w.random.IntN(8000))*time.Millisecond
 		}
@@ -144,17 +183,42 @@
 	}
 }
 
+// partition separates so many daemons from the store and the others for a while: those
+// that follow the first of the order, which changes the primary. All reach the
+// instances, and some time one that is cut off reaches all daemons.
+func (w *world) partition(order []int, beyond int) {
+	w.split = w.now + time.Duration(1000+w.random.IntN(7000))*time.Millisecond
+	w.beyond, w.bridge = make(map[unit.DaemonID]bool), ""
+	for _, n := range order[1 : 1+beyond] {
+		w.beyond[w.daemons[n].id] = true
+	}
+	if w.random.IntN(2) == 0 {
+		w.bridge = w.daemons[order[1]].id
+	}
+	changer := w.daemons[order[0]]
+	w.after(time.Duration(w.random.IntN(2500))*time.Millisecond, func() {
+		if changer.alive && w.now >= changer.frozen && !changer.changing {
+			changer.change()
+		}
+	})
+}
+
+// apart reports whether the two daemons are on different sides.
+func (w *world) apart(a, b *node) bool {
+	return w.now < w.split && w.beyond[a.id] != w.beyond[b.id] && a.id != w.bridge && b.id != w.bridge
+}
+
 // Messages between daemons are lost, one of so many.
 const (
 	loseVouch    = 12
 	loseWithdraw = 2
 )
 
-// tell is deliver for a message of another daemon, one in so many of which is
+// tell is deliver for a message to another daemon, one in so many of which is
 // lost.
-func (d *node) tell(lost int, f func()) {
-	if d.world.random.IntN(lost) > 0 {
-		d.deliver(f)
+func (d *node) tell(other *node, lost int, f func()) {
+	if d.world.random.IntN(lost) > 0 && !d.world.apart(d, other) {
+		other.deliver(f)
 	}
 }
 
@@ -178,9 +242,12 @@
 	w := d.world
 	d.incarnation++
 	d.alive, d.changing, d.settling = true, false, authorizer.Leadership{}
-	config := authorizer.Config{Lease: modelLease, Extension: modelExtension}
-	if w.fault == endless {
+	config := authorizer.Config{Lease: modelLease, Majority: modelMajority, Extension: modelExtension}
+	switch w.fault {
+	case endless:
 		config.Extension = time.Hour
+	case majorityEndless:
+		config.Majority = modelExtension
 	}
 	d.auth = authorizer.New(d.id, d.incarnation, config)
 	d.versions = make(map[string]int)
@@ -190,7 +257,7 @@
 func (d *node) step() {
 	w := d.world
 	if !d.alive {
-		if w.random.IntN(50) == 0 {
+		if !d.absent && w.random.IntN(50) == 0 {
 			d.start()
 		}
 		return
@@ -199,7 +266,11 @@
 		d.lost += modelStep
 		return
 	}
-	switch w.random.IntN(2000) {
+	failures, changes := 2000, 300
+	if w.splits { // A daemon that is changing a row vouches for nothing.
+		failures, changes = 10_000, 3000
+	}
+	switch w.random.IntN(failures) {
 	case 0, 1, 2:
 		d.alive = false
 		return
@@ -219,13 +290,16 @@
 	if w.random.IntN(4) == 0 {
 		d.use()
 	}
-	if w.random.IntN(300) == 0 && !d.changing {
+	if w.random.IntN(changes) == 0 && !d.changing {
 		d.change()
 	}
 }
 
 // reaches reports whether a call of the daemon reaches the store now.
-func (d *node) reaches() bool { return d.world.now >= d.cut && d.world.now >= d.world.down }
+func (d *node) reaches() bool {
+	w := d.world
+	return w.now >= d.cut && w.now >= w.down && (w.now >= w.split || !w.beyond[d.id])
+}
 
 // confirm reads all rows, and puts the daemon on the list if it isn't.
 func (d *node) confirm() {
@@ -236,7 +310,7 @@
 			return
 		}
 		view, versions := copied(w.rows), maps.Clone(w.versions)
-		view.Now = w.now
+		view.Now, view.Epoch = w.now, uint64(w.version)
 		d.deliver(func() {
 			if w.fault == confirmAtReceipt {
 				asked = w.clock(d)
@@ -302,23 +376,36 @@
 	if !ok {
 		return
 	}
+	epoch := d.auth.View().Epoch
 	for n, m := range members {
 		if w.fault == someVouch && n > 0 {
-			d.auth.Vouched(m.Daemon, m.Incarnation, asked, asked)
+			d.auth.Vouched(authorizer.Vouch{Daemon: m.Daemon, Incarnation: m.Incarnation, Idle: true}, asked, asked)
 			continue
 		}
 		other := w.find(m.Daemon)
-		other.tell(loseVouch, func() {
-			incarnation := other.incarnation
-			if other.auth.Vouch() || w.fault == vouchInChange {
-				d.deliver(func() {
-					d.auth.Vouched(other.id, incarnation, asked, w.clock(d))
-				})
-			}
+		d.tell(other, loseVouch, func() {
+			v := other.vouch(epoch, m)
+			d.deliver(func() { d.auth.Vouched(v, asked, w.clock(d)) })
 		})
 	}
 }
 
+// vouch answers a daemon that has this one on its list as m.
+func (d *node) vouch(epoch uint64, m authorizer.Member) authorizer.Vouch {
+	v := d.auth.Vouch(epoch)
+	switch d.world.fault {
+	case vouchInChange:
+		v.Idle = true
+	case hiddenDrop:
+		v.Dropped = nil
+	case vouchAhead:
+		v.Ahead, v.Dropped = false, nil
+	case vouchRestarted:
+		v.Incarnation = m.Incarnation
+	}
+	return v
+}
+
 func (w *world) find(id unit.DaemonID) *node {
 	for _, d := range w.daemons {
 		if d.id == id {
@@ -460,7 +547,7 @@
 			return
 		}
 		view, versions := copied(w.rows), maps.Clone(w.versions)
-		view.Now = w.now
+		view.Now, view.Epoch = w.now, uint64(w.version)
 		d.deliver(func() {
 			d.auth.Confirm(view, asked)
 			d.versions = versions
@@ -472,32 +559,12 @@
 // withdraw asks all who may have authority to give it up, and waits.
 func (d *node) withdraw(row authorizer.Leadership, claimed unit.Instant) {
 	w := d.world
-	holders, wait := d.auth.Holders(), d.auth.Wait()
-	switch w.fault {
-	case youngWaitsLease, unlistedChanges:
-		wait = modelLease
-	case forgetRemoved:
-		holders = slices.DeleteFunc(holders, func(m authorizer.Member) bool { return m.Removed != 0 })
-	case endless:
-		wait = modelLease // Whatever a young daemon waits is too short.
-	}
-	missing := make(map[unit.DaemonID]bool)
-	for _, m := range holders {
-		missing[m.Daemon] = true
-	}
-	for _, m := range holders {
-		other := w.find(m.Daemon)
-		other.tell(loseWithdraw, func() {
-			if other.auth.Drop("g", w.clock(other)) {
-				d.deliver(func() { delete(missing, m.Daemon) })
-			}
-		})
-	}
-	until := claimed.Add(wait)
+	settlement := d.settlement(claimed)
+	d.askToDrop(settlement, 0)
 	var poll func()
 	poll = func() {
 		d.deliver(func() {
-			if len(missing) > 0 && w.clock(d) < until && w.fault != noWait {
+			if !settlement.Settled(w.clock(d)) && !d.hasty(claimed) {
 				poll()
 				return
 			}
@@ -507,6 +574,68 @@
 	poll()
 }
 
+// dropTries is how often a daemon that has not dropped the group is asked again in a
+// world with partitions.
+const dropTries = 4
+
+// askToDrop asks those who may have authority to give it up.
+func (d *node) askToDrop(s *authorizer.Settlement, try int) {
+	w := d.world
+	for _, m := range s.Holding() {
+		other := w.find(m.Daemon)
+		if w.fault == forgetRemoved && m.Removed != 0 {
+			s.Drop(m.Daemon, w.clock(d))
+			continue
+		}
+		d.tell(other, loseWithdraw, func() {
+			if other.auth.Drop("g", w.clock(other)) {
+				d.deliver(func() { s.Drop(m.Daemon, w.clock(d)) })
+			}
+			if w.splits && w.random.IntN(2) == 0 {
+				other.start() // It has crashed and is back at once.
+			}
+		})
+	}
+	if w.splits && try < dropTries {
+		w.after(300*time.Millisecond, func() { d.deliver(func() { d.askToDrop(s, try+1) }) })
+	}
+}
+
+// settlement returns the settlement of the claim.
+func (d *node) settlement(claimed unit.Instant) *authorizer.Settlement {
+	w := d.world
+	if w.fault != unsteadyCounts {
+		return d.auth.Settle(claimed, claimed)
+	}
+	view := copied(d.auth.View())
+	for id, m := range view.Members {
+		if id != d.id {
+			m.Listed = 0
+			view.Members[id] = m
+		}
+	}
+	asked, _ := d.auth.Confirmed()
+	d.auth.Confirm(view, asked)
+	return d.auth.Settle(claimed, claimed)
+}
+
+// hasty reports whether a broken daemon makes the change before it is settled.
+func (d *node) hasty(claimed unit.Instant) bool {
+	waited := d.world.clock(d).Sub(claimed)
+	young := d.auth.Young(d.auth.View().Members[d.id])
+	switch d.world.fault {
+	case noWait:
+		return true
+	case youngWaitsLease:
+		return young && waited >= modelLease
+	case unlistedChanges, minorityWaits, endless: // Whatever a young daemon waits is too short.
+		return waited >= modelLease
+	case majorityEndless:
+		return !young && waited >= modelMajority // The others know a longer bound.
+	}
+	return false
+}
+
 func (d *node) promote(row authorizer.Leadership) {
 	w := d.world
 	w.after(w.latency(), func() {
@@ -531,9 +660,9 @@
 
 // outcome plays many schedules and returns the first violation, and how much was
 // done.
-func outcome(f fault, seeds int) (broken string, used, changed int) {
+func outcome(f fault, splits bool, seeds int) (broken string, used, changed int) {
 	for seed := range seeds {
-		w := newWorld(uint64(seed), f)
+		w := newWorld(uint64(seed), f, splits)
 		w.run()
 		used += w.used
 		changed += w.reign
@@ -545,24 +674,36 @@
 }
 
 func TestNoAnswerOfAReplacedPrimaryIsUsed(t *testing.T) {
-	is := is.New(t)
-	broken, used, changed := outcome(none, 300)
-	is.Equal(broken, "")
-	is.True(used > 50_000) // The schedules leave room for work
-	is.True(changed > 500) // and for changes.
+	for name, splits := range map[string]bool{"store and daemons fail": false, "and the network is partitioned": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			broken, used, changed := outcome(none, splits, 500)
+			is.Equal(broken, "")
+			is.True(used > 50_000) // The schedules leave room for work
+			is.True(changed > 500) // and for changes.
+		})
+	}
 }
 
 func TestBrokenProtocolsAreFoundOut(t *testing.T) {
+	found := func(t *testing.T, f fault, splits bool) {
+		t.Helper()
+		t.Parallel()
+		is := is.New(t)
+		broken, _, _ := outcome(f, splits, 3000)
+		t.Log(broken)
+		is.True(broken != "")
+	}
 	for _, f := range []fault{
 		checkOnSend, noWait, someVouch, vouchInChange, youngWaitsLease, unlistedChanges,
 		endless, reviveAuthority, confirmAtReceipt, monotonicClock, forgetRemoved, staleHolders,
 	} {
-		t.Run(string(f), func(t *testing.T) {
-			is := is.New(t)
-			broken, _, _ := outcome(f, 3000)
-			t.Log(broken)
-			is.True(broken != "")
-		})
+		t.Run(string(f), func(t *testing.T) { found(t, f, false) })
+	}
+	for _, f := range []fault{
+		minorityWaits, majorityEndless, hiddenDrop, vouchAhead, vouchRestarted, unsteadyCounts,
+	} {
+		t.Run(string(f), func(t *testing.T) { found(t, f, true) })
 	}
 }
 
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -4,17 +4,20 @@
 // # Steps
 //
 //	claim    the row of the group says Changing, with the duty's fence
-//	settle   no daemon may use the old primary any more
+//	settle   no daemon may use the old primary any more, see [authorizer.Settlement]
 //	choose   the replica that has received most
 //	promote  the platform is told, again with the same fence if no answer comes
 //	verify   the instance says that it leads a higher term
 //	publish  the row of the group names the new primary
 //
 // The claim is a transaction of the shell, because its outcome decides whether
-// there is a change at all; a Replacer begins after it. The change is settled when
-// every daemon that may have authority has dropped the group, or after
-// [Plan.Wait]. The replicas are looked at after that: what was acknowledged had
-// been written by then, so it shows in their positions if they have it at all.
+// there is a change at all; a Replacer begins after it. The replicas are looked at when
+// the change is settled: what was acknowledged had been written by then, so it shows in
+// their positions if they have it at all.
+//
+// A primary that works steps down first. One that was not reached steps down when another
+// is promoted: if it is reached again before, the change is called off, because it has
+// all that was acknowledged.
 //
 // # Usage
 //
@@ -38,6 +41,7 @@
 	"slices"
 	"time"
 
+	"tarragonshed.example/authorizer"
 	"tarragonshed.example/result"
 	"tarragonshed.example/unit"
 )
@@ -59,6 +63,12 @@
 	catchUpPatience = 400 * time.Millisecond
 	// publishPause is the time before the row is written again.
 	publishPause = 50 * time.Millisecond
+	// partitionAge is how long a change has waited to be settled when a network
+	// partition is the likely cause.
+	partitionAge = 2 * time.Second
+	// regainPatience is how long such a change waits for its old primary when all
+	// daemons have answered at last: the partition has ended.
+	regainPatience = 700 * time.Millisecond
 	// Patience bounds the whole change. Another daemon may begin it anew then.
 	Patience = 15 * time.Second
 )
@@ -72,16 +82,17 @@
 	Term unit.Term
 	// Replicas may be promoted.
 	Replicas []unit.InstanceName
-	// Holders may have authority over the primary.
-	Holders []unit.DaemonID
-	// Wait is how long after the claim daemons may use the old primary that
-	// have not dropped it.
-	Wait time.Duration
+	// Settlement tells when nobody uses the primary any more. It belongs to the
+	// Replacer.
+	Settlement *authorizer.Settlement
 	// Synchronous is the number of replicas that had to receive a write before
 	// it was acknowledged.
 	Synchronous int
 	// Planned says that the primary works and steps down first.
 	Planned bool
+	// Revocable says that the row named the primary until the claim, so that it is
+	// the primary still.
+	Revocable bool
 }
 
 // Status is what an instance says about itself.
@@ -94,13 +105,16 @@
 	Term unit.Term
 }
 
-// Event is what happened: [Dropped], [SteppedDown], [Surveyed], [Promoted],
-// [Verified], [Published] or [Tick].
+// Event is what happened: [Dropped], [Regained], [SteppedDown], [Surveyed],
+// [Promoted], [Verified], [Published] or [Tick].
 type Event interface{ event() }
 
 // Dropped tells that a daemon gave up its authority over the group.
 type Dropped struct{ Daemon unit.DaemonID }
 
+// Regained tells that the old primary is reached again and leads its term.
+type Regained struct{}
+
 // SteppedDown tells that the old primary accepts no more writes. Received is the
 // last record of its log.
 type SteppedDown struct{ Received unit.Position }
@@ -139,6 +153,7 @@
 type Tick struct{}
 
 func (Dropped) event()     {}
+func (Regained) event()    {}
 func (SteppedDown) event() {}
 func (Surveyed) event()    {}
 func (Promoted) event()    {}
@@ -150,8 +165,7 @@
 // [Publish] or [Stop].
 type Effect interface{ effect() }
 
-// StepDown tells the old primary, and asks all other daemons to tell it, that it
-// is no primary below the term.
+// StepDown tells the old primary that it is no primary below the term.
 type StepDown struct{ Term unit.Term }
 
 // Survey asks the instances for their status.
@@ -199,12 +213,13 @@
 	entered unit.Instant // The step.
 	due     unit.Instant // When the step's call is made again. Zero while it runs.
 
-	holding   map[unit.DaemonID]bool
 	statuses  map[unit.InstanceName]Status
 	unfit     map[unit.InstanceName]bool
 	last      unit.Position // Of the primary that stepped down.
 	candidate unit.InstanceName
 	leader    Status
+	called    bool // Whether a promotion may have been asked for.
+	healed    bool // Whether the old primary may be reached in a moment.
 }
 
 // New begins the change of a row that was claimed by a transaction whose answer
@@ -212,15 +227,11 @@
 func New(plan Plan, now unit.Instant) (*Replacer, []Effect) {
 	r := &Replacer{
 		plan: plan, began: now, entered: now,
-		holding: make(map[unit.DaemonID]bool),
-		unfit:   make(map[unit.InstanceName]bool),
-	}
-	for _, d := range plan.Holders {
-		r.holding[d] = true
+		unfit: make(map[unit.InstanceName]bool),
 	}
 	var effects []Effect
-	if plan.Primary != "" {
-		effects = append(effects, StepDown{Term: plan.Term + 1})
+	if plan.Planned {
+		effects = r.stepDown()
 	}
 	return r, append(effects, r.Step(Tick{}, now)...)
 }
@@ -232,7 +243,9 @@
 	}
 	switch event := event.(type) {
 	case Dropped:
-		delete(r.holding, event.Daemon)
+		r.plan.Settlement.Drop(event.Daemon, now)
+	case Regained:
+		return r.regained(now)
 	case SteppedDown:
 		r.last = r.last.Max(event.Received)
 	case Surveyed:
@@ -255,7 +268,7 @@
 	switch r.step {
 	case settling:
 		if r.settled(now) {
-			return r.survey(now)
+			return r.proceed(now)
 		}
 	case choosing:
 		return r.choose(now)
@@ -288,7 +301,30 @@
 
 // settled reports whether no daemon may use the old primary any more.
 func (r *Replacer) settled(now unit.Instant) bool {
-	return r.plan.Primary == "" || len(r.holding) == 0 || now.Sub(r.began) >= r.plan.Wait
+	return r.plan.Primary == "" || r.plan.Settlement.Settled(now)
+}
+
+// proceed goes on with a change that is settled.
+func (r *Replacer) proceed(now unit.Instant) []Effect {
+	r.healed = r.plan.Revocable && now.Sub(r.began) > partitionAge && len(r.plan.Settlement.Holding()) == 0
+	return r.survey(now)
+}
+
+func (r *Replacer) stepDown() []Effect {
+	if r.plan.Primary == "" {
+		return nil
+	}
+	return []Effect{StepDown{Term: r.plan.Term + 1}}
+}
+
+// regained calls the change off: the row names the same primary again.
+func (r *Replacer) regained(now unit.Instant) []Effect {
+	if r.step > choosing || r.called || !r.plan.Revocable {
+		return r.advance(now)
+	}
+	r.candidate, r.leader = r.plan.Primary, Status{Instance: r.plan.Primary, Primary: true, Term: r.plan.Term}
+	r.enter(publishing, now)
+	return []Effect{r.call()}
 }
 
 func (r *Replacer) survey(now unit.Instant) []Effect {
@@ -314,6 +350,9 @@
 		}
 		return nil
 	}
+	if r.healed && waited < regainPatience {
+		return nil
+	}
 	if len(r.statuses) < len(r.plan.Replicas) && waited < surveyPatience*time.Duration(1+r.plan.Synchronous) {
 		return nil
 	}
@@ -325,7 +364,11 @@
 	}
 	r.candidate = best.Instance
 	r.enter(promoting, now)
-	return []Effect{r.call()}
+	if r.plan.Planned || r.called {
+		return []Effect{r.call()}
+	}
+	r.called = true
+	return append(r.stepDown(), r.call())
 }
 
 // best returns the status of the replica that has received most. One that leads
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"tarragonshed.example/authorizer"
 	"tarragonshed.example/unit"
 )
 
@@ -18,10 +19,22 @@
 func plan() Plan {
 	return Plan{
 		Group: "g", Primary: "a", Term: 3, Replicas: []unit.InstanceName{"b", "c"},
-		Holders: []unit.DaemonID{"d-2", "d-3"}, Wait: time.Second,
+		Settlement: settlement(2 * time.Second),
 	}
 }
 
+// settlement is that of a daemon with two others. It waits for a lease when one of them
+// has dropped the group.
+func settlement(majority time.Duration) *authorizer.Settlement {
+	a := authorizer.New("d-1", 1, authorizer.Config{Lease: time.Second, Majority: majority, Extension: 5 * time.Second})
+	v := authorizer.View{Members: make(map[unit.DaemonID]authorizer.Member), Now: time.Minute}
+	for _, d := range []unit.DaemonID{"d-1", "d-2", "d-3"} {
+		v.Members[d] = authorizer.Member{Daemon: d, Incarnation: 1}
+	}
+	a.Confirm(v, 0)
+	return a.Settle(0, 0)
+}
+
 // player drives a Replacer in virtual time.
 type player struct {
 	t       *testing.T
@@ -65,7 +78,7 @@
 
 func TestChange(t *testing.T) {
 	p := play(t, plan())
-	p.does(StepDown{Term: 4})
+	p.does()
 	p.step(Dropped{"d-2"})
 	p.does()
 	p.step(Dropped{"d-3"})
@@ -73,7 +86,7 @@
 	p.step(replica("b", pos(3, 10)))
 	p.does() // The other one may have more.
 	p.step(replica("c", pos(3, 11)))
-	p.does(Promote{"c"})
+	p.does(StepDown{Term: 4}, Promote{"c"})
 	p.step(Promoted{"c", Accepted})
 	p.does(Verify{"c"})
 	p.step(Verified{Status{Instance: "c", Term: 3}})
@@ -91,7 +104,14 @@
 		p := play(t, plan())
 		p.step(Dropped{"d-2"})
 		p.pass(time.Second)
-		p.does(StepDown{Term: 4})
+		p.does()
+		p.pass(20 * time.Millisecond)
+		p.does(survey)
+	})
+	t.Run("longer if the others may go on without the store", func(t *testing.T) {
+		p := play(t, plan())
+		p.pass(2 * time.Second)
+		p.does()
 		p.pass(20 * time.Millisecond)
 		p.does(survey)
 	})
@@ -105,7 +125,7 @@
 		p := play(t, plan())
 		p.step(replica("b", pos(3, 99)))
 		p.step(Dropped{"d-2"}, Dropped{"d-3"}, replica("b", pos(3, 10)), replica("c", pos(3, 11)))
-		p.does(StepDown{Term: 4}, survey, Promote{"c"})
+		p.does(survey, StepDown{Term: 4}, Promote{"c"})
 	})
 }
 
@@ -113,7 +133,7 @@
 func settled(t *testing.T, change Plan) *player {
 	p := play(t, change)
 	p.step(Dropped{"d-2"}, Dropped{"d-3"})
-	p.does(StepDown{Term: 4}, survey)
+	p.does(survey)
 	return p
 }
 
@@ -122,7 +142,7 @@
 		p := settled(t, plan())
 		p.step(replica("b", pos(3, 10)))
 		p.pass(surveyPatience + 20*time.Millisecond)
-		p.does(Promote{"b"})
+		p.does(StepDown{Term: 4}, Promote{"b"})
 	})
 	t.Run("none answers", func(t *testing.T) {
 		p := settled(t, plan())
@@ -132,12 +152,12 @@
 	t.Run("one that leads already by an earlier promotion goes first", func(t *testing.T) {
 		p := settled(t, plan())
 		p.step(Surveyed{Status{Instance: "b", Primary: true, Term: 4, Received: pos(3, 10)}}, replica("c", pos(3, 11)))
-		p.does(Promote{"b"})
+		p.does(StepDown{Term: 4}, Promote{"b"})
 	})
 	t.Run("the obsolete primary's word does not count as leading", func(t *testing.T) {
 		p := settled(t, plan())
 		p.step(Surveyed{Status{Instance: "b", Primary: true, Term: 3, Received: pos(3, 10)}}, replica("c", pos(3, 11)))
-		p.does(Promote{"c"})
+		p.does(StepDown{Term: 4}, Promote{"c"})
 	})
 	t.Run("a planned change waits for what the old primary has", func(t *testing.T) {
 		planned := plan()
@@ -168,11 +188,57 @@
 	})
 }
 
+func TestRegained(t *testing.T) {
+	revocable := func() Plan {
+		p := plan()
+		p.Revocable = true
+		return p
+	}
+	t.Run("the change is called off", func(t *testing.T) {
+		p := play(t, revocable())
+		p.step(Dropped{"d-2"}, Regained{})
+		p.does(Publish{Primary: "a", Term: 3})
+		p.step(Published{Done: true})
+		p.does(Stop{})
+	})
+	t.Run("before a replica is promoted", func(t *testing.T) {
+		p := settled(t, revocable())
+		p.step(replica("b", pos(3, 10)), Regained{})
+		p.does(Publish{Primary: "a", Term: 3})
+	})
+	t.Run("too late", func(t *testing.T) {
+		p := settled(t, revocable())
+		p.step(replica("b", pos(3, 10)), replica("c", pos(3, 11)))
+		p.does(StepDown{Term: 4}, Promote{"c"})
+		p.step(Regained{}, Promoted{"c", NotRunning})
+		p.does(survey)
+		p.step(Regained{})
+		p.does()
+	})
+	t.Run("after a partition it is waited for", func(t *testing.T) {
+		long := revocable()
+		long.Settlement = settlement(4 * time.Second)
+		p := play(t, long)
+		p.now = unit.Instant(partitionAge + 1)
+		p.step(Dropped{"d-2"}, Dropped{"d-3"}, replica("b", pos(3, 10)), replica("c", pos(3, 11)))
+		p.does(survey)
+		p.pass(regainPatience + 20*time.Millisecond)
+		p.does(StepDown{Term: 4}, Promote{"c"})
+	})
+	t.Run("another may have been promoted", func(t *testing.T) {
+		taken := revocable()
+		taken.Revocable = false
+		p := play(t, taken)
+		p.step(Regained{})
+		p.does()
+	})
+}
+
 func TestPromoting(t *testing.T) {
 	promoting := func(t *testing.T) *player {
 		p := settled(t, plan())
 		p.step(replica("b", pos(3, 10)), replica("c", pos(3, 11)))
-		p.does(Promote{"c"})
+		p.does(StepDown{Term: 4}, Promote{"c"})
 		return p
 	}
 	t.Run("a lost answer: the same call again", func(t *testing.T) {
@@ -233,9 +299,11 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			is := is.New(t)
 			random := rand.New(rand.NewPCG(seed, 5))
-			p := play(t, plan())
+			change := plan()
+			change.Revocable = seed%2 == 0
+			p := play(t, change)
 			dropped := make(map[unit.DaemonID]bool)
-			stopped := false
+			promoted, stopped := false, false
 			for !stopped && p.now < unit.Instant(Patience+time.Minute) {
 				names := []unit.InstanceName{"a", "b", "c"}
 				name := names[random.IntN(len(names))]
@@ -252,6 +320,7 @@
 					Promoted{name, Answer(random.IntN(3))},
 					Published{},
 					SteppedDown{pos(3, 9)},
+					Regained{},
 				}
 				event := events[random.IntN(len(events))]
 				if d, ok := event.(Dropped); ok {
@@ -259,7 +328,12 @@
 				}
 				for _, e := range p.r.Step(event, p.now) {
 					switch e := e.(type) {
+					case Publish:
+						if e.Primary == "a" {
+							is.True(!promoted) // It is the primary still.
+						}
 					case Promote:
+						promoted = true
 						is.True(len(dropped) == 2 || p.now >= unit.Instant(time.Second))
 						is.True(e.Instance != "a")
 					case Stop:
--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -69,7 +69,7 @@
 // takeFrom takes a reader's next confirmation and returns the pause until the question
 // after it.
 func (o *Overseer) takeFrom(reader member.Daemon) (time.Duration, error) {
-	held, err := o.relayFrom(reader.PeerAddress, relayPatience)
+	held, err := o.relayFrom(reader.PeerAddress, relayPatience, relayedAge)
 	o.mu.Lock()
 	if err != nil {
 		if time.Since(o.unrelayed) > readerDoubt {
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -63,7 +63,10 @@
 const (
 	// Lease is how long one confirmation by the store lasts.
 	Lease = 1500 * time.Millisecond
-	// Extension is how long daemons go on among themselves while the store is
+	// Majority is how long more than half of the daemons go on without the store. A
+	// change that has to wait for it and a promotion take 9 s at most.
+	Majority = 7 * time.Second
+	// Extension is how long all daemons go on among themselves while the store is
 	// away: longer than its usual outages.
 	Extension = 12 * time.Second
 )
@@ -210,7 +213,7 @@
 		self: self, store: store, platform: platform, now: now,
 		logger: log.New(io.Discard), figures: newFigures(metrics.NewRegistry()), dial: dialer.Default,
 		wake:     make(chan struct{}, 1),
-		auth:     authorizer.New(self.Daemon, self.Incarnation, authorizer.Config{Lease: Lease, Extension: Extension}),
+		auth:     authorizer.New(self.Daemon, self.Incarnation, authorizer.Config{Lease: Lease, Majority: Majority, Extension: Extension}),
 		changed:  make(chan struct{}),
 		fresh:    make(chan struct{}),
 		troubles: make(map[unit.GroupName]*trouble),
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -35,7 +35,7 @@
 
 	// relayTimeout bounds a question for a confirmation.
 	relayTimeout = 300 * time.Millisecond
-	// relayedAge is the greatest age of a confirmation that is worth taking.
+	// relayedAge is the greatest age of a confirmation that a reader may pass on.
 	relayedAge = Lease * 2 / 3
 	// relayTries is the number of daemons that are asked for a confirmation in
 	// one round.
@@ -114,20 +114,20 @@
 		return
 	}
 	o.mu.Lock()
-	asked := o.now()
+	asked, epoch := o.now(), o.auth.View().Epoch
 	members, ok := o.auth.Ask(asked)
 	o.mu.Unlock()
 	if ok {
 		go o.ask(members, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
-			answer, err := c.Vouch(ctx, connect.NewRequest(&peer.VouchRequest{}))
-			if err != nil || !answer.Msg.Vouched {
+			answer, err := c.Vouch(ctx, connect.NewRequest(&peer.VouchRequest{Epoch: epoch}))
+			if err != nil {
 				o.logger.Debug("daemon does not vouch", "daemon", m.Daemon, "cause", err)
 				return
 			}
 			o.figures.extended.Inc(1)
 			o.mu.Lock()
 			defer o.mu.Unlock()
-			o.auth.Vouched(unit.DaemonID(answer.Msg.Daemon), unit.Incarnation(answer.Msg.Incarnation), asked, o.now())
+			o.auth.Vouched(vouchOf(answer.Msg), asked, o.now())
 		})
 	}
 	go o.relay()
@@ -136,6 +136,16 @@
 	}
 }
 
+func vouchOf(r *peer.VouchResponse) authorizer.Vouch {
+	v := authorizer.Vouch{
+		Daemon: unit.DaemonID(r.Daemon), Incarnation: unit.Incarnation(r.Incarnation), Idle: r.Idle, Ahead: r.Ahead,
+	}
+	for _, group := range r.Dropped {
+		v.Dropped = append(v.Dropped, unit.GroupName(group))
+	}
+	return v
+}
+
 // expiring reports whether the last confirmation is so old that the authority ends
 // soon. A daemon that a reader confirms hears late that the store is away.
 func (o *Overseer) expiring() bool {
@@ -208,7 +218,7 @@
 		if !ok {
 			return
 		}
-		if _, err := o.relayFrom(address, 0); err == nil {
+		if _, err := o.relayFrom(address, 0, Majority); err == nil {
 			return
 		}
 	}
@@ -218,19 +228,20 @@
 var errNoConfirmation = errors.New("overseer: the daemon has no young confirmation")
 
 // relayFrom takes a confirmation from the daemon at the address, which may hold its
-// answer for the patience. It returns for how long it did.
-func (o *Overseer) relayFrom(address string, patience time.Duration) (time.Duration, error) {
+// answer for the patience, if it is no older than oldest. It returns for how long the
+// answer was held.
+func (o *Overseer) relayFrom(address string, patience, oldest time.Duration) (time.Duration, error) {
 	ctx, stop := context.WithTimeout(o.ctx, patience+relayTimeout)
 	defer stop()
 	o.mu.Lock()
 	known := o.table
 	o.mu.Unlock()
-	return o.relaySince(ctx, address, known, patience)
+	return o.relaySince(ctx, address, known, patience, oldest)
 }
 
 // relaySince takes a confirmation from the daemon at the address, with the rows
 // that have changed since those known.
-func (o *Overseer) relaySince(ctx context.Context, address string, known table, patience time.Duration) (time.Duration, error) {
+func (o *Overseer) relaySince(ctx context.Context, address string, known table, patience, oldest time.Duration) (time.Duration, error) {
 	asked := o.now()
 	request := &peer.RelayRequest{Epoch: known.epoch(), Patience: int64(patience)}
 	answer, err := o.peer(address).Relay(ctx, connect.NewRequest(request))
@@ -238,14 +249,14 @@
 		return 0, err
 	}
 	held, age := time.Duration(answer.Msg.Held), time.Duration(answer.Msg.Age)
-	if !answer.Msg.Confirmed || age > relayedAge {
+	if !answer.Msg.Confirmed || age > oldest {
 		return held, errNoConfirmation
 	}
 	o.figures.relayed.Inc(1)
 	// The store was asked no earlier than this: the question was sent before it
 	// came, and the other daemon answered as much later as it held the answer.
 	if !o.takeRelayed(answer.Msg, known, asked.Add(held-age)) {
-		return o.relaySince(ctx, address, table{}, 0)
+		return o.relaySince(ctx, address, table{}, 0, oldest)
 	}
 	if o.documents != nil && o.lacks(answer.Msg.Documents) {
 		o.fetchFrom(address)
--- a/tarragonshed/overseer/service.go
+++ b/tarragonshed/overseer/service.go
@@ -29,14 +29,16 @@
 }
 
 // Vouch implements [peerconnect.OverseerHandler].
-func (s service) Vouch(context.Context, *connect.Request[peer.VouchRequest]) (*connect.Response[peer.VouchResponse], error) {
+func (s service) Vouch(_ context.Context, r *connect.Request[peer.VouchRequest]) (*connect.Response[peer.VouchResponse], error) {
 	o := s.overseer
 	o.mu.Lock()
-	vouched := o.auth.Vouch()
+	v := o.auth.Vouch(r.Msg.Epoch)
 	o.mu.Unlock()
-	return connect.NewResponse(&peer.VouchResponse{
-		Daemon: string(o.self.Daemon), Incarnation: uint64(o.self.Incarnation), Vouched: vouched,
-	}), nil
+	answer := &peer.VouchResponse{Daemon: string(v.Daemon), Incarnation: uint64(v.Incarnation), Idle: v.Idle, Ahead: v.Ahead}
+	for _, group := range v.Dropped {
+		answer.Dropped = append(answer.Dropped, string(group))
+	}
+	return connect.NewResponse(answer), nil
 }
 
 // Witness implements [peerconnect.OverseerHandler].
@@ -68,7 +70,7 @@
 	if o.documents != nil {
 		answer.Documents = versionsOf(o.documents)
 	}
-	if !ok || time.Duration(answer.Age) > relayedAge { // The sender can't use it.
+	if !ok || time.Duration(answer.Age) > Majority { // The sender can't use it.
 		return connect.NewResponse(answer), nil
 	}
 	for _, row := range o.table.since(r.Msg.Epoch) {
--- a/tarragonshed/overseer/store.go
+++ b/tarragonshed/overseer/store.go
@@ -92,6 +92,7 @@
 		Leaderships: make(map[unit.GroupName]authorizer.Leadership),
 		Members:     make(map[unit.DaemonID]authorizer.Member),
 		Now:         now,
+		Epoch:       rows.epoch(),
 	}
 	for _, row := range rows.since(0) {
 		if !decodeRow(&view, row) {
--- a/tarragonshed/overseer/table_test.go
+++ b/tarragonshed/overseer/table_test.go
@@ -119,7 +119,7 @@
 
 // relay lets o take the reader's confirmation as it is.
 func relay(o, reader *Overseer) error {
-	_, err := o.relayFrom(reader.self.Address, 0)
+	_, err := o.relayFrom(reader.self.Address, 0, relayedAge)
 	return err
 }
 
@@ -193,7 +193,7 @@
 			before, _ := o.auth.Confirmed()
 			answered := make(chan error, 1)
 			go func() {
-				_, err := o.relayFrom(reader.self.Address, time.Minute)
+				_, err := o.relayFrom(reader.self.Address, time.Minute, relayedAge)
 				answered <- err
 			}()
 			for waiting := true; waiting; { // The question comes at some time.
--- a/tarragonshed/overseer/trouble.go
+++ b/tarragonshed/overseer/trouble.go
@@ -29,6 +29,9 @@
 	// stuckPatience is how long another daemon's change may take before it is
 	// taken over.
 	stuckPatience = 5 * time.Second
+	// isolatedPatience is the same for a daemon that does not reach half of the
+	// others: the other daemon may not either, and then its change has to wait.
+	isolatedPatience = Majority + 2500*time.Millisecond
 )
 
 // reason tells why a primary is to be replaced.
@@ -47,12 +50,14 @@
 
 // trouble is a reason and since when it holds.
 type trouble struct {
-	reason reason
-	row    authorizer.Leadership
-	since  time.Time
-	asked  time.Time // When the other daemons were last asked.
-	asking bool      // Whether they have not all answered.
-	shared bool      // Whether none of them reaches the primary.
+	reason   reason
+	row      authorizer.Leadership
+	since    time.Time
+	seen     unit.Instant // The same by the clock of leases.
+	asked    time.Time    // When the other daemons were last asked.
+	asking   bool         // Whether they have not all answered.
+	shared   bool         // Whether none of them reaches the primary.
+	isolated bool         // Whether half of them or more did not answer.
 	// silent are the daemons that did not answer when they were last asked. Nobody
 	// waits for them to go first.
 	silent map[unit.DaemonID]bool
@@ -88,6 +93,8 @@
 	switch {
 	case t.reason == gone:
 		return gonePatience
+	case t.reason == stuck && t.isolated:
+		return isolatedPatience
 	case t.reason == stuck:
 		return stuckPatience
 	case t.reason == unreachable && !t.shared:
@@ -130,6 +137,7 @@
 	})
 	o.mu.Lock()
 	t.shared, t.asking = reached == 0, false
+	t.isolated = len(silent) > 0 && 2*len(silent) >= len(others)
 	for _, m := range others {
 		t.silent[m.Daemon] = silent[m.Daemon]
 	}
--- a/tarragonshed/overseer/watch.go
+++ b/tarragonshed/overseer/watch.go
@@ -115,7 +115,7 @@
 		return nil
 	}
 	if t == nil || t.reason != found || t.row != row {
-		t = &trouble{reason: found, row: row, since: time.Now(), silent: make(map[unit.DaemonID]bool)}
+		t = &trouble{reason: found, row: row, since: time.Now(), seen: o.now(), silent: make(map[unit.DaemonID]bool)}
 		o.troubles[g] = t
 		o.logger.Info("primary in trouble", "group", g, "reason", found)
 	}
--- a/wire/peer/peerconnect/oversee.connect.go
+++ b/wire/peer/peerconnect/oversee.connect.go
@@ -51,7 +51,7 @@
 type OverseerClient interface {
 	// Withdraw asks the receiver to give up its authority over a group's primary.
 	Withdraw(context.Context, *connect.Request[peer.WithdrawRequest]) (*connect.Response[peer.WithdrawResponse], error)
-	// Vouch asks the receiver whether it is changing no row.
+	// Vouch asks the receiver whether rows may be changing.
 	Vouch(context.Context, *connect.Request[peer.VouchRequest]) (*connect.Response[peer.VouchResponse], error)
 	// Witness asks whether the receiver reaches an instance.
 	Witness(context.Context, *connect.Request[peer.WitnessRequest]) (*connect.Response[peer.WitnessResponse], error)
@@ -157,7 +157,7 @@
 type OverseerHandler interface {
 	// Withdraw asks the receiver to give up its authority over a group's primary.
 	Withdraw(context.Context, *connect.Request[peer.WithdrawRequest]) (*connect.Response[peer.WithdrawResponse], error)
-	// Vouch asks the receiver whether it is changing no row.
+	// Vouch asks the receiver whether rows may be changing.
 	Vouch(context.Context, *connect.Request[peer.VouchRequest]) (*connect.Response[peer.VouchResponse], error)
 	// Witness asks whether the receiver reaches an instance.
 	Witness(context.Context, *connect.Request[peer.WitnessRequest]) (*connect.Response[peer.WitnessResponse], error)
