engine: close second connections soon where each daemon may have few

Change: where the share of a daemon is under four connections, one beyond the warm one closes after 0.3 s without use instead of 4 s.

spec: a third daemon in authority.pml, whose vote makes a majority.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -67,8 +67,9 @@
 	// partition is the likely cause.
 	partitionAge = 2 * time.Second
 	// regainPatience is how long such a change waits for its old primary when all
-	// daemons have answered at last: the partition has ended.
-	regainPatience = 700 * time.Millisecond
+	// daemons have answered at last: the partition has ended, and an instance that
+	// was beyond it is back in the manifest within two seconds.
+	regainPatience = 2 * time.Second
 	// Patience bounds the whole change. Another daemon may begin it anew then.
 	Patience = 15 * time.Second
 )
--- a/spec/authority.pml
+++ b/spec/authority.pml
@@ -16,12 +16,18 @@
  * which differ in nothing else are one.
  *
  * -DYOUNG: C came on the list after A's last confirmation, so A does not ask it.
+ * -DVOTER: the list has a third daemon, V. A and V are a majority, and so are C and V.
  * Broken variants: -DBROKEN_...; each must fail.
  */
 #ifndef LEASE
 #define LEASE 2
+#endif
+#ifndef EXTENSION
 #define EXTENSION 3
 #endif
+#ifndef MAJORITY
+#define MAJORITY 3
+#endif
 #ifndef END
 #define END 10
 #endif
@@ -50,6 +56,30 @@
 byte left = 0;           /* How much longer C has to wait. */
 bool heardDrop = false;
 
+#ifdef VOTER
+byte vSeen = LEADING_OLD; /* The row as V knows it. */
+bool vDropped = false;    /* Whether V has given up its authority and knows nothing newer. */
+bool vVouched = false;    /* Whether V has answered A's question. */
+bool vHeard = false;      /* Whether C has heard that V has dropped the group. */
+byte vLeft = 0;           /* How much longer C has to wait after that. */
+#ifdef BROKEN_VOTER_WAITS_NOT
+#define OUTVOTED vHeard
+#else
+#define OUTVOTED (vHeard && vLeft == 0)
+#endif
+#ifdef BROKEN_HIDDEN_DROP
+#define V_VOUCHES (vSeen <= seen)
+#else
+#ifdef BROKEN_VOUCH_AHEAD
+#define V_VOUCHES (!vDropped)
+#else
+#define V_VOUCHES (!vDropped && vSeen <= seen)
+#endif
+#endif
+#else
+#define OUTVOTED false
+#endif
+
 #define MIN(a, b) ((a) < (b) -> (a) : (b))
 #define MAX(a, b) ((a) > (b) -> (a) : (b))
 #define UNTIL MAX(confirmed + LEASE, extended)
@@ -66,15 +96,23 @@
 #define WAIT EXTENSION
 #endif
 #else
+#if defined(VOTER) && !defined(BROKEN_MINORITY_WAITS_LEASE)
+#define WAIT MAJORITY
+#else
 #define WAIT LEASE
 #endif
 #endif
+#endif
 
 active proctype Clock() {
 	do
 	:: atomic { now < END ->
 		now++;
 		if :: left > 0 -> left-- :: else fi;
+#ifdef VOTER
+		if :: vLeft > 0 -> vLeft-- :: else fi;
+		if :: asked != NEVER && asked + LEASE <= now -> vVouched = false :: else fi;
+#endif
 		if :: extended <= now -> extended = 0 :: else fi;
 		/* An extension that would be over already changes nothing. */
 		if :: asked != NEVER && asked + LEASE <= now -> asked = NEVER; vouched = false :: else fi
@@ -101,6 +139,9 @@
 	:: atomic {
 		now < UNTIL && now < confirmed + EXTENSION ->
 		asked = now; vouched = false
+#ifdef VOTER
+		; vVouched = false
+#endif
 #ifdef YOUNG
 		; vouched = true /* C is not on A's list. */
 #endif
@@ -128,10 +169,49 @@
 		extended = MAX(extended, MIN(asked + LEASE, confirmed + EXTENSION));
 #endif
 		asked = NEVER; vouched = false
+#ifdef VOTER
+		; vVouched = false
+#endif
+	   }
+#ifdef VOTER
+	:: atomic { /* V's answer is given and comes later. */
+		asked != NEVER && V_VOUCHES -> vVouched = true
+	   }
+	:: atomic {
+		asked != NEVER && vVouched && now < UNTIL ->
+#ifdef BROKEN_MAJORITY_NO_END
+		extended = MAX(extended, MIN(asked + LEASE, confirmed + EXTENSION));
+#else
+		extended = MAX(extended, MIN(asked + LEASE, confirmed + MAJORITY));
+#endif
+		vVouched = false
+	   }
+#endif
+	od
+}
+
+#ifdef VOTER
+/* V reads the row. A read that was sent after it dropped the group tells the outcome. */
+active proctype Voter() {
+	bool after;
+	byte read;
+	do
+	:: atomic { after = vDropped; read = row }
+	   atomic {
+		vSeen = MAX(vSeen, read);
+		if :: after -> vDropped = false :: else fi;
+		after = false; read = 0
 	   }
 	od
 }
 
+/* C asks V to give up its authority, and hears that it has. */
+active proctype WithdrawVoter() {
+	atomic { claimed -> vDropped = true }
+	atomic { vHeard = true; vLeft = LEASE }
+}
+#endif
+
 /* The use of the old primary. */
 active proctype Use() {
 #ifdef BROKEN_CHECK_ON_SEND
@@ -147,7 +227,7 @@
 	changing = true;
 	atomic { row == LEADING_OLD -> row = CHANGING } /* At any time: the call may be late. */
 	atomic { claimed = true; left = WAIT }          /* Its answer. */
-	atomic { heardDrop || left == 0 -> promoted = true; left = 0 }
+	atomic { heardDrop || left == 0 || OUTVOTED -> promoted = true; left = 0 }
 	row = LEADING_NEW;
 	changing = false
 }
--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -264,8 +264,23 @@
 // only wait in the instance's queue, in no order, and need more connections.
 const spareStatements = 1
 
-// unusedLimit is how long a connection beyond the warm ones is kept idle.
-const unusedLimit = 4 * time.Second
+// How long a connection beyond the warm one is kept idle. An instance counts the
+// connections of a daemon that lost power for some seconds. Where each daemon may have
+// few, those that are kept would leave no room when all daemons start again.
+const (
+	fewConnections = 4
+	unusedLimit    = 4 * time.Second
+	unusedScarce   = 300 * time.Millisecond
+)
+
+// unused returns how long a daemon that may have so many connections to an instance
+// keeps one that it does not need.
+func unused(share int) time.Duration {
+	if share < fewConnections {
+		return unusedScarce
+	}
+	return unusedLimit
+}
 
 // startPatience is how long after its start a daemon lets callers wait for the first
 // manifest and for its first authority, instead of refusing what it could run in a moment.
@@ -280,7 +295,7 @@
 func (e *Engine) limits(i manifest.Instance) (limiter.Limits, pooler.Limits) {
 	share := max(1, i.Connections/int(e.daemons.Load()))
 	return limiter.Limits{Slots: min(share, i.Slots+spareStatements), Connections: share, Queue: queueLimit},
-		pooler.Limits{Share: share, Warm: 1, Opening: openingLimit, Rate: refillRate, Unused: unusedLimit}
+		pooler.Limits{Share: share, Warm: 1, Opening: openingLimit, Rate: refillRate, Unused: unused(share)}
 }
 
 // tick looks after the targets.
