overseer: the next daemon reads the store when a reader fails, nobody else while it is away

Change: the daemons of a region have one order of readers. While the store is away only readers follow the tables, and the others try the epoch at pauses that grow to a second: they hear from the others when the store is back.

--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -4,29 +4,20 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"tarragonshed.example/authorizer"
 	"tarragonshed.example/member"
-	"tarragonshed.example/placer"
 	"tarragonshed.example/unit"
 )
 
 const (
-	// readerServes is the number of daemons of a region for which one of them reads
-	// the store: a read costs more than passing its answer on within the region,
-	// but each daemon that is served costs the reader about 1 kB a second.
-	readerServes = 40
 	// relayPatience is how long a reader holds its answer until the store has
 	// confirmed the rows once more: longer than the time between two readings.
 	relayPatience = confirmInterval + 50*time.Millisecond
 	// relayInterval is the time between two questions to a reader that does not
 	// hold its answers.
 	relayInterval = 300 * time.Millisecond
-	// readerDoubt is how long a daemon reads for itself after a reader has
-	// failed it.
-	readerDoubt = 3 * time.Second
 	// pruneAfter is how long a daemon is not reached before it is taken off the
 	// list.
 	pruneAfter = 6 * time.Second
@@ -45,9 +36,9 @@
 
 // confirmation gets one confirmation and returns the pause until the next. A few
 // daemons of each region read the store; the others take their confirmations, and read
-// the store themselves when they can't, and for a while after.
+// the store themselves when they can't.
 func (o *Overseer) confirmation() time.Duration {
-	if reader, ok := o.reader(); ok && !o.doubts() {
+	if reader, ok := o.reader(); ok {
 		if pause, err := o.takeFrom(reader); err == nil {
 			return pause
 		}
@@ -59,23 +50,14 @@
 	return confirmInterval
 }
 
-// doubts reports whether a reader has failed this daemon lately.
-func (o *Overseer) doubts() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return time.Since(o.unrelayed) < readerDoubt
-}
-
 // takeFrom takes a reader's next confirmation and returns the pause until the question
 // after it.
 func (o *Overseer) takeFrom(reader member.Daemon) (time.Duration, error) {
 	held, err := o.relayFrom(reader.PeerAddress, relayPatience, relayedAge)
 	o.mu.Lock()
 	if err != nil {
-		if time.Since(o.unrelayed) > readerDoubt {
-			o.logger.Info("no confirmation from the reader", "reader", reader.ID, "cause", err)
-		}
-		o.unrelayed = time.Now()
+		o.logger.Info("no confirmation from the reader", "reader", reader.ID, "cause", err)
+		o.doubted[reader.ID] = time.Now()
 	}
 	o.mu.Unlock()
 	if err != nil {
@@ -97,33 +79,24 @@
 		return member.Daemon{}, false // The last reading has failed: try all ways.
 	}
 	o.mu.Lock()
-	readers := o.readers
-	o.mu.Unlock()
-	self := func(r member.Daemon) bool { return r.ID == o.self.Daemon }
-	if len(readers) == 0 || slices.ContainsFunc(readers, self) {
-		return member.Daemon{}, false
-	}
-	return readers[int(o.turn.Add(1))%len(readers)], true
+	defer o.mu.Unlock()
+	return o.readers.choose(o.self.Daemon, int(o.turn.Add(1)), o.doubts)
 }
 
-// chooseReaders returns the daemons that read the store for the region.
-func (o *Overseer) chooseReaders(v authorizer.View) []member.Daemon {
-	view := member.View{Self: o.self.Daemon}
-	for _, m := range v.Listed() {
-		if slices.Contains(o.domains, m.Domain) {
-			view.Daemons = append(view.Daemons, member.Daemon{
-				ID: m.Daemon, Incarnation: m.Incarnation, Domain: m.Domain, State: member.Live, PeerAddress: m.Address,
-			})
-		}
-	}
-	return placer.RelaysOf(view, o.region, o.domains, 1+len(view.Daemons)/readerServes)
-}
+// doubts reports whether the daemon gave no confirmation a short time ago. The lock is
+// held.
+func (o *Overseer) doubts(d unit.DaemonID) bool { return time.Since(o.doubted[d]) < readerDoubt }
 
-// Reads reports whether the daemon reads the store for itself: it is a reader, or
-// could not get a confirmation from one lately.
+// Reads reports whether the daemon follows the platform's tables for itself: it is a
+// reader, or gets no confirmations from one although the store answers.
 func (o *Overseer) Reads() bool {
-	_, other := o.reader()
-	return !other || o.doubts()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.readers.has(o.self.Daemon) {
+		return true
+	}
+	_, other := o.readers.choose(o.self.Daemon, 0, o.doubts)
+	return !other && o.failing.IsZero()
 }
 
 func (o *Overseer) read() error {
@@ -197,7 +170,7 @@
 	}
 	before := o.auth.View()
 	o.auth.Confirm(view, asked)
-	o.table, o.readers = rows, o.chooseReaders(view)
+	o.table, o.readers = rows, o.readersOf(view)
 	o.figures.confirmed.Inc(1)
 	for name, l := range view.Leaderships {
 		if before.Leaderships[name] != l {
@@ -244,7 +217,10 @@
 		o.logger.Warn("the store does not confirm the rows", "cause", err)
 	}
 	o.failures++
-	return retryPause.Delay(o.failures-1, rand.Float64())
+	if o.readers.has(o.self.Daemon) {
+		return retryPause.Delay(o.failures-1, rand.Float64())
+	}
+	return relayedRetryPause.Delay(o.failures-1, rand.Float64())
 }
 
 // regained notes that the store answers.
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -16,8 +16,8 @@
 // # Who reads the store
 //
 // One daemon reads it for up to 40 of its region. The others ask that one, which answers
-// when the store has confirmed the rows once more. A daemon whose reader fails it reads
-// for itself for a while. When the store itself is away, the daemons extend their
+// when the store has confirmed the rows once more. Those whose reader fails ask the next
+// one for a while, which reads then, and at last read for themselves. When the store itself is away, the daemons extend their
 // authority among themselves, see [authorizer.Authorizer.Ask].
 //
 // # Who replaces a primary
@@ -50,7 +50,6 @@
 
 	"tarragonshed.example/authorizer"
 	"tarragonshed.example/manifest"
-	"tarragonshed.example/member"
 	"tarragonshed.example/replacer"
 	"tarragonshed.example/retrier"
 	"tarragonshed.example/tarragonshed/dialer"
@@ -85,6 +84,10 @@
 // store that refuses reads has too many of them when all daemons start at once.
 var retryPause = retrier.Backoff{First: 60 * time.Millisecond, Limit: 300 * time.Millisecond}
 
+// relayedRetryPause is the same for a daemon that has readers: it hears from the others
+// when the store is back.
+var relayedRetryPause = retrier.Backoff{First: 60 * time.Millisecond, Limit: time.Second}
+
 // Self is what a daemon says about itself.
 type Self struct {
 	Daemon      unit.DaemonID
@@ -148,8 +151,8 @@
 
 	mu       sync.Mutex
 	auth     *authorizer.Authorizer
-	table    table           // The rows that auth was told of last.
-	readers  []member.Daemon // Who reads the store for the region, by these rows.
+	table    table   // The rows that auth was told of last.
+	readers  readers // Who reads the store for the region, by these rows.
 	changed  chan struct{}
 	fresh    chan struct{} // Closed when the store has confirmed the rows once more.
 	troubles map[unit.GroupName]*trouble
@@ -157,13 +160,12 @@
 	failing  time.Time // Since when the store has not confirmed anything.
 	failures int       // Failed reads since then.
 	settled  map[unit.GroupName]time.Time
-	// unrelayed is when a reader last gave no confirmation.
-	unrelayed time.Time
-	asked     time.Time // When an extension was last asked for.
-	pruned    time.Time // When the list was last looked through.
-	heard     map[unit.DaemonID]time.Time
-	turn      atomic.Int64
-	reading   atomic.Bool // Whether the store is read beside the confirmations.
+	doubted  map[unit.DaemonID]time.Time // When they last gave no confirmation.
+	asked    time.Time                   // When an extension was last asked for.
+	pruned   time.Time                   // When the list was last looked through.
+	heard    map[unit.DaemonID]time.Time
+	turn     atomic.Int64
+	reading  atomic.Bool // Whether the store is read beside the confirmations.
 
 	peersMu sync.Mutex
 	peers   map[string]peerconnect.OverseerClient
@@ -220,6 +222,7 @@
 		changes:  make(map[unit.GroupName]bool),
 		settled:  make(map[unit.GroupName]time.Time),
 		heard:    make(map[unit.DaemonID]time.Time),
+		doubted:  make(map[unit.DaemonID]time.Time),
 		peers:    make(map[string]peerconnect.OverseerClient),
 		domains:  []unit.DomainName{self.Domain},
 	}
