--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,7 +12,6 @@
 	"tarragonshed.example/replacer"
 	"tarragonshed.example/unit"
 	"tarragonshed.example/wire/peer"
-	"tarragonshed.example/wire/peer/peerconnect"
 )
 
 const (
@@ -123,7 +121,7 @@
 	var stop context.CancelFunc
 	c.ctx, stop = context.WithTimeout(c.Overseer.ctx, replacer.Patience)
 	defer stop()
-	go c.withdraw(c.settlement.Holding())
+	c.withdraw(c.settlement.Holding())
 	r, effects := replacer.New(c.plan(g), c.since)
 	if c.trouble.reason == unreachable {
 		go c.watchOld()
@@ -184,28 +182,29 @@
 	}
 }
 
-// withdraw asks the other daemons to give up their authority, until they have. They
+// withdraw asks the other daemons to give up their authority, each until it has. They
 // tell a primary that leaves to step down, if they reach it.
-func (c *running) withdraw(missing []authorizer.Member) {
+func (c *running) withdraw(holders []authorizer.Member) {
 	request := &peer.WithdrawRequest{Group: string(c.row.Group)}
 	if c.trouble.reason == leaving {
 		request.Instance, request.Term = string(c.row.Primary), uint64(c.row.Term)+1
 	}
-	for len(missing) > 0 && c.ctx.Err() == nil {
-		dropped := make(chan unit.DaemonID, len(missing))
-		c.ask(missing, func(ctx context.Context, m authorizer.Member, client peerconnect.OverseerClient) {
-			answer, err := client.Withdraw(ctx, connect.NewRequest(request))
-			if err == nil && answer.Msg.Dropped && answer.Msg.Daemon == string(m.Daemon) {
-				dropped <- m.Daemon
-				c.send(replacer.Dropped{Daemon: m.Daemon})
-			}
-		})
-		close(dropped)
-		done := make(map[unit.DaemonID]bool)
-		for d := range dropped {
-			done[d] = true
+	for _, m := range holders {
+		go c.withdrawFrom(m, request)
+	}
+}
+
+// withdrawFrom asks one daemon. One that is about to claim the group itself does not give
+// it up before it knows that it came too late.
+func (c *running) withdrawFrom(m authorizer.Member, request *peer.WithdrawRequest) {
+	for c.ctx.Err() == nil {
+		ctx, stop := context.WithTimeout(c.ctx, peerTimeout)
+		answer, err := c.peer(m.Address).Withdraw(ctx, connect.NewRequest(request))
+		stop()
+		if err == nil && answer.Msg.Dropped && answer.Msg.Daemon == string(m.Daemon) {
+			c.send(replacer.Dropped{Daemon: m.Daemon})
+			return
 		}
-		missing = slices.DeleteFunc(slices.Clone(missing), func(m authorizer.Member) bool { return done[m.Daemon] })
 		time.Sleep(claimPause)
 	}
 }
--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -217,10 +217,7 @@
 		o.logger.Warn("the store does not confirm the rows", "cause", err)
 	}
 	o.failures++
-	if o.readers.has(o.self.Daemon) {
-		return retryPause.Delay(o.failures-1, rand.Float64())
-	}
-	return relayedRetryPause.Delay(o.failures-1, rand.Float64())
+	return retryPause.Delay(o.failures-1, rand.Float64())
 }
 
 // regained notes that the store answers.
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -16,8 +16,8 @@
 // # Who reads the store
 //
 // One daemon reads it for up to 40 of its region. The others ask that one, which answers
-// when the store has confirmed the rows once more. Those whose reader fails ask the next
-// one for a while, which reads then, and at last read for themselves. When the store itself is away, the daemons extend their
+// when the store has confirmed the rows once more. A daemon whose reader fails it reads
+// for itself for a while. When the store itself is away, the daemons extend their
 // authority among themselves, see [authorizer.Authorizer.Ask].
 //
 // # Who replaces a primary
@@ -84,10 +84,6 @@
 // store that refuses reads has too many of them when all daemons start at once.
 var retryPause = retrier.Backoff{First: 60 * time.Millisecond, Limit: 300 * time.Millisecond}
 
-// relayedRetryPause is the same for a daemon that has readers: it hears from the others
-// when the store is back.
-var relayedRetryPause = retrier.Backoff{First: 60 * time.Millisecond, Limit: time.Second}
-
 // Self is what a daemon says about itself.
 type Self struct {
 	Daemon      unit.DaemonID
