--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -184,8 +184,12 @@
 	Term    unit.Term
 }
 
-// Stop ends the change. Err is nil if it was made.
-type Stop struct{ Err *result.Error }
+// Stop ends the change. Err is nil if it was made or called off.
+type Stop struct {
+	Err *result.Error
+	// CalledOff says that the old primary is the primary again.
+	CalledOff bool
+}
 
 func (StepDown) effect() {}
 func (Survey) effect()   {}
@@ -433,8 +437,9 @@
 }
 
 func (r *Replacer) stop(err *result.Error) []Effect {
+	calledOff := err == nil && r.candidate == r.plan.Primary && !r.called
 	r.enter(stopped, r.entered)
-	return []Effect{Stop{Err: err}}
+	return []Effect{Stop{Err: err, CalledOff: calledOff}}
 }
 
 // Claimant is a daemon that may carry out a change.
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -199,7 +199,7 @@
 		p.step(Dropped{"d-2"}, Regained{})
 		p.does(Publish{Primary: "a", Term: 3})
 		p.step(Published{Done: true})
-		p.does(Stop{})
+		p.does(Stop{CalledOff: true})
 	})
 	t.Run("before a replica is promoted", func(t *testing.T) {
 		p := settled(t, revocable())
--- a/tarragonshed/overseer/effect.go
+++ b/tarragonshed/overseer/effect.go
@@ -29,17 +29,26 @@
 	case replacer.Publish:
 		go c.publish(effect)
 	case replacer.Stop:
-		if effect.Err != nil {
-			c.figures.failed.Inc(1)
-			c.logger.Warn("change of primary not made", "group", c.row.Group, "cause", effect.Err)
-		} else {
-			c.logger.Info("change of primary made", "group", c.row.Group, "took", c.now().Sub(c.since))
-		}
+		c.ended(effect)
 		return true
 	}
 	return false
 }
 
+// ended writes the line about the end of the change.
+func (c *running) ended(s replacer.Stop) {
+	took := c.now().Sub(c.since)
+	switch {
+	case s.Err != nil:
+		c.figures.failed.Inc(1)
+		c.logger.Warn("change of primary not made", "group", c.row.Group, "cause", s.Err)
+	case s.CalledOff:
+		c.logger.Info("change of primary called off", "group", c.row.Group, "primary", c.row.Primary, "took", took)
+	default:
+		c.logger.Info("change of primary made", "group", c.row.Group, "took", took)
+	}
+}
+
 // stepDown tells an instance that it is no primary below the term.
 func (o *Overseer) stepDown(g unit.GroupName, i unit.InstanceName, term unit.Term) (unit.Position, bool) {
 	reach := o.reach(g, i)
