overseer: other daemons are asked early enough whether this one is on the smaller side

Its log: two of four daemons were beyond a partition, the first on the list had no power, so a change had to wait 7 s for their authority. A third daemon took it over after 5.4 s, because the answers that say that half of the others are silent came at the same moment as its patience ended; its own claim began the steps anew and took until 12.2 s instead of 11.

Change: they are asked two time-outs before the patience ends.

--- a/tarragonshed/overseer/trouble.go
+++ b/tarragonshed/overseer/trouble.go
@@ -24,6 +24,9 @@
 	// witnessInterval is the time between two questions whether others reach the
 	// primary.
 	witnessInterval = 200 * time.Millisecond
+	// witnessLead is how long before the patience ends the other daemons are asked, if
+	// they are asked once: all answers have come then.
+	witnessLead = 2 * peerTimeout
 	// maxWitnesses bounds the daemons that one asks.
 	maxWitnesses = 32
 	// stuckPatience is how long another daemon's change may take before it is
@@ -70,7 +73,7 @@
 	switch {
 	case t.reason == missing, t.asking, once && !t.asked.IsZero(), now.Sub(t.asked) < witnessInterval:
 		return false
-	case once && now.Sub(t.since) < t.patience()-peerTimeout:
+	case once && now.Sub(t.since) < t.patience()-witnessLead:
 		return false // The reason may pass, as it does when a daemon starts.
 	}
 	t.asked, t.asking = now, true
--- a/tarragonshed/overseer/watch_test.go
+++ b/tarragonshed/overseer/watch_test.go
@@ -276,3 +276,15 @@
 	_ = l.Close()
 	is.True(asked.Load() <= 2) // One question, which the client may send again.
 }
+
+// TestStuckOnTheSmallerSide is what a day showed with two of four daemons cut off or without
+// power: the answers that told so came when the change of the other daemon, which had to wait
+// for their authority to end, was taken over already, and the wait began anew.
+func TestStuckOnTheSmallerSide(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	seen := &trouble{reason: stuck, since: now}
+	is.True(seen.asksAgain(now.Add(stuckPatience - peerTimeout - watchInterval))) // All have answered in time.
+	seen.isolated = true
+	is.True(seen.patience() > Majority)
+}
