replacer: tell an unreachable primary to step down when the change is settled, before the promotion

The stand-in then refused it, because it compared with the group's newest term instead of the term that the instance led, and the obsolete primary wrote records under the new term, with the positions of other records. A read that asked for such a position was answered from them. Instances of the platform keep their own term, so nothing of the kind follows there.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -15,9 +15,9 @@
 // the change is settled: what was acknowledged had been written by then, so it shows in
 // their positions if they have it at all.
 //
-// A primary that works steps down first. One that was not reached steps down when another
-// is promoted: if it is reached again before, the change is called off, because it has
-// all that was acknowledged.
+// A primary that works steps down first. One that was not reached steps down when the
+// change is settled: if it is reached again before, the change is called off, because it
+// has all that was acknowledged.
 //
 // # Usage
 //
@@ -312,7 +312,10 @@
 // proceed goes on with a change that is settled.
 func (r *Replacer) proceed(now unit.Instant) []Effect {
 	r.healed = r.plan.Revocable && now.Sub(r.began) > partitionAge && len(r.plan.Settlement.Holding()) == 0
-	return r.survey(now)
+	if r.plan.Planned || r.healed {
+		return r.survey(now)
+	}
+	return append(r.stepDown(), r.survey(now)...)
 }
 
 func (r *Replacer) stepDown() []Effect {
@@ -369,11 +372,12 @@
 	}
 	r.candidate = best.Instance
 	r.enter(promoting, now)
-	if r.plan.Planned || r.called {
-		return []Effect{r.call()}
-	}
 	r.called = true
-	return append(r.stepDown(), r.call())
+	if r.healed {
+		r.healed = false
+		return append(r.stepDown(), r.call())
+	}
+	return []Effect{r.call()}
 }
 
 // best returns the status of the replica that has received most. One that leads
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -82,11 +82,11 @@
 	p.step(Dropped{"d-2"})
 	p.does()
 	p.step(Dropped{"d-3"})
-	p.does(survey)
+	p.does(StepDown{Term: 4}, survey)
 	p.step(replica("b", pos(3, 10)))
 	p.does() // The other one may have more.
 	p.step(replica("c", pos(3, 11)))
-	p.does(StepDown{Term: 4}, Promote{"c"})
+	p.does(Promote{"c"})
 	p.step(Promoted{"c", Accepted})
 	p.does(Verify{"c"})
 	p.step(Verified{Status{Instance: "c", Term: 3}})
@@ -106,14 +106,14 @@
 		p.pass(time.Second)
 		p.does()
 		p.pass(20 * time.Millisecond)
-		p.does(survey)
+		p.does(StepDown{Term: 4}, survey)
 	})
 	t.Run("longer if the others may go on without the store", func(t *testing.T) {
 		p := play(t, plan())
 		p.pass(2 * time.Second)
 		p.does()
 		p.pass(20 * time.Millisecond)
-		p.does(survey)
+		p.does(StepDown{Term: 4}, survey)
 	})
 	t.Run("a group without a primary has nobody to wait for", func(t *testing.T) {
 		first := plan()
@@ -125,7 +125,7 @@
 		p := play(t, plan())
 		p.step(replica("b", pos(3, 99)))
 		p.step(Dropped{"d-2"}, Dropped{"d-3"}, replica("b", pos(3, 10)), replica("c", pos(3, 11)))
-		p.does(survey, StepDown{Term: 4}, Promote{"c"})
+		p.does(StepDown{Term: 4}, survey, Promote{"c"})
 	})
 }
 
@@ -133,7 +133,7 @@
 func settled(t *testing.T, change Plan) *player {
 	p := play(t, change)
 	p.step(Dropped{"d-2"}, Dropped{"d-3"})
-	p.does(survey)
+	p.does(StepDown{Term: 4}, survey)
 	return p
 }
 
@@ -142,7 +142,7 @@
 		p := settled(t, plan())
 		p.step(replica("b", pos(3, 10)))
 		p.pass(surveyPatience + 20*time.Millisecond)
-		p.does(StepDown{Term: 4}, Promote{"b"})
+		p.does(Promote{"b"})
 	})
 	t.Run("none answers", func(t *testing.T) {
 		p := settled(t, plan())
@@ -152,12 +152,12 @@
 	t.Run("one that leads already by an earlier promotion goes first", func(t *testing.T) {
 		p := settled(t, plan())
 		p.step(Surveyed{Status{Instance: "b", Primary: true, Term: 4, Received: pos(3, 10)}}, replica("c", pos(3, 11)))
-		p.does(StepDown{Term: 4}, Promote{"b"})
+		p.does(Promote{"b"})
 	})
 	t.Run("the obsolete primary's word does not count as leading", func(t *testing.T) {
 		p := settled(t, plan())
 		p.step(Surveyed{Status{Instance: "b", Primary: true, Term: 3, Received: pos(3, 10)}}, replica("c", pos(3, 11)))
-		p.does(StepDown{Term: 4}, Promote{"c"})
+		p.does(Promote{"c"})
 	})
 	t.Run("a planned change waits for what the old primary has", func(t *testing.T) {
 		planned := plan()
@@ -209,7 +209,7 @@
 	t.Run("too late", func(t *testing.T) {
 		p := settled(t, revocable())
 		p.step(replica("b", pos(3, 10)), replica("c", pos(3, 11)))
-		p.does(StepDown{Term: 4}, Promote{"c"})
+		p.does(Promote{"c"})
 		p.step(Regained{}, Promoted{"c", NotRunning})
 		p.does(survey)
 		p.step(Regained{})
@@ -238,7 +238,7 @@
 	promoting := func(t *testing.T) *player {
 		p := settled(t, plan())
 		p.step(replica("b", pos(3, 10)), replica("c", pos(3, 11)))
-		p.does(StepDown{Term: 4}, Promote{"c"})
+		p.does(Promote{"c"})
 		return p
 	}
 	t.Run("a lost answer: the same call again", func(t *testing.T) {
