replacer: a change is not called off once its primary was told to step down

Found while reading the change again: STEPDOWN goes out when a change is settled, and the primary's answer that it leads may come a moment later, from before. The row would then have named a replica. A change is called off only before it is settled, or after a partition while the old primary is waited for, which has not been told yet.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -223,8 +223,10 @@
 	last      unit.Position // Of the primary that stepped down.
 	candidate unit.InstanceName
 	leader    Status
-	called    bool // Whether a promotion may have been asked for.
-	healed    bool // Whether the old primary may be reached in a moment.
+	// healed tells that the old primary may be reached in a moment. It has not been
+	// told to step down.
+	healed    bool
+	calledOff bool
 }
 
 // New begins the change of a row that was claimed by a transaction whose answer
@@ -327,9 +329,10 @@
 
 // regained calls the change off: the row names the same primary again.
 func (r *Replacer) regained(now unit.Instant) []Effect {
-	if r.step > choosing || r.called || !r.plan.Revocable {
-		return r.advance(now)
+	if !r.plan.Revocable || r.step != settling && !(r.step == choosing && r.healed) {
+		return r.advance(now) // It may have stepped down.
 	}
+	r.calledOff = true
 	r.candidate, r.leader = r.plan.Primary, Status{Instance: r.plan.Primary, Primary: true, Term: r.plan.Term}
 	r.enter(publishing, now)
 	return []Effect{r.call()}
@@ -372,7 +375,6 @@
 	}
 	r.candidate = best.Instance
 	r.enter(promoting, now)
-	r.called = true
 	if r.healed {
 		r.healed = false
 		return append(r.stepDown(), r.call())
@@ -441,9 +443,8 @@
 }
 
 func (r *Replacer) stop(err *result.Error) []Effect {
-	calledOff := err == nil && r.candidate == r.plan.Primary && !r.called
 	r.enter(stopped, r.entered)
-	return []Effect{Stop{Err: err, CalledOff: calledOff}}
+	return []Effect{Stop{Err: err, CalledOff: err == nil && r.calledOff}}
 }
 
 // Claimant is a daemon that may carry out a change.
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -201,10 +201,20 @@
 		p.step(Published{Done: true})
 		p.does(Stop{CalledOff: true})
 	})
-	t.Run("before a replica is promoted", func(t *testing.T) {
+	t.Run("it was told to step down", func(t *testing.T) {
 		p := settled(t, revocable())
 		p.step(replica("b", pos(3, 10)), Regained{})
-		p.does(Publish{Primary: "a", Term: 3})
+		p.does() // The row would name a replica.
+	})
+	t.Run("after a partition before another is promoted", func(t *testing.T) {
+		long := revocable()
+		long.Settlement = settlement(4 * time.Second)
+		p := play(t, long)
+		p.now = unit.Instant(partitionAge + 1)
+		p.step(Dropped{"d-2"}, Dropped{"d-3"}, replica("b", pos(3, 10)), Regained{})
+		p.does(survey, Publish{Primary: "a", Term: 3})
+		p.step(Published{Done: true})
+		p.does(Stop{CalledOff: true})
 	})
 	t.Run("too late", func(t *testing.T) {
 		p := settled(t, revocable())
@@ -303,7 +313,7 @@
 			change.Revocable = seed%2 == 0
 			p := play(t, change)
 			dropped := make(map[unit.DaemonID]bool)
-			promoted, stopped := false, false
+			promoted, toldOff, stopped := false, false, false
 			for !stopped && p.now < unit.Instant(Patience+time.Minute) {
 				names := []unit.InstanceName{"a", "b", "c"}
 				name := names[random.IntN(len(names))]
@@ -330,8 +340,10 @@
 					switch e := e.(type) {
 					case Publish:
 						if e.Primary == "a" {
-							is.True(!promoted) // It is the primary still.
+							is.True(!promoted && !toldOff) // It is the primary still.
 						}
+					case StepDown:
+						toldOff = true
 					case Promote:
 						promoted = true
 						is.True(len(dropped) == 2 || p.now >= unit.Instant(time.Second))
