overseer: enlist a restarted daemon through one that reaches the store

Cause: a daemon that restarts has a new incarnation, and only it could write its row of the member list. If the store refuses its requests meanwhile (a partial outage), it gets every row and document from the others but stays off the list, so it has no authority and refuses every statement as cut-off until the store serves it again.

Ruled out: documents or rows that arrive late (both were there 0.25 s after the start, by the daemons' logs); the extension by a majority (it needs a row of the daemon's own incarnation as well).

Change: relayFromPeers asks the daemon that just relayed the rows to write the row. Authority still rests on a confirmed view that has the daemon's own row, so nothing that a change waits for has changed.

--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"tarragonshed.example/authorizer"
 	"tarragonshed.example/member"
 	"tarragonshed.example/unit"
 )
@@ -184,33 +183,6 @@
 	o.notifyChanged()
 }
 
-// enlist adds the daemon to the member list, or updates its entry.
-func (o *Overseer) enlist(ctx context.Context) error {
-	o.mu.Lock()
-	view := o.auth.View()
-	m, ok := view.Members[o.self.Daemon]
-	unchanged := o.table.expect(memberKey(o.self.Daemon))
-	o.mu.Unlock()
-	wanted := authorizer.Member{
-		Daemon: o.self.Daemon, Incarnation: o.self.Incarnation, Domain: o.self.Domain,
-		Address: o.self.Address, Listed: view.Now,
-	}
-	if ok && m.Removed == 0 {
-		wanted.Listed = m.Listed
-	}
-	if ok && m == wanted {
-		return nil
-	}
-	_, err := o.store.Commit(ctx, Transaction{
-		Expected: []Expectation{unchanged},
-		Puts:     []Put{encode(memberKey(o.self.Daemon), wanted), epochPut()},
-	})
-	if err == nil || errors.Is(err, ErrConflict) {
-		return o.refresh(ctx) // The reader may not have the new row yet.
-	}
-	return err
-}
-
 // recordStoreFailure records a failed read and returns the backoff before the next one.
 func (o *Overseer) recordStoreFailure(err error) time.Duration {
 	o.meters.unconfirmed.Inc(1)
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -212,7 +212,7 @@
 		self: self, store: store, platform: platform, now: now,
 		logger: log.New(io.Discard), meters: newMeters(metrics.NewRegistry()), dial: dialer.Default,
 		wake:           make(chan struct{}, 1),
-		auth:           authorizer.New(self.Daemon, self.Incarnation, authorizer.Config{Lease: Lease, Majority: Majority, Extension: Extension}),
+		auth:           newAuthorizer(self),
 		changed:        make(chan struct{}),
 		reconfirmed:    make(chan struct{}),
 		faults:         make(map[unit.GroupName]*fault),
@@ -233,6 +233,10 @@
 	return o
 }
 
+func newAuthorizer(self Self) *authorizer.Authorizer {
+	return authorizer.New(self.Daemon, self.Incarnation, authorizer.Config{Lease: Lease, Majority: Majority, Extension: Extension})
+}
+
 // Start begins to confirm the rows and to monitor the primaries, in the background.
 func (o *Overseer) Start(instances Instances) {
 	o.instances.Store(&instances)
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -215,14 +215,18 @@
 	return addresses[turn/2%len(addresses)], true
 }
 
-// relayFromPeers requests a confirmation from other daemons until one provides it.
+// relayFromPeers requests a confirmation from other daemons until one provides it. If the
+// confirmed member list lacks this daemon, it also requests to be added to the list.
 func (o *Overseer) relayFromPeers() {
 	for range relayAttempts {
 		address, ok := o.nextPeer()
 		if !ok {
 			return
 		}
-		if _, err := o.relayFrom(address, 0, Majority); err == nil {
+		if _, err := o.relayFrom(address, 0, Majority); err != nil {
+			continue
+		}
+		if o.isListed() || o.enlistThrough(address) == nil {
 			return
 		}
 	}
--- a/wire/peer/peerconnect/oversee.connect.go
+++ b/wire/peer/peerconnect/oversee.connect.go
@@ -45,6 +45,8 @@
 	OverseerRelayProcedure = "/tarragonshed.peer.v1.Overseer/Relay"
 	// OverseerFetchProcedure is the fully-qualified name of the Overseer's Fetch RPC.
 	OverseerFetchProcedure = "/tarragonshed.peer.v1.Overseer/Fetch"
+	// OverseerEnlistProcedure is the fully-qualified name of the Overseer's Enlist RPC.
+	OverseerEnlistProcedure = "/tarragonshed.peer.v1.Overseer/Enlist"
 )
 
 // OverseerClient is a client for the tarragonshed.peer.v1.Overseer service.
@@ -62,6 +64,9 @@
 	// Fetch returns the documents of the platform that are in force on the
 	// receiver.
 	Fetch(context.Context, *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error)
+	// Enlist asks the receiver to write the sender's row of the member list, because
+	// the store refuses the sender's own requests.
+	Enlist(context.Context, *connect.Request[peer.EnlistRequest]) (*connect.Response[peer.EnlistResponse], error)
 }
 
 // NewOverseerClient constructs a client for the tarragonshed.peer.v1.Overseer service. By default,
@@ -111,6 +116,12 @@
 			connect.WithSchema(overseerMethods.ByName("Fetch")),
 			connect.WithClientOptions(opts...),
 		),
+		enlist: connect.NewClient[peer.EnlistRequest, peer.EnlistResponse](
+			httpClient,
+			baseURL+OverseerEnlistProcedure,
+			connect.WithSchema(overseerMethods.ByName("Enlist")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -122,6 +133,7 @@
 	announce *connect.Client[peer.AnnounceRequest, peer.AnnounceResponse]
 	relay    *connect.Client[peer.RelayRequest, peer.RelayResponse]
 	fetch    *connect.Client[peer.FetchRequest, peer.FetchResponse]
+	enlist   *connect.Client[peer.EnlistRequest, peer.EnlistResponse]
 }
 
 // Withdraw calls tarragonshed.peer.v1.Overseer.Withdraw.
@@ -154,6 +166,11 @@
 	return c.fetch.CallUnary(ctx, req)
 }
 
+// Enlist calls tarragonshed.peer.v1.Overseer.Enlist.
+func (c *overseerClient) Enlist(ctx context.Context, req *connect.Request[peer.EnlistRequest]) (*connect.Response[peer.EnlistResponse], error) {
+	return c.enlist.CallUnary(ctx, req)
+}
+
 // OverseerHandler is an implementation of the tarragonshed.peer.v1.Overseer service.
 type OverseerHandler interface {
 	// Withdraw asks the receiver to give up its authority over a group's primary.
@@ -169,6 +186,9 @@
 	// Fetch returns the documents of the platform that are in force on the
 	// receiver.
 	Fetch(context.Context, *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error)
+	// Enlist asks the receiver to write the sender's row of the member list, because
+	// the store refuses the sender's own requests.
+	Enlist(context.Context, *connect.Request[peer.EnlistRequest]) (*connect.Response[peer.EnlistResponse], error)
 }
 
 // NewOverseerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -214,6 +234,12 @@
 		connect.WithSchema(overseerMethods.ByName("Fetch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	overseerEnlistHandler := connect.NewUnaryHandler(
+		OverseerEnlistProcedure,
+		svc.Enlist,
+		connect.WithSchema(overseerMethods.ByName("Enlist")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/tarragonshed.peer.v1.Overseer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OverseerWithdrawProcedure:
@@ -228,6 +254,8 @@
 			overseerRelayHandler.ServeHTTP(w, r)
 		case OverseerFetchProcedure:
 			overseerFetchHandler.ServeHTTP(w, r)
+		case OverseerEnlistProcedure:
+			overseerEnlistHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -260,3 +288,7 @@
 func (UnimplementedOverseerHandler) Fetch(context.Context, *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonshed.peer.v1.Overseer.Fetch is not implemented"))
 }
+
+func (UnimplementedOverseerHandler) Enlist(context.Context, *connect.Request[peer.EnlistRequest]) (*connect.Response[peer.EnlistResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonshed.peer.v1.Overseer.Enlist is not implemented"))
+}
