engine: keep no unused connections while starting

Cause: after a power loss of all daemons, instances count the connections of the earlier incarnations for 3 s. Besides, a daemon that has started assumed for up to 2 s that it is alone, with a share of all 173 connections, because the number of daemons was read every 2 s.

Ruled out: a late start (documents and rows were there 35.1 to 35.4 s, within 0.1 s of the process' start) and authority (no statement refused as cut-off).

--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -126,10 +126,14 @@
 	go func() {
 		ticker := time.NewTicker(tickInterval)
 		defer ticker.Stop()
+		started := time.NewTimer(startingDuration)
+		defer started.Stop()
 		for {
 			select {
 			case at := <-ticker.C:
 				e.tick(at)
+			case <-started.C:
+				e.resize()
 			case <-e.ctx.Done():
 				return
 			}
@@ -172,11 +176,8 @@
 // SetDaemonCount sets the number of daemons that share the instances. Each daemon's share
 // of the connections follows from it.
 func (e *Engine) SetDaemonCount(daemons int) {
-	if e.daemons.Swap(int64(max(1, daemons))) == int64(max(1, daemons)) {
-		return
-	}
-	if m := e.current.Load().manifest; m != nil {
-		e.Adopt(m)
+	if e.daemons.Swap(int64(max(1, daemons))) != int64(max(1, daemons)) {
+		e.resize()
 	}
 }
 
@@ -283,15 +284,32 @@
 	shortIdleTimeout = 300 * time.Millisecond
 )
 
-// idleTimeoutFor returns the idle timeout of a daemon that may open share connections to
-// an instance.
-func idleTimeoutFor(share int) time.Duration {
+// While a daemon starts, it does not know whether all others start as well. The instances then
+// still count the connections of all daemons' earlier incarnations, and accept only a few new
+// ones. A starting daemon with a small share therefore keeps no connection that it does not
+// use, so that other daemons can open one.
+const (
+	startingDuration    = 4 * time.Second
+	startingIdleTimeout = 20 * time.Millisecond
+)
+
+// poolLimits returns the limits of the connections to an instance for a daemon that may open
+// share of them.
+func poolLimits(share int, starting bool) pooler.Limits {
+	l := pooler.Limits{Share: share, Warm: 1, Opening: openingLimit, Rate: refillRate, IdleTimeout: idleTimeout}
 	if share < smallShare {
-		return shortIdleTimeout
+		l.IdleTimeout = shortIdleTimeout
+		if starting {
+			l.Warm, l.IdleTimeout = 0, startingIdleTimeout
+		}
 	}
-	return idleTimeout
+	return l
 }
 
+// starting reports whether the instances may still count the connections of this daemon's
+// earlier incarnation.
+func (e *Engine) starting() bool { return time.Since(e.started) < startingDuration }
+
 // startupTimeout is how long after its start a daemon lets callers wait for the first
 // manifest and for its first authority, instead of refusing statements that it can soon
 // run. It is below the two seconds that callers wait for a session.
@@ -304,7 +322,14 @@
 func (e *Engine) limits(i manifest.Instance) (limiter.Limits, pooler.Limits) {
 	share := max(1, i.Connections/int(e.daemons.Load()))
 	return limiter.Limits{Slots: min(share, i.Slots+extraStatements), Connections: share, Queue: queueLimit},
-		pooler.Limits{Share: share, Warm: 1, Opening: openingLimit, Rate: refillRate, IdleTimeout: idleTimeoutFor(share)}
+		poolLimits(share, e.starting())
+}
+
+// resize applies the current limits to all targets.
+func (e *Engine) resize() {
+	if m := e.current.Load().manifest; m != nil {
+		e.Adopt(m)
+	}
 }
 
 // tick runs the periodic check of all targets.
--- a/tarragonshed/engine/idle_timeout_test.go
+++ b/tarragonshed/engine/idle_timeout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -18,6 +19,7 @@
 		t.Helper()
 		e := New(nil, nil, func() unit.Instant { return 0 })
 		defer e.Close()
+		e.started = time.Now().Add(-startingDuration)
 		e.SetDaemonCount(daemons)
 		_, pool := e.limits(manifest.Instance{Slots: 5, Connections: connections})
 		is.New(t).Equal(pool.IdleTimeout.String(), want)
@@ -27,3 +29,23 @@
 	t.Run("six connections per daemon", func(t *testing.T) { check(t, 204, 32, "4s") })
 	t.Run("few daemons", func(t *testing.T) { check(t, 22, 4, "4s") })
 }
+
+// TestStartingDaemonKeepsNoUnusedConnection guards against restarts that exhaust the
+// connections: after a power loss of 118 daemons before instances with 173 connections each,
+// the first 55 daemons held their warm connections while the instances still counted those
+// from before, and the others were refused for 2 s.
+func TestStartingDaemonKeepsNoUnusedConnection(t *testing.T) {
+	check := func(t *testing.T, connections, daemons, warm int) {
+		t.Helper()
+		e := New(nil, nil, func() unit.Instant { return 0 })
+		defer e.Close()
+		e.SetDaemonCount(daemons)
+		_, pool := e.limits(manifest.Instance{Slots: 4, Connections: connections})
+		is := is.New(t)
+		is.Equal(pool.Warm, warm)
+		is.Equal(pool.IdleTimeout == startingIdleTimeout, warm == 0)
+	}
+	t.Run("one connection per daemon", func(t *testing.T) { check(t, 173, 118, 0) })
+	t.Run("the number of daemons is not known", func(t *testing.T) { check(t, 173, 10_000, 0) })
+	t.Run("few daemons", func(t *testing.T) { check(t, 22, 4, 1) })
+}
