overseer: relieve a primary whose replicas are too far behind to serve reads

A commit that was applied late holds back all later ones, so at 33.9 s the replicas were at position 136 of 821, 23 s after the lag had ended. All reads of the service need the primary, whose 6 slots they exceed (7.1 needed). 787 of one daemon's tries were answered "behind", so the rejected arrivals are mostly these, not statements shed for lack of slots.

Change: a planned change of the primary. A replica that has received the log is complete once promoted, and the old primary, which is not behind, then serves reads. It happens only if callers are served late or refused, all replicas have not met reads of 1 s staleness or more for 1 s, the other daemons respond, and a replica has received within 0.2 s what the primary had. The primary steps down first; if no replica has received all that it had, it is promoted again, so no acknowledged write is lost. replacer: Plan.Voluntary; router: Lag.FarBehindFor.

A claim now requires the row that the decision was based on.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -15,7 +15,8 @@
 // surveyed only once the revocation is complete: every acknowledged write had been made by
 // then, so a replica that has received it includes it in its reported position.
 //
-// A working primary steps down first. An unreachable one steps down when the revocation is
+// A working primary steps down first. If it could have remained, it is promoted again unless a
+// replica has received all its writes. An unreachable one steps down when the revocation is
 // complete. If it becomes reachable before, the change is cancelled, because that primary
 // has all acknowledged writes.
 //
@@ -58,6 +59,9 @@
 	verifyInterval = 40 * time.Millisecond
 	// verifyTimeout is how long a promoted instance may take to lead its term.
 	verifyTimeout = 4 * time.Second
+	// stepDownTimeout is how long a voluntary change waits for the response of the old primary
+	// to the request to step down.
+	stepDownTimeout = time.Second
 	// catchUpTimeout is how long a planned change waits for a replica to receive all that the
 	// old primary had when it stepped down.
 	catchUpTimeout = 400 * time.Millisecond
@@ -91,6 +95,9 @@
 	Synchronous int
 	// Planned means that the old primary works and steps down first.
 	Planned bool
+	// Voluntary means that the change is planned and the old primary could remain. It is
+	// promoted again unless a replica has received all that it had.
+	Voluntary bool
 	// Cancellable means that the row named the old primary until the claim, so that no other
 	// instance has been promoted since.
 	Cancellable bool
@@ -366,13 +373,23 @@
 	if len(r.statuses) < len(r.plan.Replicas) && waited < surveyTimeout*time.Duration(1+r.plan.Synchronous) {
 		return nil
 	}
-	if r.plan.Planned && best.Received.Before(r.primaryReceived) && now.Sub(r.startedAt) < catchUpTimeout {
+	if r.awaitsStepDown(now) {
+		if waited >= surveyInterval {
+			return append(r.stepDown(), r.survey(now)...)
+		}
+		return nil
+	}
+	lacks := best.Received.Before(r.primaryReceived)
+	if r.plan.Planned && lacks && now.Sub(r.startedAt) < catchUpTimeout {
 		if waited >= surveyInterval/4 {
 			return r.survey(now)
 		}
 		return nil
 	}
 	r.candidate = best.Instance
+	if r.plan.Voluntary && lacks && !r.notRunning[r.plan.Primary] {
+		r.candidate = r.plan.Primary
+	}
 	r.enter(promoting, now)
 	if r.awaitingRecovery {
 		r.awaitingRecovery = false
@@ -381,6 +398,12 @@
 	return []Effect{r.call()}
 }
 
+// awaitsStepDown reports whether a voluntary change does not know yet what the old primary has
+// received.
+func (r *Replacer) awaitsStepDown(now unit.Instant) bool {
+	return r.plan.Voluntary && r.primaryReceived.IsZero() && now.Sub(r.startedAt) < stepDownTimeout
+}
+
 // best returns the status of the replica that has received most. A replica that leads already
 // takes precedence: it was promoted by a call whose response was lost.
 func (r *Replacer) best() (best Status, ok bool) {
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -188,6 +188,55 @@
 	})
 }
 
+// TestVoluntaryChange checks that a change that nothing requires loses no write.
+func TestVoluntaryChange(t *testing.T) {
+	voluntary := func(t *testing.T) *harness {
+		p := plan()
+		p.Planned, p.Voluntary = true, true
+		h := newHarness(t, p)
+		h.step(Dropped{"d-2"}, Dropped{"d-3"})
+		h.expect(StepDown{Term: 4}, survey)
+		return h
+	}
+	t.Run("a replica that has received all writes", func(t *testing.T) {
+		p := voluntary(t)
+		p.step(SteppedDown{pos(3, 12)}, replica("b", pos(3, 12)), replica("c", pos(3, 11)))
+		p.expect(Promote{"b"})
+	})
+	t.Run("the old primary is promoted again if no replica has", func(t *testing.T) {
+		p := voluntary(t)
+		p.step(SteppedDown{pos(3, 12)})
+		for p.now < unit.Instant(catchUpTimeout) {
+			p.step(replica("b", pos(3, 10)), replica("c", pos(3, 11)))
+			p.advance(10 * time.Millisecond)
+		}
+		p.effects = nil
+		p.step(replica("b", pos(3, 10)), replica("c", pos(3, 11)))
+		p.expect(Promote{"a"})
+		p.step(Promoted{"a", NotRunning}) // It has crashed since.
+		p.expect(survey)
+		p.step(replica("b", pos(3, 10)), replica("c", pos(3, 11)))
+		p.expect(Promote{"c"})
+	})
+	t.Run("the request to step down is repeated", func(t *testing.T) {
+		p := voluntary(t)
+		p.step(replica("b", pos(3, 12)), replica("c", pos(3, 12)))
+		p.expect()
+		p.advance(surveyInterval + 20*time.Millisecond)
+		p.expect(StepDown{Term: 4}, survey)
+	})
+	t.Run("a primary that does not respond is replaced", func(t *testing.T) {
+		p := voluntary(t)
+		for p.now < unit.Instant(stepDownTimeout) {
+			p.step(replica("b", pos(3, 10)), replica("c", pos(3, 11)))
+			p.advance(10 * time.Millisecond)
+		}
+		p.effects = nil
+		p.step(replica("b", pos(3, 10)), replica("c", pos(3, 11)))
+		p.expect(Promote{"c"})
+	})
+}
+
 func TestRecovered(t *testing.T) {
 	cancellable := func() Plan {
 		p := plan()
--- a/router/lag.go
+++ b/router/lag.go
@@ -9,6 +9,11 @@
 	// maxBackoff bounds the exponential backoff. Each read that probes an instance
 	// which is still behind loses a round trip.
 	maxBackoff = 500 * time.Millisecond
+	// farBehindBound is the staleness bound from which an unmet read shows that an instance
+	// is far behind. Below it the instance may only lack the latest writes.
+	farBehindBound = time.Second
+	// lagEvidenceTimeout is how long an unmet read is taken as evidence of the present lag.
+	lagEvidenceTimeout = 2 * time.Second
 )
 
 // Lag records that an instance was behind the positions that reads required, and for how
@@ -20,12 +25,22 @@
 	unmetStaleness time.Duration // Largest staleness bound that the instance did not meet.
 	backoff        time.Duration // Length of the current backoff.
 	until          time.Time     // End of the current backoff.
+
+	farBehind      time.Duration // Smallest unmet bound of farBehindBound or more.
+	farBehindSince time.Time     // First unmet read with such a bound, or zero.
+	farBehindAt    time.Time     // Last such read.
 }
 
 // RecordBehind records that the instance was behind the position required by a read with
 // the given staleness bound. Reads skip the instance for a time that doubles with each
 // backoff up to maxBackoff.
 func (l *Lag) RecordBehind(staleness time.Duration, now time.Time) {
+	if staleness >= farBehindBound {
+		if l.FarBehindFor(now) == 0 {
+			l.farBehind, l.farBehindSince = staleness, now
+		}
+		l.farBehind, l.farBehindAt = min(l.farBehind, staleness), now
+	}
 	if now.Before(l.until) { // Sent before the backoff began, or with a larger bound.
 		l.unmetStaleness = max(l.unmetStaleness, staleness)
 		return
@@ -39,8 +54,11 @@
 // with the given staleness bound. It ends the backoff, except if the bound is larger than
 // all those that the instance did not meet: such a read shows nothing about smaller bounds.
 func (l *Lag) RecordCaughtUp(staleness time.Duration) {
+	if staleness <= l.farBehind {
+		l.farBehind, l.farBehindSince, l.farBehindAt = 0, time.Time{}, time.Time{}
+	}
 	if staleness <= l.unmetStaleness {
-		*l = Lag{}
+		l.unmetStaleness, l.backoff, l.until = 0, 0, time.Time{}
 	}
 }
 
@@ -48,3 +66,12 @@
 func (l *Lag) Behind(staleness time.Duration, now time.Time) bool {
 	return staleness <= l.unmetStaleness && now.Before(l.until)
 }
+
+// FarBehindFor returns for how long the instance has not met reads that accept data of
+// farBehindBound or older. It is zero if the instance is not known to be far behind.
+func (l *Lag) FarBehindFor(now time.Time) time.Duration {
+	if l.farBehindAt.IsZero() || now.Sub(l.farBehindAt) > lagEvidenceTimeout {
+		return 0
+	}
+	return max(now.Sub(l.farBehindSince), 1)
+}
--- a/router/lag_test.go
+++ b/router/lag_test.go
@@ -51,6 +51,44 @@
 	})
 }
 
+func TestFarBehindFor(t *testing.T) {
+	now := time.Unix(100, 0)
+	const small, large = 1500 * time.Millisecond, 2500 * time.Millisecond
+	// lagging returns the Lag of an instance that did not meet reads with the bound for a
+	// second.
+	lagging := func(bound time.Duration) Lag {
+		var l Lag
+		for at := time.Duration(0); at <= time.Second; at += 100 * time.Millisecond {
+			l.RecordBehind(bound, now.Add(at-time.Second))
+		}
+		return l
+	}
+	expect := func(t *testing.T, l Lag, want time.Duration) {
+		t.Helper()
+		is.New(t).Equal(l.FarBehindFor(now), want)
+	}
+	t.Run("an instance that is not behind", func(t *testing.T) { expect(t, Lag{}, 0) })
+	t.Run("reads of recent writes prove nothing", func(t *testing.T) { expect(t, lagging(farBehindBound/2), 0) })
+	t.Run("since the first unmet read", func(t *testing.T) { expect(t, lagging(small), time.Second) })
+	t.Run("a read with a larger bound proves nothing", func(t *testing.T) {
+		l := lagging(small)
+		l.RecordCaughtUp(large)
+		expect(t, l, time.Second)
+	})
+	t.Run("a read with the same bound", func(t *testing.T) {
+		l := lagging(small)
+		l.RecordCaughtUp(small)
+		expect(t, l, 0)
+	})
+	t.Run("old evidence", func(t *testing.T) {
+		is := is.New(t)
+		l := lagging(large)
+		is.Equal(l.FarBehindFor(now.Add(lagEvidenceTimeout+time.Millisecond)), time.Duration(0))
+		l.RecordBehind(large, now.Add(time.Minute))
+		is.True(l.FarBehindFor(now.Add(time.Minute)) < time.Millisecond) // It counts anew.
+	})
+}
+
 func TestLowestCostBehind(t *testing.T) {
 	is := is.New(t)
 	replica := ReadCandidate{Instance: "replica", Behind: true}
--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -33,6 +33,7 @@
 	mu            sync.Mutex
 	targets       map[unit.InstanceName]*target
 	floors        tracker.Floors
+	strain        strain
 	retryBudget   retrier.Budget
 	positionQuery chan struct{} // Closed when the position request in flight has ended. Nil if there is none.
 }
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -40,6 +40,14 @@
 	shed bool
 }
 
+// run runs the statement on an instance that may serve it.
+func (j *job) run() Answer {
+	if j.call.writes || j.route.Consistency == manifest.PrimaryReads {
+		return j.runAtPrimary()
+	}
+	return j.runAtAnyInstance()
+}
+
 // runAtPrimary runs the statement on the primary.
 func (j *job) runAtPrimary() Answer {
 	e := j.session.engine
--- a/tarragonshed/engine/monitor.go
+++ b/tarragonshed/engine/monitor.go
@@ -20,6 +20,9 @@
 	// Tunneled is true if the instance is unreachable directly but is reached through
 	// another daemon.
 	Tunneled bool
+	// Strained is true if callers are served late or refused while the instance, as the
+	// primary of its group, has to serve all reads because the replicas are far behind.
+	Strained bool
 }
 
 // Reach returns the state of the path to an instance.
@@ -32,8 +35,12 @@
 	if !ok {
 		return Reach{}
 	}
-	h := t.health(time.Now())
-	return Reach{Known: true, Incarnation: t.instance.Incarnation, Leaving: h.leaving, Unreachable: h.noDirectPath, Tunneled: h.noDirectPath && !h.unreachable}
+	now := time.Now()
+	h := t.health(now)
+	return Reach{
+		Known: true, Incarnation: t.instance.Incarnation, Leaving: h.leaving,
+		Unreachable: h.noDirectPath, Tunneled: h.noDirectPath && !h.unreachable, Strained: g.strained(t, now),
+	}
 }
 
 // Status requests the status of an instance.
--- a/tarragonshed/engine/session.go
+++ b/tarragonshed/engine/session.go
@@ -189,10 +189,10 @@
 	}
 	g.countRequest()
 	job := &job{session: s, route: route, group: g, call: c, began: s.engine.now(), deadline: deadline(route)}
-	if c.writes || route.Consistency == manifest.PrimaryReads {
-		return job.runAtPrimary()
-	}
-	return job.runAtAnyInstance()
+	began := time.Now()
+	answer := job.run()
+	g.recordOutcome(began, answer.Err)
+	return answer
 }
 
 // deadline returns the deadline of a statement that begins now.
--- a/tarragonshed/engine/target.go
+++ b/tarragonshed/engine/target.go
@@ -158,6 +158,13 @@
 	return t.lag.Behind(bound, now)
 }
 
+// farBehindFor returns for how long the instance has been too far behind to serve reads.
+func (t *target) farBehindFor(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lag.FarBehindFor(now)
+}
+
 func (t *target) beginLoad() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -32,8 +32,7 @@
 // begin yet.
 func (o *Overseer) beginChange(g manifest.Group, row authorizer.Leadership, f *fault) {
 	o.mu.Lock()
-	recent := time.Since(o.changeEndedAt[g.Name]) < minChangeInterval
-	if recent && f.reason == unreachable && !f.corroborated || o.changes[g.Name] {
+	if o.changes[g.Name] || !f.mayBegin(time.Since(o.changeEndedAt[g.Name])) {
 		o.mu.Unlock()
 		return
 	}
@@ -48,7 +47,9 @@
 		if f.reason == noRow {
 			o.createRow(g)
 		} else {
-			o.change(g, row, f)
+			if f.reason != strained || o.hasSuccessor(g, row) {
+				o.change(g, row, f)
+			}
 			o.mu.Lock()
 			o.auth.EndChange(g.Name, o.now())
 			o.mu.Unlock()
@@ -164,7 +165,7 @@
 	p := replacer.Plan{
 		Group: g.Name, Primary: c.row.Primary, Term: c.row.Term,
 		Revocation: c.revocation, Synchronous: g.Synchronous,
-		Planned: why == leaving, Cancellable: why == unreachable,
+		Planned: why == leaving || why == strained, Voluntary: why == strained, Cancellable: why == unreachable,
 	}
 	for _, i := range g.Instances {
 		if i.Leaving || i.Name == c.row.Primary && why != stalled && why != restarted {
--- a/tarragonshed/overseer/claim.go
+++ b/tarragonshed/overseer/claim.go
@@ -15,6 +15,11 @@
 func (o *Overseer) claim(g unit.GroupName, row authorizer.Leadership, f *fault) (*primaryChange, bool) {
 	o.mu.Lock()
 	view := o.auth.View()
+	if view.Leaderships[g] != row {
+		o.mu.Unlock()
+		o.logger.Info("claim of the change of primary not sent: the row has changed", "group", g)
+		return nil, false
+	}
 	expected := []Expectation{
 		o.table.expect(dutyKey), o.table.expect(groupKey(g)), o.table.expect(memberKey(o.self.Daemon)),
 	}
--- a/tarragonshed/overseer/fault.go
+++ b/tarragonshed/overseer/fault.go
@@ -50,6 +50,7 @@
 	absent      reason = "the primary is not in the manifest"
 	restarted   reason = "the primary has a new incarnation"
 	leaving     reason = "the primary is leaving"
+	strained    reason = "the replicas are too far behind to take reads off the primary"
 	stalled     reason = "another daemon's change has not completed"
 )
 
@@ -83,6 +84,20 @@
 	return true
 }
 
+// mayBegin reports whether a change may begin, given the time since the end of the last change
+// of the group.
+func (f *fault) mayBegin(sinceLast time.Duration) bool {
+	switch f.reason {
+	case unreachable:
+		return f.corroborated || sinceLast >= minChangeInterval
+	case strained:
+		// The other daemons must have responded: otherwise the primary is out of use until
+		// their authority has expired.
+		return !f.queriedAt.IsZero() && !f.querying && !f.isolated && sinceLast >= minReliefInterval
+	}
+	return true
+}
+
 // claimants returns the daemons that may replace the primary. The caller holds mu.
 func (o *Overseer) claimants(f *fault) []replacer.Claimant {
 	var claimants []replacer.Claimant
--- /dev/null
+++ b/tarragonshed/overseer/relief.go
@@ -0,0 +1,39 @@
+package overseer
+
+import (
+	"context"
+	"time"
+
+	"tarragonshed.example/authorizer"
+	"tarragonshed.example/manifest"
+)
+
+// successorDelay is the time that a replica has to receive what the primary had received.
+const successorDelay = 200 * time.Millisecond
+
+// hasSuccessor reports whether a replica receives the log of the primary at present, although
+// it is slow to apply it. Such a replica can take over without the loss of a write: once it is
+// the primary it has applied its log, and the old primary, which is not behind, serves reads.
+func (o *Overseer) hasSuccessor(g manifest.Group, row authorizer.Leadership) bool {
+	ctx, stop := context.WithTimeout(o.ctx, 2*callTimeout)
+	defer stop()
+	instances := *o.instances.Load()
+	primary, err := instances.Status(ctx, g.Name, row.Primary)
+	if err != nil || !primary.Primary || primary.Term != row.Term {
+		o.logger.Info("strained primary not relieved: no status", "group", g.Name, "primary", row.Primary, "cause", err)
+		return false
+	}
+	time.Sleep(successorDelay)
+	for _, i := range g.Instances {
+		if i.Name == row.Primary || i.Leaving {
+			continue
+		}
+		s, err := instances.Status(ctx, g.Name, i.Name)
+		if err == nil && !s.Received.Before(primary.Received) {
+			o.logger.Info("strained primary is relieved", "group", g.Name, "primary", row.Primary, "successor", i.Name, "received", s.Received)
+			return true
+		}
+	}
+	o.logger.Info("strained primary not relieved: no replica receives its log", "group", g.Name, "primary", row.Primary)
+	return false
+}
--- a/tarragonshed/overseer/watch.go
+++ b/tarragonshed/overseer/watch.go
@@ -23,11 +23,14 @@
 	// recentlyListedRanks is added to the rank of a recently listed daemon, because its
 	// change would have to wait for the full extension.
 	recentlyListedRanks = 6
-	// leaveRankDelay replaces rankDelay for a planned change, when the primary is leaving.
-	leaveRankDelay = 800 * time.Millisecond
+	// plannedRankDelay replaces rankDelay for a planned change, when the primary works.
+	plannedRankDelay = 800 * time.Millisecond
 	// minChangeInterval is the minimum time between the end of a change of a group and the
 	// next change for an unreachable primary that other daemons still reach.
 	minChangeInterval = 3 * time.Second
+	// minReliefInterval is the minimum time between two attempts to relieve the primary of a
+	// group. After a change, the instances need some time to serve reads again.
+	minReliefInterval = 5 * time.Second
 )
 
 // watch checks every primary once.
@@ -101,6 +104,8 @@
 		return unreachable
 	case reach.Leaving:
 		return leaving
+	case reach.Strained && !reach.Unreachable:
+		return strained
 	}
 	return noFault
 }
@@ -133,8 +138,8 @@
 	if established && o.auth.RecentlyListed(o.auth.View().Members[o.self.Daemon]) {
 		rank += recentlyListedRanks
 	}
-	if f.reason == leaving {
-		return rank * leaveRankDelay
+	if f.reason == leaving || f.reason == strained {
+		return rank * plannedRankDelay
 	}
 	return f.timeout() + rank*rankDelay
 }
