--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -289,19 +289,21 @@
 // ones. A starting daemon with a small share therefore keeps no connection that it does not
 // use, so that other daemons can open one.
 const (
-	startingDuration    = 4 * time.Second
-	startingIdleTimeout = 20 * time.Millisecond
+	startingDuration = 4 * time.Second
+	unusedTimeout    = 20 * time.Millisecond
 )
 
-// poolLimits returns the limits of the connections to an instance for a daemon that may open
-// share of them.
-func poolLimits(share int, starting bool) pooler.Limits {
+// poolLimits returns the limits of one daemon's connections to an instance that accepts the
+// given number from all daemons together. With more daemons than connections, a daemon always
+// keeps only those that it uses.
+func poolLimits(connections, daemons int, starting bool) pooler.Limits {
+	share := max(1, connections/daemons)
 	l := pooler.Limits{Share: share, Warm: 1, Opening: openingLimit, Rate: refillRate, IdleTimeout: idleTimeout}
 	if share < smallShare {
 		l.IdleTimeout = shortIdleTimeout
-		if starting {
-			l.Warm, l.IdleTimeout = 0, startingIdleTimeout
-		}
+	}
+	if connections < daemons || starting && share < smallShare {
+		l.Warm, l.IdleTimeout = 0, unusedTimeout
 	}
 	return l
 }
@@ -320,9 +322,8 @@
 // statement that exceeds its slots before running it. Connections are shared evenly,
 // because the instance counts the connections of all daemons together.
 func (e *Engine) limits(i manifest.Instance) (limiter.Limits, pooler.Limits) {
-	share := max(1, i.Connections/int(e.daemons.Load()))
-	return limiter.Limits{Slots: min(share, i.Slots+extraStatements), Connections: share, Queue: queueLimit},
-		poolLimits(share, e.starting())
+	pool := poolLimits(i.Connections, int(e.daemons.Load()), e.starting())
+	return limiter.Limits{Slots: min(pool.Share, i.Slots+extraStatements), Connections: pool.Share, Queue: queueLimit}, pool
 }
 
 // resize applies the current limits to all targets.
--- a/tarragonshed/engine/idle_timeout_test.go
+++ b/tarragonshed/engine/idle_timeout_test.go
@@ -43,7 +43,7 @@
 		_, pool := e.limits(manifest.Instance{Slots: 4, Connections: connections})
 		is := is.New(t)
 		is.Equal(pool.Warm, warm)
-		is.Equal(pool.IdleTimeout == startingIdleTimeout, warm == 0)
+		is.Equal(pool.IdleTimeout == unusedTimeout, warm == 0)
 	}
 	t.Run("one connection per daemon", func(t *testing.T) { check(t, 173, 118, 0) })
 	t.Run("the number of daemons is not known", func(t *testing.T) { check(t, 173, 10_000, 0) })
