controller: refuse a subscription without results instead of panicking

A target that answers LISTEN without any result made subscribe slice the empty list of results at -1; the panic ended the daemon. Test first: it panicked.

--- a/tarragonshed/controller/controller_test.go
+++ b/tarragonshed/controller/controller_test.go
@@ -109,11 +109,24 @@
 	fake.expect(t, listenQuery)
 }
 
+// TestListenWithoutResults guards against a panic that ended the daemon: a target that
+// responds to the subscription without any result, such as one that speaks the protocol but
+// is no database of ours.
+func TestListenWithoutResults(t *testing.T) {
+	is := is.New(t)
+	fake := newFake()
+	fake.empty = true
+	err := controller.Listen(t.Context(), fake.dial, "127.0.0.1:1", func(instance.Report) { t.Error("there is no report") })
+	is.True(err != nil)
+	fake.expect(t, listenQuery)
+}
+
 // fakeTarget responds to every query with its report, and pushes two more reports
 // after listenQuery.
 type fakeTarget struct {
 	report       instance.Report
 	unresponsive bool
+	empty        bool // Whether it responds without a result.
 	queries      chan string
 	parameters   map[string]string
 	close        func()
@@ -162,6 +175,10 @@
 }
 
 func (f *fakeTarget) respond(backend *pgproto3.Backend) {
+	if f.empty {
+		backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		return
+	}
 	text, _ := json.Marshal(f.report)
 	backend.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("report"), DataTypeOID: 25}}})
 	backend.Send(&pgproto3.DataRow{Values: [][]byte{text}})
--- a/tarragonshed/controller/listen.go
+++ b/tarragonshed/controller/listen.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return trace.Wrap(err, "controller: subscribe to reports")
 	}
-	text, ok := singleValue(results[len(results)-1:])
+	text, ok := singleValue(results[max(0, len(results)-1):])
 	if !ok {
 		return trace.BadParameter("controller: LISTEN returned no report")
 	}
