router: try an instance that is far behind only at the end of its backoff

Cause: the penalty for an instance that is behind, 0.5 s, is less than the expected latency of a primary that serves all reads of its group. So reads went to replicas that had lacked the position a moment before.

--- a/router/lag_test.go
+++ b/router/lag_test.go
@@ -98,4 +98,13 @@
 	primary.ExpectedLatency = time.Second // The replica may have caught up.
 	chosen, _ = LowestCost([]ReadCandidate{replica, primary})
 	is.Equal(chosen, replica)
+	replica.FarBehind = true // It has been behind for a while, so it probably still is.
+	chosen, _ = LowestCost([]ReadCandidate{replica, primary})
+	is.Equal(chosen, primary)
+	replica.Behind = false // The backoff has ended.
+	chosen, _ = LowestCost([]ReadCandidate{replica, primary})
+	is.Equal(chosen, replica)
+	replica.Behind = true
+	chosen, _ = LowestCost([]ReadCandidate{replica})
+	is.Equal(chosen, replica) // There is no other one.
 }
--- a/router/placement.go
+++ b/router/placement.go
@@ -70,6 +70,9 @@
 	// Behind is set if the instance has probably not reached the position that the
 	// read requires, see [Lag].
 	Behind bool
+	// FarBehind is set if the instance has not met reads with a large staleness bound for a
+	// while, see [Lag.FarBehindFor]. It is unlikely to have caught up.
+	FarBehind bool
 }
 
 // primaryPenalty is the additional latency that a read accepts on a replica before it
@@ -81,6 +84,10 @@
 // read loses a round trip.
 const lagPenalty = 500 * time.Millisecond
 
+// farBehindPenalty exceeds every latency that a read accepts, so that an instance that is far
+// behind is tried again only at the end of its backoff, or if there is no other one.
+const farBehindPenalty = time.Hour
+
 // LowestCost returns the candidate with the lowest expected cost of a read, or false if
 // there is none. It distributes loads that exceed the capacity of the instance in one
 // failure domain: reads stay near until their wait there costs more than the distance to
@@ -109,7 +116,10 @@
 	if c.Primary {
 		cost += primaryPenalty
 	}
-	if c.Behind {
+	switch {
+	case c.Behind && c.FarBehind:
+		cost += farBehindPenalty
+	case c.Behind:
 		cost += lagPenalty
 	}
 	return cost
--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -23,6 +23,9 @@
 	// retireDelay is how long the connections to an instance that is no longer in the
 	// manifest are kept, so that open transactions can end.
 	retireDelay = 5 * time.Second
+	// farBehindDelay is how long an instance must have been far behind before reads go to a
+	// busy primary instead. A shorter lag may be over by the next read.
+	farBehindDelay = 300 * time.Millisecond
 )
 
 // group is the state of one database group.
@@ -246,7 +249,7 @@
 		}
 		candidate := router.ReadCandidate{
 			Instance: t.name(), Distance: distance, ExpectedLatency: h.expectedLatency,
-			Primary: t.name() == l.Primary, Behind: t.behind(bound, now),
+			Primary: t.name() == l.Primary, Behind: t.behind(bound, now), FarBehind: t.farBehindFor(now) > farBehindDelay,
 		}
 		if h.suspected {
 			suspected = append(suspected, candidate)
