--- a/authorizer/model_test.go
+++ b/authorizer/model_test.go
@@ -35,6 +35,7 @@
 	majorityFullExtension fault = "extensions by a majority end as late as those by all daemons"
 	hiddenDrop            fault = "a daemon does not report the groups that it has dropped"
 	vouchAhead            fault = "a daemon with newer rows counts towards a majority"
+	relayWithoutAge       fault = "a relayed confirmation counts as new"
 	vouchRestarted        fault = "a restarted daemon counts towards a majority"
 	countNewDaemons       fault = "recently listed daemons count as withdrawn from a majority"
 )
@@ -63,6 +64,7 @@
 	version        int
 	storeDownUntil time.Duration          // Until when the store is unreachable for all daemons.
 	partitions     bool                   // Whether network partitions occur.
+	relays         bool                   // Whether daemons obtain rows from each other.
 	partitionUntil time.Duration          // End of the current partition.
 	isolated       map[unit.DaemonID]bool // Daemons that don't reach the store during the partition.
 	bridge         unit.DaemonID          // Daemon that reaches both sides, if any.
@@ -294,6 +296,9 @@
 	if w.random.IntN(changes) == 0 && !d.changing {
 		d.change()
 	}
+	if w.relays && w.random.IntN(24) == 0 {
+		d.relay()
+	}
 }
 
 // reachesStore reports whether a call of the daemon reaches the store now.
@@ -325,21 +330,28 @@
 			if ok && m.Removed != 0 && w.fault == unlistedChanges {
 				return
 			}
-			wanted := authorizer.Member{Daemon: d.id, Incarnation: d.incarnation, Listed: view.Now}
-			if ok && m.Removed == 0 {
-				wanted.Listed = m.Listed
-			}
-			expected := versions[string(d.id)]
-			w.after(w.latency(), func() {
-				if w.versions[string(d.id)] == expected && d.reachesStore() {
-					w.put(string(d.id))
-					w.rows.Members[d.id] = wanted
-				}
-			})
+			d.enlist(d.id, d.incarnation)
 		})
 	})
 }
 
+// enlist adds a daemon to the list, on condition that its row is as this daemon knows it.
+func (d *node) enlist(id unit.DaemonID, incarnation unit.Incarnation) {
+	w := d.world
+	view := d.auth.View()
+	wanted := authorizer.Member{Daemon: id, Incarnation: incarnation, Listed: view.Now}
+	if m, ok := view.Members[id]; ok && m.Removed == 0 {
+		wanted.Listed = m.Listed
+	}
+	expected := d.versions[string(id)]
+	w.after(w.latency(), func() {
+		if w.versions[string(id)] == expected && d.reachesStore() {
+			w.put(string(id))
+			w.rows.Members[id] = wanted
+		}
+	})
+}
+
 func (w *world) put(key string) {
 	w.version++
 	w.versions[key] = w.version
@@ -663,9 +675,12 @@
 
 // simulate runs many schedules and returns the first violation, and the number of responses
 // used and of promotions.
-func simulate(f fault, partitions bool, seeds int) (violation string, used, changed int) {
+func simulate(f fault, partitions bool, seeds int, options ...func(*world)) (violation string, used, changed int) {
 	for seed := range seeds {
 		w := newWorld(uint64(seed), f, partitions)
+		for _, option := range options {
+			option(w)
+		}
 		w.run()
 		used += w.used
 		changed += w.promotions
