overseer: keep the authority while a successor is sought

The daemon gave up its authority over the group and vouched for nobody before it began, so its callers waited, also when there was no successor and no change followed. Test first: the primary stays in use while a successor is sought.

--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -32,27 +32,21 @@
 // begin yet.
 func (o *Overseer) beginChange(g manifest.Group, row authorizer.Leadership, f *fault) {
 	o.mu.Lock()
-	if o.changes[g.Name] || !f.mayBegin(time.Since(o.changeEndedAt[g.Name])) {
-		o.mu.Unlock()
-		return
+	begins := !o.changes[g.Name] && f.mayBegin(time.Since(o.changeEndedAt[g.Name])) && (f.reason == noRow || o.listed())
+	if begins {
+		o.changes[g.Name] = true
 	}
-	if f.reason != noRow && !o.auth.BeginChange(g.Name) {
-		o.mu.Unlock()
+	o.mu.Unlock()
+	if !begins {
 		return
 	}
-	o.changes[g.Name] = true
-	o.mu.Unlock()
 	go func() {
 		began := time.Now()
-		if f.reason == noRow {
+		switch {
+		case f.reason == noRow:
 			o.createRow(g)
-		} else {
-			if f.reason != strained || o.hasSuccessor(g, row) {
-				o.change(g, row, f)
-			}
-			o.mu.Lock()
-			o.auth.EndChange(g.Name, o.now())
-			o.mu.Unlock()
+		case f.reason != strained || o.hasSuccessor(g, row):
+			o.changeWithoutAuthority(g, row, f)
 		}
 		o.meters.duration.UpdateSince(began)
 		o.mu.Lock()
@@ -63,6 +57,21 @@
 	}()
 }
 
+// changeWithoutAuthority replaces the primary of the group. Meanwhile the daemon has no
+// authority over the group.
+func (o *Overseer) changeWithoutAuthority(g manifest.Group, row authorizer.Leadership, f *fault) {
+	o.mu.Lock()
+	permitted := o.auth.BeginChange(g.Name)
+	o.mu.Unlock()
+	if !permitted {
+		return
+	}
+	o.change(g, row, f)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.auth.EndChange(g.Name, o.now())
+}
+
 // createRow writes the first row of a group. The instance that reports that it is the
 // primary becomes the primary in the row.
 func (o *Overseer) createRow(g manifest.Group) {
--- a/tarragonshed/overseer/fault.go
+++ b/tarragonshed/overseer/fault.go
@@ -91,8 +91,8 @@
 	case unreachable:
 		return f.corroborated || sinceLast >= minChangeInterval
 	case strained:
-		// The other daemons must have responded: otherwise the primary is out of use until
-		// their authority has expired.
+		// More than half of the queried daemons must have responded. Otherwise the primary is
+		// out of use until the authority of the others has expired.
 		return !f.queriedAt.IsZero() && !f.querying && !f.isolated && sinceLast >= minReliefInterval
 	}
 	return true
--- a/tarragonshed/overseer/relief_test.go
+++ b/tarragonshed/overseer/relief_test.go
@@ -119,6 +119,19 @@
 		o, _ := overseen(t, g)
 		is.True(!o.hasSuccessor(g.Manifest().Groups[0], o.rowOf("g")))
 	})
+	t.Run("the primary stays in use while a successor is sought", func(t *testing.T) {
+		is := is.New(t)
+		o, _ := overseen(t, newStrainedGroup(9))
+		o.beginChange(o.manifest().Groups[0], o.rowOf("g"), &fault{reason: strained, queriedAt: time.Now()})
+		for running := true; running; {
+			_, usable := o.Primary("g")
+			is.True(usable)
+			time.Sleep(time.Millisecond)
+			o.mu.Lock()
+			running = o.changes["g"]
+			o.mu.Unlock()
+		}
+	})
 	t.Run("a primary that does not lead its term", func(t *testing.T) {
 		is := is.New(t)
 		g := newStrainedGroup(10)
