engine: apply changed limits without adopting the manifest again

Cause, found on reading the change: resize loaded the manifest in force and adopted it once more, outside of the lock. A newer manifest that was adopted in between was replaced by the older one until the next change.

Adopt and resize share the loop.

--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -168,9 +168,7 @@
 	if e.current.Swap(next).manifest == nil {
 		close(e.adopted)
 	}
-	for _, g := range m.Groups {
-		next.groups[g.Name].adopt(g.Instances)
-	}
+	next.update()
 }
 
 // SetDaemonCount sets the number of daemons that share the instances. Each daemon's share
@@ -328,8 +326,18 @@
 
 // resize applies the current limits to all targets.
 func (e *Engine) resize() {
-	if m := e.current.Load().manifest; m != nil {
-		e.Adopt(m)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.current.Load().update()
+}
+
+// update applies the manifest's instances and the current limits to the groups.
+func (s *snapshot) update() {
+	if s.manifest == nil {
+		return
+	}
+	for _, g := range s.manifest.Groups {
+		s.groups[g.Name].adopt(g.Instances)
 	}
 }
 
