--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -193,23 +193,23 @@
 
 // Holds reports whether a response of l's primary that arrived at now may be used.
 func (a *Authorizer) Holds(l Leadership, now unit.Instant) bool {
-	if a.view.Leaderships[l.Group] != l || l.State != Leading || a.changing[l.Group] || !a.isListed() {
+	if a.view.Leaderships[l.Group] != l || l.State != Leading || a.changing[l.Group] || !a.IsListed() {
 		return false
 	}
 	return !a.hasDropped(l.Group) && now < a.expiry()
 }
 
 // Active reports whether the daemon has authority over any group that has a primary.
-func (a *Authorizer) Active(now unit.Instant) bool { return a.isListed() && now < a.expiry() }
+func (a *Authorizer) Active(now unit.Instant) bool { return a.IsListed() && now < a.expiry() }
 
 // expiry returns when the authority ends.
 func (a *Authorizer) expiry() unit.Instant {
 	return max(a.confirmedAt.Add(a.config.Lease), a.extendedUntil)
 }
 
-// isListed reports whether the daemon is on the member list of its own view. Only then do
+// IsListed reports whether the daemon is on the member list of its own view. Only then do
 // changes by other daemons wait for the end of its authority.
-func (a *Authorizer) isListed() bool {
+func (a *Authorizer) IsListed() bool {
 	m, ok := a.view.Members[a.self]
 	return ok && a.hasView && m.Incarnation == a.incarnation && m.Removed == 0
 }
@@ -242,7 +242,7 @@
 // authority over the group until [Authorizer.EndChange], because the store may still confirm
 // the old row to it while the transaction is in flight.
 func (a *Authorizer) BeginChange(group unit.GroupName) bool {
-	if !a.isListed() {
+	if !a.IsListed() {
 		return false
 	}
 	a.changing[group] = true
--- a/authorizer/extension.go
+++ b/authorizer/extension.go
@@ -58,7 +58,7 @@
 // ask. It returns false if an extension is not possible. An authority that has ended is not
 // extended, because the rows may have changed since.
 func (a *Authorizer) BeginExtension(now unit.Instant) ([]Member, bool) {
-	if !a.isListed() || now >= a.expiry() || now >= a.confirmedAt.Add(a.config.Extension) {
+	if !a.IsListed() || now >= a.expiry() || now >= a.confirmedAt.Add(a.config.Extension) {
 		return nil, false
 	}
 	listed := a.view.Listed()
--- a/authorizer/revocation.go
+++ b/authorizer/revocation.go
@@ -42,7 +42,7 @@
 	r := &Revocation{
 		lease:          a.config.Lease,
 		deadline:       max(claimed.Add(a.config.Lease), vacant.Add(a.config.Majority)),
-		recentlyListed: !a.isListed() || a.RecentlyListed(a.view.Members[a.self]),
+		recentlyListed: !a.IsListed() || a.RecentlyListed(a.view.Members[a.self]),
 		remaining:      make(map[unit.DaemonID]Member), onAllLists: make(map[unit.DaemonID]bool),
 		withdrawn: make(map[unit.DaemonID]bool),
 	}
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -32,7 +32,7 @@
 // begin yet.
 func (o *Overseer) beginChange(g manifest.Group, row authorizer.Leadership, f *fault) {
 	o.mu.Lock()
-	begins := !o.changes[g.Name] && f.mayBegin(time.Since(o.changeEndedAt[g.Name])) && (f.reason == noRow || o.listed())
+	begins := !o.changes[g.Name] && f.mayBegin(time.Since(o.changeEndedAt[g.Name])) && (f.reason == noRow || o.auth.IsListed())
 	if begins {
 		o.changes[g.Name] = true
 	}
--- a/tarragonshed/overseer/enlist.go
+++ b/tarragonshed/overseer/enlist.go
@@ -48,13 +48,7 @@
 func (o *Overseer) isListed() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.listed()
-}
-
-// listed is isListed for a caller that holds mu.
-func (o *Overseer) listed() bool {
-	m, ok := o.auth.View().Members[o.self.Daemon]
-	return ok && m.Removed == 0 && m.Incarnation == o.self.Incarnation
+	return o.auth.IsListed()
 }
 
 // enlistThrough requests the daemon at the address to add this one to the member list. A
