--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -63,6 +63,7 @@
 		return 0, err
 	}
 	o.recordStoreSuccess()
+	o.reportOutdated(reader.ID)
 	ctx, stop := context.WithTimeout(o.ctx, confirmTimeout)
 	defer stop()
 	if err := o.enlist(ctx); err != nil {
--- /dev/null
+++ b/tarragonshed/overseer/documents.go
@@ -0,0 +1,121 @@
+package overseer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"tarragonshed.example/unit"
+	"tarragonshed.example/wire/peer"
+)
+
+// maxDocumentAge is the age above which a document counts as outdated. It is the reader's
+// task to keep the documents current, so a greater age means that the reader fails to.
+const maxDocumentAge = 2 * time.Second
+
+// versionsOf returns the documents in force without their bodies.
+func versionsOf(documents Documents) []*peer.Document {
+	var all []*peer.Document
+	for name, state := range documents.States() {
+		all = append(all, &peer.Document{Name: name, Version: state.Version})
+	}
+	return all
+}
+
+// agesOf returns the documents in force without their bodies, and their ages at now.
+func agesOf(documents Documents, now unit.Instant) []*peer.Document {
+	var all []*peer.Document
+	for name, state := range documents.States() {
+		d := &peer.Document{Name: name, Version: state.Version}
+		if state.Confirmed {
+			age := int64(now.Sub(state.AsOf))
+			d.Age = &age
+		}
+		all = append(all, d)
+	}
+	return all
+}
+
+// receiveDocuments fetches the documents that the daemon at the address has in a newer
+// version than this one, and records how current the documents are. The daemon offered them
+// no earlier than responded.
+func (o *Overseer) receiveDocuments(address string, offered []*peer.Document, responded unit.Instant) {
+	if o.documents == nil {
+		return
+	}
+	if o.lacks(offered) {
+		o.fetchFrom(address)
+	}
+	for _, d := range offered {
+		if d.Age != nil {
+			o.documents.Confirm(d.Name, d.Version, responded.Add(-time.Duration(*d.Age)))
+		}
+	}
+}
+
+// outdated returns the documents that are older than maxDocumentAge, sorted by name.
+func (o *Overseer) outdated() []string {
+	if o.documents == nil {
+		return nil
+	}
+	var names []string
+	for name, state := range o.documents.States() {
+		if state.Confirmed && o.now().Sub(state.AsOf) > maxDocumentAge {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// reportOutdated logs when documents become outdated although a reader confirms the rows,
+// and when all are current again.
+func (o *Overseer) reportOutdated(reader unit.DaemonID) {
+	names := o.outdated()
+	o.mu.Lock()
+	before := o.documentsOutdated
+	o.documentsOutdated = len(names) > 0
+	o.mu.Unlock()
+	switch {
+	case before == (len(names) > 0):
+	case before:
+		o.logger.Info("documents from the reader are current", "reader", reader)
+	default:
+		o.logger.Warn("documents from the reader are outdated", "reader", reader, "documents", names, "limit", maxDocumentAge)
+	}
+}
+
+// lacks reports whether one of the offered documents is newer than this daemon's.
+func (o *Overseer) lacks(offered []*peer.Document) bool {
+	known := o.documents.States()
+	for _, d := range offered {
+		if d.Version > known[d.Name].Version {
+			return true
+		}
+	}
+	return false
+}
+
+// fetch requests newer documents from another daemon.
+func (o *Overseer) fetch() {
+	if address, ok := o.nextPeer(); ok {
+		o.fetchFrom(address)
+	}
+}
+
+func (o *Overseer) fetchFrom(address string) {
+	ctx, stop := context.WithTimeout(o.ctx, peerTimeout)
+	defer stop()
+	request := &peer.FetchRequest{Known: versionsOf(o.documents)}
+	response, err := o.peer(address).Fetch(ctx, connect.NewRequest(request))
+	if err != nil {
+		o.logger.Info("documents not received from another daemon", "from", address, "cause", err)
+		return // The next call contacts the next daemon.
+	}
+	for _, d := range response.Msg.Documents {
+		o.logger.Info("document received from another daemon", "document", d.Name, "version", d.Version, "from", address)
+		o.documents.Offer(Document{Name: d.Name, Version: d.Version, Body: d.Body})
+	}
+}
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -113,12 +113,24 @@
 // Documents holds the platform's documents, which daemons exchange while the store is
 // unavailable.
 type Documents interface {
-	// Versions returns the versions of the documents in force, by name.
-	Versions() map[string]uint64
+	// States returns the documents in force, by name.
+	States() map[string]DocumentState
 	// Newer returns the documents in force that have a higher version than the known one.
 	Newer(known map[string]uint64) []Document
 	// Offer passes in a document that was received from another daemon.
 	Offer(Document)
+	// Confirm records that the version of a document was the store's newest at asOf. It has
+	// no effect if an older version is in force.
+	Confirm(name string, version uint64, asOf unit.Instant)
+}
+
+// DocumentState is the state of a document in force.
+type DocumentState struct {
+	Version uint64
+	// AsOf is when the version was last known to be the store's newest.
+	AsOf unit.Instant
+	// Confirmed reports whether AsOf is known.
+	Confirmed bool
 }
 
 // Document is one document of the platform.
@@ -162,6 +174,7 @@
 	extensionRequestedAt time.Time                   // When an extension was last requested.
 	prunedAt             time.Time                   // When the next daemon on the list was last checked.
 	respondedAt          map[unit.DaemonID]time.Time
+	documentsOutdated    bool // Whether documents were last reported to be outdated.
 	turn                 atomic.Int64
 	reading              atomic.Bool // Whether a read by readInBackground is in flight.
 
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -261,28 +261,16 @@
 		return held, errNoConfirmation
 	}
 	o.meters.relayed.Inc(1)
-	// This is a lower bound for when the store was queried: the request was sent before it
+	// This is a lower bound for when the response was given: the request was sent before it
 	// arrived, and the response was delayed by the time for which the request was held.
-	if !o.adoptRelayed(response.Msg, known, sent.Add(held-age)) {
+	responded := sent.Add(held)
+	if !o.adoptRelayed(response.Msg, known, responded.Add(-age)) {
 		return o.relaySince(ctx, address, table{}, 0, maxAge)
 	}
-	if o.documents != nil && o.lacks(response.Msg.Documents) {
-		o.fetchFrom(address)
-	}
+	o.receiveDocuments(address, response.Msg.Documents, responded)
 	return held, nil
 }
 
-// lacks reports whether one of the offered documents is newer than this daemon's.
-func (o *Overseer) lacks(offered []*peer.Document) bool {
-	known := o.documents.Versions()
-	for _, d := range offered {
-		if d.Version > known[d.Name] {
-			return true
-		}
-	}
-	return false
-}
-
 // adoptRelayed adopts the rows of another daemon's confirmation. It returns false if rows
 // have been deleted since the known ones, which the response does not list.
 func (o *Overseer) adoptRelayed(response *peer.RelayResponse, known table, confirmed unit.Instant) bool {
@@ -309,36 +297,6 @@
 	return true
 }
 
-// versionsOf returns the documents in force without their bodies.
-func versionsOf(documents Documents) []*peer.Document {
-	var all []*peer.Document
-	for name, version := range documents.Versions() {
-		all = append(all, &peer.Document{Name: name, Version: version})
-	}
-	return all
-}
-
-// fetch requests newer documents from another daemon.
-func (o *Overseer) fetch() {
-	if address, ok := o.nextPeer(); ok {
-		o.fetchFrom(address)
-	}
-}
-
-func (o *Overseer) fetchFrom(address string) {
-	ctx, stop := context.WithTimeout(o.ctx, peerTimeout)
-	defer stop()
-	request := &peer.FetchRequest{Known: versionsOf(o.documents)}
-	response, err := o.peer(address).Fetch(ctx, connect.NewRequest(request))
-	if err != nil {
-		return // The next call contacts the next daemon.
-	}
-	for _, d := range response.Msg.Documents {
-		o.logger.Info("document received from another daemon", "document", d.Name, "version", d.Version, "from", address)
-		o.documents.Offer(Document{Name: d.Name, Version: d.Version, Body: d.Body})
-	}
-}
-
 // announceToPeers notifies the other daemons that rows have changed.
 func (o *Overseer) announceToPeers() {
 	o.confirmNow()
--- a/tarragonshed/overseer/service.go
+++ b/tarragonshed/overseer/service.go
@@ -68,7 +68,7 @@
 		Age: int64(o.now().Sub(confirmed)), Count: int64(len(o.table.rows)), Held: int64(held),
 	}
 	if o.documents != nil {
-		response.Documents = versionsOf(o.documents)
+		response.Documents = agesOf(o.documents, o.now())
 	}
 	if !ok || time.Duration(response.Age) > Majority { // The sender can't use it.
 		return connect.NewResponse(response), nil
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -30,6 +30,10 @@
 // [Floors] holds positions of a group's primary and when they were requested. It
 // yields the lowest position that satisfies a read with a given staleness bound.
 //
+// # Copies of tables
+//
+// [Copy] tracks how current a copy of a table of the platform's store is.
+//
 // # Usage
 //
 //	var session tracker.Session
