overseer: do not rely on a reader with outdated documents

A reader that confirms the rows but whose copies of the tables stay behind would keep its region on an older configuration, and with 118 daemons there are few readers.

Readers relay the age of each document. A daemon whose documents are older than 1.5 s for 0.8 s, while the reader confirms the rows, treats the reader as failed: it reads the rows and tables from the store itself. After an outage a reader has checked its copies within this time, so it is not given up then.

--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -53,6 +53,9 @@
 // the next request.
 func (o *Overseer) confirmFromReader(reader member.Daemon) (time.Duration, error) {
 	held, err := o.relayFrom(reader.PeerAddress, maxRelayHold, maxRelayedAge)
+	if err == nil {
+		err = o.checkDocuments(reader.ID)
+	}
 	o.mu.Lock()
 	if err != nil {
 		o.logger.Info("no confirmation from the reader", "reader", reader.ID, "cause", err)
@@ -63,7 +66,6 @@
 		return 0, err
 	}
 	o.recordStoreSuccess()
-	o.reportOutdated(reader.ID)
 	ctx, stop := context.WithTimeout(o.ctx, confirmTimeout)
 	defer stop()
 	if err := o.enlist(ctx); err != nil {
--- a/tarragonshed/overseer/documents.go
+++ b/tarragonshed/overseer/documents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -11,9 +12,17 @@
 	"tarragonshed.example/wire/peer"
 )
 
-// maxDocumentAge is the age above which a document counts as outdated. It is the reader's
-// task to keep the documents current, so a greater age means that the reader fails to.
-const maxDocumentAge = 2 * time.Second
+const (
+	// maxDocumentAge is the age above which a document counts as outdated. It is longer than
+	// a reader takes to check its copies.
+	maxDocumentAge = 1500 * time.Millisecond
+	// maxOutdated is how long the documents of a reader may be outdated while it confirms the
+	// rows. After an outage of the store it has them within this time.
+	maxOutdated = 800 * time.Millisecond
+)
+
+// errOutdatedDocuments means that a reader does not keep its documents current.
+var errOutdatedDocuments = errors.New("overseer: the documents of the reader are outdated")
 
 // versionsOf returns the documents in force without their bodies.
 func versionsOf(documents Documents) []*peer.Document {
@@ -70,21 +79,27 @@
 	return names
 }
 
-// reportOutdated logs when documents become outdated although a reader confirms the rows,
-// and when all are current again.
-func (o *Overseer) reportOutdated(reader unit.DaemonID) {
+// checkDocuments returns an error if the documents have been outdated for longer than
+// maxOutdated although the reader confirms the rows.
+func (o *Overseer) checkDocuments(reader unit.DaemonID) error {
 	names := o.outdated()
+	now := o.now()
 	o.mu.Lock()
-	before := o.documentsOutdated
-	o.documentsOutdated = len(names) > 0
-	o.mu.Unlock()
+	defer o.mu.Unlock()
 	switch {
-	case before == (len(names) > 0):
-	case before:
-		o.logger.Info("documents from the reader are current", "reader", reader)
-	default:
+	case len(names) == 0:
+		if o.outdatedSince != 0 {
+			o.logger.Info("documents from the reader are current", "reader", reader)
+		}
+		o.outdatedSince = 0
+	case o.outdatedSince == 0:
+		o.outdatedSince = now
 		o.logger.Warn("documents from the reader are outdated", "reader", reader, "documents", names, "limit", maxDocumentAge)
+	case now.Sub(o.outdatedSince) >= maxOutdated:
+		o.outdatedSince = 0
+		return errOutdatedDocuments
 	}
+	return nil
 }
 
 // lacks reports whether one of the offered documents is newer than this daemon's.
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -17,9 +17,9 @@
 //
 // One daemon, the reader, reads the store for up to 40 daemons of its region. The others
 // request confirmations from it, and it responds when the store has confirmed the rows
-// again. If the reader fails, a daemon reads the store itself for a while. If the store is
-// unavailable, the daemons extend each other's authority, see
-// [authorizer.Authorizer.BeginExtension].
+// again. If the reader fails, or does not keep its documents current, a daemon reads the
+// store itself for a while. If the store is unavailable, the daemons extend each other's
+// authority, see [authorizer.Authorizer.BeginExtension].
 //
 // # Replacing a primary
 //
@@ -174,7 +174,7 @@
 	extensionRequestedAt time.Time                   // When an extension was last requested.
 	prunedAt             time.Time                   // When the next daemon on the list was last checked.
 	respondedAt          map[unit.DaemonID]time.Time
-	documentsOutdated    bool // Whether documents were last reported to be outdated.
+	outdatedSince        unit.Instant // Since when a reader has relayed outdated documents, or zero.
 	turn                 atomic.Int64
 	reading              atomic.Bool // Whether a read by readInBackground is in flight.
 
