platform: do not compare versions of different eras of the store

Cause: versions go back and are given out again, and they were compared across the restore. The follower of a table went on from a version that the store did not have yet, and then missed the change that got this version; whole reads ignored its row as not newer than the one in force. Meanwhile each reader read both tables whole each 0.3 s. Entries of instances and documents between daemons had the same fault.

--- a/tarragonshed/overseer/documents.go
+++ b/tarragonshed/overseer/documents.go
@@ -28,16 +28,26 @@
 func versionsOf(documents Documents) []*peer.Document {
 	var all []*peer.Document
 	for name, state := range documents.States() {
-		all = append(all, &peer.Document{Name: name, Version: state.Version})
+		all = append(all, messageOf(name, state.Revision))
 	}
 	return all
 }
 
+// messageOf returns the message that names a document without its body.
+func messageOf(name string, r unit.Revision) *peer.Document {
+	return &peer.Document{Name: name, Era: uint64(r.Era), Version: r.Version}
+}
+
+// revisionOf returns the revision of the document in a message.
+func revisionOf(d *peer.Document) unit.Revision {
+	return unit.Revision{Era: unit.Era(d.Era), Version: d.Version}
+}
+
 // agesOf returns the documents in force without their bodies, and their ages at now.
 func agesOf(documents Documents, now unit.Instant) []*peer.Document {
 	var all []*peer.Document
 	for name, state := range documents.States() {
-		d := &peer.Document{Name: name, Version: state.Version}
+		d := messageOf(name, state.Revision)
 		if state.Confirmed {
 			age := int64(now.Sub(state.AsOf))
 			d.Age = &age
@@ -59,7 +69,7 @@
 	}
 	for _, d := range offered {
 		if d.Age != nil {
-			o.documents.Confirm(d.Name, d.Version, responded.Add(-time.Duration(*d.Age)))
+			o.documents.Confirm(d.Name, revisionOf(d), responded.Add(-time.Duration(*d.Age)))
 		}
 	}
 }
@@ -106,7 +116,7 @@
 func (o *Overseer) lacks(offered []*peer.Document) bool {
 	known := o.documents.States()
 	for _, d := range offered {
-		if d.Version > known[d.Name].Version {
+		if known[d.Name].Revision.Before(revisionOf(d)) {
 			return true
 		}
 	}
@@ -130,7 +140,7 @@
 		return // The next call contacts the next daemon.
 	}
 	for _, d := range response.Msg.Documents {
-		o.logger.Info("document received from another daemon", "document", d.Name, "version", d.Version, "from", address)
-		o.documents.Offer(Document{Name: d.Name, Version: d.Version, Body: d.Body})
+		o.logger.Info("document received from another daemon", "document", d.Name, "era", d.Era, "version", d.Version, "from", address)
+		o.documents.Offer(Document{Name: d.Name, Revision: revisionOf(d), Body: d.Body})
 	}
 }
--- a/tarragonshed/overseer/documents_test.go
+++ b/tarragonshed/overseer/documents_test.go
@@ -17,12 +17,12 @@
 	return map[string]DocumentState{"document": d.state}
 }
 
-func (*fakeDocuments) Newer(map[string]uint64) []Document { return nil }
-func (*fakeDocuments) Offer(Document)                     {}
+func (*fakeDocuments) Newer(map[string]unit.Revision) []Document { return nil }
+func (*fakeDocuments) Offer(Document)                            {}
 
 // Confirm implements Documents.
-func (d *fakeDocuments) Confirm(_ string, version uint64, asOf unit.Instant) {
-	if d.state.Version >= version {
+func (d *fakeDocuments) Confirm(_ string, r unit.Revision, asOf unit.Instant) {
+	if !d.state.Revision.Before(r) {
 		d.state.AsOf = max(d.state.AsOf, asOf)
 	}
 }
@@ -37,7 +37,7 @@
 	now := func() unit.Instant { return unit.Instant(clock.Load()) }
 	for _, o := range []*Overseer{reader, other} {
 		o.now = now
-		o.documents = &fakeDocuments{DocumentState{Version: 1, Confirmed: true, AsOf: now().Add(-age)}}
+		o.documents = &fakeDocuments{DocumentState{Revision: unit.Revision{Version: 1}, Confirmed: true, AsOf: now().Add(-age)}}
 	}
 	is.New(t).NoErr(reader.read())
 	return other, clock
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -115,19 +115,21 @@
 type Documents interface {
 	// States returns the documents in force, by name.
 	States() map[string]DocumentState
-	// Newer returns the documents in force that have a higher version than the known one.
-	Newer(known map[string]uint64) []Document
+	// Newer returns the documents in force that have a later revision than the known one.
+	Newer(known map[string]unit.Revision) []Document
 	// Offer passes in a document that was received from another daemon.
 	Offer(Document)
-	// Confirm records that the version of a document was the store's newest at asOf. It has
-	// no effect if an older version is in force.
-	Confirm(name string, version uint64, asOf unit.Instant)
+	// Confirm records that the revision of a document was the store's newest at asOf. It has
+	// no effect if an earlier revision is in force.
+	Confirm(name string, revision unit.Revision, asOf unit.Instant)
 }
 
 // DocumentState is the state of a document in force.
 type DocumentState struct {
-	Version uint64
-	// AsOf is when the version was last known to be the store's newest.
+	// Revision orders the states of the document. Its era is zero if the document has
+	// versions of its own, which do not go back when the store is restored.
+	Revision unit.Revision
+	// AsOf is when the revision was last known to be the store's newest.
 	AsOf unit.Instant
 	// Confirmed reports whether AsOf is known.
 	Confirmed bool
@@ -135,9 +137,9 @@
 
 // Document is one document of the platform.
 type Document struct {
-	Name    string
-	Version uint64
-	Body    []byte
+	Name     string
+	Revision unit.Revision
+	Body     []byte
 }
 
 // Overseer maintains the authority of one daemon. It is safe for concurrent use.
--- a/tarragonshed/overseer/service.go
+++ b/tarragonshed/overseer/service.go
@@ -103,14 +103,16 @@
 
 // Fetch implements [peerconnect.OverseerHandler].
 func (s service) Fetch(_ context.Context, r *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error) {
-	known := make(map[string]uint64)
+	known := make(map[string]unit.Revision)
 	for _, d := range r.Msg.Known {
-		known[d.Name] = d.Version
+		known[d.Name] = revisionOf(d)
 	}
 	response := &peer.FetchResponse{}
 	if s.overseer.documents != nil {
 		for _, d := range s.overseer.documents.Newer(known) {
-			response.Documents = append(response.Documents, &peer.Document{Name: d.Name, Version: d.Version, Body: d.Body})
+			message := messageOf(d.Name, d.Revision)
+			message.Body = d.Body
+			response.Documents = append(response.Documents, message)
 		}
 	}
 	return connect.NewResponse(response), nil
--- a/unit/unit.go
+++ b/unit/unit.go
@@ -73,6 +73,29 @@
 // again, and a new era begins. Versions of different eras are not comparable.
 type Era uint64
 
+// Revision is a point in the history of the platform's store: a version and the era that it
+// belongs to.
+type Revision struct {
+	Era     Era
+	Version uint64
+}
+
+// Before reports whether r is ordered before q: by era, then by version.
+func (r Revision) Before(q Revision) bool {
+	if r.Era != q.Era {
+		return r.Era < q.Era
+	}
+	return r.Version < q.Version
+}
+
+// Max returns the later of r and q.
+func (r Revision) Max(q Revision) Revision {
+	if r.Before(q) {
+		return q
+	}
+	return r
+}
+
 // Instant is a point in time on one machine: the time since the machine booted,
 // including the time it was suspended. Instants of different machines are not
 // comparable. Leases must be measured with it, because the monotonic clock of
