overseer: read the rows whole in a new era of the store

With the same version again, rows that the store had lost were confirmed; changes were read from a version of the lost era.

Rows, epochs and transactions now belong to an era. A daemon that finds another era reads all rows; a reader relays all rows to a daemon of another era; a daemon with rows of an earlier era is behind when it vouches. A transaction answered in another era than that of its expected versions returns ErrOtherEra: a claim, a change or a publication of the lost era ends.

Open, next: fencing tokens are given out again, and the rows that went back are used as they are.

--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -120,8 +120,13 @@
 	Now time.Duration
 	// Epoch is the version of the newest row.
 	Epoch uint64
+	// Era is the era of the store that the rows belong to.
+	Era unit.Era
 }
 
+// Revision returns the revision of the newest row.
+func (v View) Revision() unit.Revision { return unit.Revision{Era: v.Era, Version: v.Epoch} }
+
 // Config holds the durations of an [Authorizer]. They must be the same in all daemons.
 type Config struct {
 	// Lease is how long a confirmation lasts.
--- a/authorizer/authorizer_test.go
+++ b/authorizer/authorizer_test.go
@@ -200,14 +200,14 @@
 func TestVouch(t *testing.T) {
 	is := is.New(t)
 	a := newConfirmed("b")
-	is.True(a.Vouch(7).Idle)
+	is.True(a.Vouch(unit.Revision{Version: 7}).Idle)
 	is.True(a.BeginChange("g"))
-	is.True(!a.Vouch(7).Idle)
+	is.True(!a.Vouch(unit.Revision{Version: 7}).Idle)
 	a.EndChange("g", at(1))
-	is.Equal(a.Vouch(7), Vouch{Daemon: "me", Incarnation: 1, Idle: true, Dropped: []unit.GroupName{"g"}})
+	is.Equal(a.Vouch(unit.Revision{Version: 7}), Vouch{Daemon: "me", Incarnation: 1, Idle: true, Dropped: []unit.GroupName{"g"}})
 	a.Reconfirm(at(2), time.Minute)
-	is.Equal(a.Vouch(7), idleVouch("me", 1)) // The outcome of the change has been confirmed to it.
-	is.True(a.Vouch(6).Ahead)
+	is.Equal(a.Vouch(unit.Revision{Version: 7}), idleVouch("me", 1)) // The outcome of the change has been confirmed to it.
+	is.True(a.Vouch(unit.Revision{Version: 6}).Ahead)
 }
 
 func TestMajority(t *testing.T) {
--- a/authorizer/extension.go
+++ b/authorizer/extension.go
@@ -19,9 +19,9 @@
 	Dropped []unit.GroupName
 }
 
-// Vouch returns the response to a daemon whose newest row has the given epoch.
-func (a *Authorizer) Vouch(epoch uint64) Vouch {
-	v := Vouch{Daemon: a.self, Incarnation: a.incarnation, Idle: len(a.changing) == 0, Ahead: a.view.Epoch > epoch}
+// Vouch returns the response to a daemon whose newest row has the given revision.
+func (a *Authorizer) Vouch(known unit.Revision) Vouch {
+	v := Vouch{Daemon: a.self, Incarnation: a.incarnation, Idle: len(a.changing) == 0, Ahead: known.Before(a.view.Revision())}
 	for group := range a.dropped {
 		if a.hasDropped(group) {
 			v.Dropped = append(v.Dropped, group)
--- a/authorizer/model_test.go
+++ b/authorizer/model_test.go
@@ -390,7 +390,7 @@
 	if !ok {
 		return
 	}
-	epoch := d.auth.View().Epoch
+	known := d.auth.View().Revision()
 	for n, m := range members {
 		if w.fault == someVouch && n > 0 {
 			d.auth.RecordVouch(authorizer.Vouch{Daemon: m.Daemon, Incarnation: m.Incarnation, Idle: true}, sent, sent)
@@ -398,15 +398,15 @@
 		}
 		other := w.find(m.Daemon)
 		d.sendTo(other, loseVouch, func() {
-			v := other.vouch(epoch, m)
+			v := other.vouch(known, m)
 			d.deliver(func() { d.auth.RecordVouch(v, sent, w.clock(d)) })
 		})
 	}
 }
 
 // vouch responds to a daemon that has this one on its list as m.
-func (d *node) vouch(epoch uint64, m authorizer.Member) authorizer.Vouch {
-	v := d.auth.Vouch(epoch)
+func (d *node) vouch(known unit.Revision, m authorizer.Member) authorizer.Vouch {
+	v := d.auth.Vouch(known)
 	switch d.world.fault {
 	case vouchInChange:
 		v.Idle = true
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -91,6 +91,7 @@
 		}
 		ctx, stop = context.WithTimeout(o.ctx, callTimeout)
 		_, err = o.store.Commit(ctx, Transaction{
+			Era:      o.era(),
 			Expected: []Expectation{{Key: groupKey(g.Name)}},
 			Puts:     []Put{encode(groupKey(g.Name), l), epochPut()},
 		})
@@ -121,6 +122,7 @@
 	fault      *fault                // Why the primary is replaced.
 	row        authorizer.Leadership // The row of the group as claimed.
 	duty       authorizer.Duty
+	era        unit.Era     // The era of the claim.
 	claimedAt  unit.Instant // When the response to the claim arrived.
 	events     chan replacer.Event
 	revocation *authorizer.Revocation // Of the authority of the other daemons.
@@ -154,19 +156,21 @@
 		}
 		if c.superseded() {
 			c.meters.failed.Inc(1)
-			c.logger.Warn("change of primary abandoned: another daemon has claimed the row", "group", c.row.Group)
+			c.logger.Warn("change of primary abandoned: another daemon has claimed the row, or the store was restored", "group", c.row.Group)
 			return
 		}
 		effects = r.Step(event, c.now())
 	}
 }
 
-// superseded reports whether another daemon has claimed the row since.
+// superseded reports whether another daemon has claimed the row since, or the claim was lost
+// because the store was restored.
 func (c *primaryChange) superseded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.auth.View().Leaderships[c.row.Group]
-	return l.Fence > c.row.Fence || l.Fence == c.row.Fence && l.Changer != "" && l.Changer != c.row.Changer
+	view := c.auth.View()
+	l := view.Leaderships[c.row.Group]
+	return view.Era != c.era || l.Fence > c.row.Fence || l.Fence == c.row.Fence && l.Changer != "" && l.Changer != c.row.Changer
 }
 
 func (c *primaryChange) plan(g manifest.Group) replacer.Plan {
--- a/tarragonshed/overseer/claim.go
+++ b/tarragonshed/overseer/claim.go
@@ -29,9 +29,11 @@
 	if c.duty.Holder != o.self.Daemon || c.duty.Incarnation != o.self.Incarnation {
 		c.duty = authorizer.Duty{Holder: o.self.Daemon, Incarnation: o.self.Incarnation, Fence: view.Duty.Fence + 1}
 	}
+	c.era = view.Era
 	c.row = row
 	c.row.State, c.row.Fence, c.row.Changer = authorizer.Changing, c.duty.Fence, o.self.Daemon
 	tx := Transaction{
+		Era:      view.Era,
 		Expected: expected,
 		Puts:     []Put{encode(dutyKey, c.duty), encode(groupKey(g), c.row), epochPut()},
 	}
@@ -44,7 +46,7 @@
 		case err == nil:
 			c.claimedAt = o.now()
 			return c, c.reread()
-		case errors.Is(err, ErrNotCommitted) && !unknown:
+		case errors.Is(err, ErrNotCommitted) && !unknown, errors.Is(err, ErrOtherEra):
 			o.logger.Warn("claim of the change of primary failed", "group", g, "cause", err)
 			return nil, false
 		case errors.Is(err, ErrConflict):
@@ -64,6 +66,9 @@
 		ctx, stop := context.WithTimeout(c.Overseer.ctx, callTimeout)
 		err := c.refresh(ctx)
 		stop()
+		if c.inOtherEra() {
+			return false
+		}
 		if err != nil {
 			time.Sleep(claimRetryInterval)
 			continue
@@ -87,6 +92,9 @@
 		ctx, stop := context.WithTimeout(c.Overseer.ctx, callTimeout)
 		current, _, err := c.readRow(ctx)
 		stop()
+		if errors.Is(err, ErrOtherEra) {
+			return false
+		}
 		if err != nil {
 			time.Sleep(claimRetryInterval)
 			continue
@@ -97,14 +105,25 @@
 	return false
 }
 
+// inOtherEra reports whether the store was restored after the claim. The claim is then lost.
+func (c *primaryChange) inOtherEra() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.auth.View().Era != c.era
+}
+
 // readRow reads the row of the group, and returns the expectation that the row has not
-// changed since.
+// changed since. The error is [ErrOtherEra] if the claim was lost because the store was
+// restored.
 func (c *primaryChange) readRow(ctx context.Context) (authorizer.Leadership, Expectation, error) {
-	row, now, err := c.store.Row(ctx, groupKey(c.row.Group))
+	row, moment, err := c.store.Row(ctx, groupKey(c.row.Group))
+	if err == nil && moment.Era != c.era {
+		err = ErrOtherEra
+	}
 	if err != nil {
 		return authorizer.Leadership{}, Expectation{}, err
 	}
-	rows := newTable([]Row{row})
-	view, _ := decode(rows, now)
+	rows := newTable(moment.Era, []Row{row})
+	view, _ := decode(rows, moment.Now)
 	return view.Leaderships[c.row.Group], rows.expect(groupKey(c.row.Group)), nil
 }
--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -127,44 +127,44 @@
 		return false, nil // There is nothing to confirm.
 	}
 	sent := o.now()
-	epoch, storeNow, err := o.store.Row(ctx, epochKey)
+	epoch, moment, err := o.store.Row(ctx, epochKey)
 	if err != nil {
 		return false, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if epoch.Version != o.table.epoch() {
+	if (unit.Revision{Era: moment.Era, Version: epoch.Version}) != o.table.revision() {
 		return false, nil
 	}
-	o.auth.Reconfirm(sent, storeNow)
+	o.auth.Reconfirm(sent, moment.Now)
 	o.releaseHeld()
 	o.meters.confirmed.Inc(1)
 	return true, nil
 }
 
 // refresh reads the rows that have changed, or all rows if the store no longer has the
-// history of changes.
+// history of changes or was restored.
 func (o *Overseer) refresh(ctx context.Context) error {
 	o.mu.Lock()
 	known := o.table
 	o.mu.Unlock()
 	sent := o.now()
 	if known.epoch() > 0 {
-		changes, storeNow, err := o.store.Changes(ctx, known.epoch())
+		changes, moment, err := o.store.Changes(ctx, known.revision())
 		if err == nil {
-			o.adoptRead(known.with(changes), storeNow, sent)
+			o.adoptRead(known.with(changes), moment.Now, sent)
 			return nil
 		}
-		if !errors.Is(err, ErrHistoryDropped) {
+		if !errors.Is(err, ErrHistoryDropped) && !errors.Is(err, ErrOtherEra) {
 			return err
 		}
-		o.logger.Info("reading all rows: the store no longer has the change history", "epoch", known.epoch())
+		o.logger.Info("reading all rows", "epoch", known.epoch(), "cause", err)
 	}
-	rows, storeNow, err := o.store.Rows(ctx)
+	rows, moment, err := o.store.Rows(ctx)
 	if err != nil {
 		return err
 	}
-	o.adoptRead(newTable(rows), storeNow, sent)
+	o.adoptRead(newTable(moment.Era, rows), moment.Now, sent)
 	return nil
 }
 
--- a/tarragonshed/overseer/effect.go
+++ b/tarragonshed/overseer/effect.go
@@ -126,6 +126,7 @@
 		return
 	}
 	_, err = c.store.Commit(ctx, Transaction{
+		Era:      c.era,
 		Expected: []Expectation{unchanged},
 		Puts:     []Put{encode(groupKey(c.row.Group), l), epochPut()},
 	})
--- a/tarragonshed/overseer/enlist.go
+++ b/tarragonshed/overseer/enlist.go
@@ -35,10 +35,11 @@
 		return nil
 	}
 	_, err := o.store.Commit(ctx, Transaction{
+		Era:      view.Era,
 		Expected: []Expectation{unchanged},
 		Puts:     []Put{encode(memberKey(wanted.Daemon), wanted), epochPut()},
 	})
-	if err == nil || errors.Is(err, ErrConflict) {
+	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrOtherEra) {
 		return o.refresh(ctx) // The reader may not have the new row yet.
 	}
 	return err
--- a/tarragonshed/overseer/enlist_test.go
+++ b/tarragonshed/overseer/enlist_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"testing"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
@@ -19,18 +18,18 @@
 
 var errRefused = errors.New("refused")
 
-func (refusingStore) Row(context.Context, string) (Row, time.Duration, error) {
-	return Row{}, 0, errRefused
+func (refusingStore) Row(context.Context, string) (Row, Moment, error) {
+	return Row{}, Moment{}, errRefused
 }
 
-func (refusingStore) Rows(context.Context) ([]Row, time.Duration, error) { return nil, 0, errRefused }
+func (refusingStore) Rows(context.Context) ([]Row, Moment, error) { return nil, Moment{}, errRefused }
 
-func (refusingStore) Changes(context.Context, uint64) ([]Row, time.Duration, error) {
-	return nil, 0, errRefused
+func (refusingStore) Changes(context.Context, unit.Revision) ([]Row, Moment, error) {
+	return nil, Moment{}, errRefused
 }
 
-func (refusingStore) Commit(context.Context, Transaction) (time.Duration, error) {
-	return 0, ErrNotCommitted
+func (refusingStore) Commit(context.Context, Transaction) (Moment, error) {
+	return Moment{}, ErrNotCommitted
 }
 
 // restartedWithoutStore returns a daemon that was on the member list and has restarted while
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -357,7 +357,7 @@
 func (o *Overseer) Leave(ctx context.Context) error {
 	o.mu.Lock()
 	m, ok := o.auth.View().Members[o.self.Daemon]
-	unchanged := o.table.expect(memberKey(o.self.Daemon))
+	unchanged, era := o.table.expect(memberKey(o.self.Daemon)), o.table.era
 	o.mu.Unlock()
 	if !ok || m.Incarnation != o.self.Incarnation {
 		return nil
@@ -365,6 +365,7 @@
 	o.Close()
 	m.Removed = max(1, o.storeNow())
 	_, err := o.store.Commit(ctx, Transaction{
+		Era:      era,
 		Expected: []Expectation{unchanged},
 		Puts:     []Put{encode(memberKey(o.self.Daemon), m), epochPut()},
 	})
@@ -374,6 +375,13 @@
 	return err
 }
 
+// era returns the era of the known rows.
+func (o *Overseer) era() unit.Era {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.era
+}
+
 func (o *Overseer) storeNow() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -117,12 +117,12 @@
 		return
 	}
 	o.mu.Lock()
-	sent, epoch := o.now(), o.auth.View().Epoch
+	sent, view := o.now(), o.auth.View()
 	members, ok := o.auth.BeginExtension(sent)
 	o.mu.Unlock()
 	if ok {
 		go o.callAll(members, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
-			response, err := c.Vouch(ctx, connect.NewRequest(&peer.VouchRequest{Epoch: epoch}))
+			response, err := c.Vouch(ctx, connect.NewRequest(&peer.VouchRequest{Era: uint64(view.Era), Epoch: view.Epoch}))
 			if err != nil {
 				o.logger.Debug("vouch request failed", "daemon", m.Daemon, "cause", err)
 				return
@@ -251,7 +251,7 @@
 // changed since the known ones.
 func (o *Overseer) relaySince(ctx context.Context, address string, known table, maxHold, maxAge time.Duration) (time.Duration, error) {
 	sent := o.now()
-	request := &peer.RelayRequest{Epoch: known.epoch(), Patience: int64(maxHold)}
+	request := &peer.RelayRequest{Era: uint64(known.era), Epoch: known.epoch(), Patience: int64(maxHold)}
 	response, err := o.peer(address).Relay(ctx, connect.NewRequest(request))
 	if err != nil {
 		return 0, err
@@ -274,16 +274,19 @@
 // adoptRelayed adopts the rows of another daemon's confirmation. It returns false if rows
 // have been deleted since the known ones, which the response does not list.
 func (o *Overseer) adoptRelayed(response *peer.RelayResponse, known table, confirmed unit.Instant) bool {
-	if response.Epoch < known.epoch() {
+	revision := unit.Revision{Era: unit.Era(response.Era), Version: response.Epoch}
+	switch {
+	case revision.Before(known.revision()):
 		return true // The other daemon receives the newer rows shortly.
-	}
-	if response.Epoch == known.epoch() {
+	case revision == known.revision():
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		if o.table.epoch() == response.Epoch {
+		if o.table.revision() == revision {
 			o.auth.Reconfirm(confirmed, time.Duration(response.StoreNow))
 		}
 		return true
+	case revision.Era != known.era:
+		known = table{era: revision.Era} // The response has all rows.
 	}
 	rows := make([]Row, 0, len(response.Rows))
 	for _, r := range response.Rows {
--- a/tarragonshed/overseer/prune.go
+++ b/tarragonshed/overseer/prune.go
@@ -73,9 +73,10 @@
 	if !known {
 		o.respondedAt[m.Daemon], respondedAt = now, now
 	}
-	unchanged := o.table.expect(memberKey(m.Daemon))
+	unchanged, era := o.table.expect(memberKey(m.Daemon)), o.table.era
 	o.mu.Unlock()
 	tx := Transaction{
+		Era:      era,
 		Expected: []Expectation{unchanged},
 		Puts:     []Put{epochPut()},
 	}
--- a/tarragonshed/overseer/service.go
+++ b/tarragonshed/overseer/service.go
@@ -32,7 +32,7 @@
 func (s service) Vouch(_ context.Context, r *connect.Request[peer.VouchRequest]) (*connect.Response[peer.VouchResponse], error) {
 	o := s.overseer
 	o.mu.Lock()
-	v := o.auth.Vouch(r.Msg.Epoch)
+	v := o.auth.Vouch(unit.Revision{Era: unit.Era(r.Msg.Era), Version: r.Msg.Epoch})
 	o.mu.Unlock()
 	response := &peer.VouchResponse{Daemon: string(v.Daemon), Incarnation: uint64(v.Incarnation), Idle: v.Idle, Ahead: v.Ahead}
 	for _, group := range v.Dropped {
@@ -64,7 +64,7 @@
 	defer o.mu.Unlock()
 	confirmed, ok := o.auth.Confirmed()
 	response := &peer.RelayResponse{
-		Confirmed: ok, Epoch: o.table.epoch(), StoreNow: int64(o.auth.View().Now),
+		Confirmed: ok, Era: uint64(o.table.era), Epoch: o.table.epoch(), StoreNow: int64(o.auth.View().Now),
 		Age: int64(o.now().Sub(confirmed)), Count: int64(len(o.table.rows)), Held: int64(held),
 	}
 	if o.documents != nil {
@@ -73,7 +73,7 @@
 	if !ok || time.Duration(response.Age) > Majority { // The sender can't use it.
 		return connect.NewResponse(response), nil
 	}
-	for _, row := range o.table.since(r.Msg.Epoch) {
+	for _, row := range o.table.changesFor(unit.Revision{Era: unit.Era(r.Msg.Era), Version: r.Msg.Epoch}) {
 		response.Rows = append(response.Rows, &peer.RelayedRow{Key: row.Key, Value: row.Value, Version: row.Version})
 	}
 	return connect.NewResponse(response), nil
@@ -88,9 +88,9 @@
 	}
 	began := o.now()
 	o.mu.Lock()
-	reconfirmed, current := o.reconfirmed, o.table.epoch()
+	reconfirmed, current := o.reconfirmed, o.table.revision()
 	o.mu.Unlock()
-	if r.Epoch < current {
+	if (unit.Revision{Era: unit.Era(r.Era), Version: r.Epoch}).Before(current) {
 		return 0
 	}
 	select {
--- a/tarragonshed/overseer/store.go
+++ b/tarragonshed/overseer/store.go
@@ -21,21 +21,31 @@
 // ErrHistoryDropped means that the store no longer has the requested history.
 var ErrHistoryDropped = errors.New("overseer: the store no longer has the requested history")
 
-// Store keeps the rows of one table. Its operations are linearizable.
+// ErrOtherEra means that the store was restored from a copy. A transaction may have been
+// executed before or after the restore.
+var ErrOtherEra = errors.New("overseer: the store was restored")
+
+// Store keeps the rows of one table. Its operations are linearizable within an era.
 type Store interface {
-	// Row returns one row and the store's clock. The version is zero if the row does not
-	// exist.
-	Row(ctx context.Context, key string) (Row, time.Duration, error)
-	// Rows returns a snapshot of all rows, and the store's clock.
-	Rows(ctx context.Context) ([]Row, time.Duration, error)
-	// Changes returns the rows that were written or deleted after the version, in the order
-	// of the changes and up to one point in time, and the store's clock. The error is
-	// ErrHistoryDropped if the store no longer has these changes.
-	Changes(ctx context.Context, after uint64) ([]Row, time.Duration, error)
-	// Commit executes the transaction atomically and returns the store's clock. The error
-	// is ErrConflict or ErrNotCommitted if it was not executed. With any other error it may
-	// have been executed, or may still be while its expectations hold.
-	Commit(ctx context.Context, tx Transaction) (time.Duration, error)
+	// Row returns one row. The version is zero if the row does not exist.
+	Row(ctx context.Context, key string) (Row, Moment, error)
+	// Rows returns a snapshot of all rows.
+	Rows(ctx context.Context) ([]Row, Moment, error)
+	// Changes returns the rows that were written or deleted after the revision, in the order
+	// of the changes and up to one point in time. The error is ErrHistoryDropped if the store
+	// no longer has these changes, or ErrOtherEra if the revision is of another era.
+	Changes(ctx context.Context, after unit.Revision) ([]Row, Moment, error)
+	// Commit executes the transaction atomically. The error is ErrConflict or
+	// ErrNotCommitted if it was not executed. With any other error it may have been executed,
+	// or may still be while its expectations hold.
+	Commit(ctx context.Context, tx Transaction) (Moment, error)
+}
+
+// Moment is when the store gave a response.
+type Moment struct {
+	Era unit.Era
+	// Now is the store's clock.
+	Now time.Duration
 }
 
 // Row is a row and its version, which is the number of the transaction that last wrote it.
@@ -61,6 +71,8 @@
 
 // Transaction is an atomic change of rows.
 type Transaction struct {
+	// Era is the era of the expected versions.
+	Era      unit.Era
 	Expected []Expectation
 	Puts     []Put
 	Deletes  []string
@@ -85,13 +97,15 @@
 	return Put{Key: key, Value: body}
 }
 
-// decode returns the view of the rows, and the keys of those that can't be decoded.
+// decode returns the view of the rows when the store's clock was at now, and the keys of those
+// that can't be decoded.
 func decode(rows table, now time.Duration) (view authorizer.View, bad []string) {
 	view = authorizer.View{
 		Leaderships: make(map[unit.GroupName]authorizer.Leadership),
 		Members:     make(map[unit.DaemonID]authorizer.Member),
 		Now:         now,
 		Epoch:       rows.epoch(),
+		Era:         rows.era,
 	}
 	for _, row := range rows.since(0) {
 		if !decodeRow(&view, row) {
--- a/tarragonshed/overseer/table_test.go
+++ b/tarragonshed/overseer/table_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,45 +23,52 @@
 	history        []Row
 	epoch          uint64
 	historyDropped bool
+	era            unit.Era
 	commits        int
 	fullReads      int // The number of calls of Rows.
 }
 
-func (s *memoryStore) Row(_ context.Context, key string) (Row, time.Duration, error) {
+// moment returns the moment of a response. The first era is zero.
+func (s *memoryStore) moment() Moment { return Moment{Era: s.era, Now: time.Second} }
+
+func (s *memoryStore) Row(_ context.Context, key string) (Row, Moment, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rows.rows[key], time.Second, nil
+	return s.rows.rows[key], s.moment(), nil
 }
 
-func (s *memoryStore) Rows(context.Context) ([]Row, time.Duration, error) {
+func (s *memoryStore) Rows(context.Context) ([]Row, Moment, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fullReads++
-	return s.rows.since(0), time.Second, nil
+	return s.rows.since(0), s.moment(), nil
 }
 
-func (s *memoryStore) Changes(_ context.Context, after uint64) ([]Row, time.Duration, error) {
+func (s *memoryStore) Changes(_ context.Context, after unit.Revision) ([]Row, Moment, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.historyDropped {
-		return nil, 0, ErrHistoryDropped
+	switch {
+	case after.Era != s.era:
+		return nil, s.moment(), ErrOtherEra
+	case s.historyDropped:
+		return nil, s.moment(), ErrHistoryDropped
 	}
 	var changes []Row
 	for _, row := range s.history {
-		if row.Version > after {
+		if row.Version > after.Version {
 			changes = append(changes, row)
 		}
 	}
-	return changes, time.Second, nil
+	return changes, s.moment(), nil
 }
 
-func (s *memoryStore) Commit(_ context.Context, tx Transaction) (time.Duration, error) {
+func (s *memoryStore) Commit(_ context.Context, tx Transaction) (Moment, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commits++
 	for _, e := range tx.Expected {
 		if s.rows.expect(e.Key) != e {
-			return 0, ErrConflict
+			return s.moment(), s.inEra(tx, ErrConflict)
 		}
 	}
 	s.epoch++
@@ -73,7 +81,37 @@
 	}
 	s.history = append(s.history, changes...)
 	s.rows = s.rows.with(changes)
-	return time.Second, nil
+	return s.moment(), s.inEra(tx, nil)
+}
+
+// inEra returns err, or ErrOtherEra if the transaction is of another era.
+func (s *memoryStore) inEra(tx Transaction, err error) error {
+	if tx.Era != s.era {
+		return ErrOtherEra
+	}
+	return err
+}
+
+// storeCopy is a copy of a memoryStore's rows.
+type storeCopy struct {
+	rows    table
+	history []Row
+	epoch   uint64
+}
+
+func (s *memoryStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{rows: s.rows.with(nil), history: slices.Clone(s.history), epoch: s.epoch}
+}
+
+// restore replaces the rows by those of the copy and begins the next era.
+func (s *memoryStore) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.rows, s.history, s.epoch = c.rows.with(nil), slices.Clone(c.history), c.epoch
+	s.rows.era = s.era
 }
 
 // forget drops the history of changes.
@@ -86,14 +124,14 @@
 // put writes the row of a group.
 func (s *memoryStore) put(t *testing.T, g unit.GroupName) {
 	t.Helper()
-	_, err := s.Commit(t.Context(), Transaction{Puts: []Put{encode(groupKey(g), authorizer.Leadership{Group: g}), epochPut()}})
+	_, err := s.Commit(t.Context(), Transaction{Era: s.era, Puts: []Put{encode(groupKey(g), authorizer.Leadership{Group: g}), epochPut()}})
 	is.New(t).NoErr(err)
 }
 
 // drop deletes the row of a group.
 func (s *memoryStore) drop(t *testing.T, g unit.GroupName) {
 	t.Helper()
-	_, err := s.Commit(t.Context(), Transaction{Puts: []Put{epochPut()}, Deletes: []string{groupKey(g)}})
+	_, err := s.Commit(t.Context(), Transaction{Era: s.era, Puts: []Put{epochPut()}, Deletes: []string{groupKey(g)}})
 	is.New(t).NoErr(err)
 }
 
--- a/tarragonshed/overseer/watch_test.go
+++ b/tarragonshed/overseer/watch_test.go
@@ -22,7 +22,7 @@
 		put := encode(memberKey(m.Daemon), m)
 		rows = append(rows, Row{Key: put.Key, Value: put.Value, Version: uint64(n + 1)})
 	}
-	o.adopt(newTable(rows), now, 1)
+	o.adopt(newTable(0, rows), now, 1)
 	return o
 }
 
@@ -61,7 +61,7 @@
 func TestUndecodableRows(t *testing.T) {
 	is := is.New(t)
 	good := encode(groupKey("g"), authorizer.Leadership{Group: "g", State: authorizer.Leading, Primary: "i"})
-	rows := newTable([]Row{
+	rows := newTable(0, []Row{
 		{Key: good.Key, Value: good.Value, Version: 3},
 		{Key: groupKey("h"), Value: []byte("{"), Version: 4},
 		{Key: groupKey("x"), Value: good.Value, Version: 5}, // The value is of another group.
@@ -178,7 +178,7 @@
 			put := encode(memberKey(other.Daemon), other)
 			rows = append(rows, Row{Key: put.Key, Value: put.Value, Version: 1})
 		}
-		o.adopt(newTable(rows), time.Minute, 1)
+		o.adopt(newTable(0, rows), time.Minute, 1)
 		reader, other := o.reader()
 		if !other {
 			reading++
--- a/tracker/copy.go
+++ b/tracker/copy.go
@@ -18,7 +18,7 @@
 	// included is the revision up to which the copy includes all changes of the table.
 	included unit.Revision
 	newest   unit.Revision // The newest known revision of the store.
-	asOf     unit.Instant // When the copy was last known to be current.
+	asOf     unit.Instant  // When the copy was last known to be current.
 	read     bool
 }
 
