authorizer: give each era of the store fencing tokens above all earlier ones

Cause: a token is the number in the duty's row plus one, and the row went back with the store. A holder that still found itself in the row kept a token that another holder may have exceeded.

Tokens now start at (era - 1) * 2^32 + 1 in each era. A holder takes the duty again in a new era. In the first era nothing changes.

--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -96,6 +96,30 @@
 	Fence       unit.Fence       `json:"fence"`
 }
 
+// fencesPerEra is the number of fencing tokens of one era of the store. No era has as many
+// holders of the duty.
+const fencesPerEra = 1 << 32
+
+// Next returns the duty of a new holder. Its fencing token exceeds all that were given out in
+// this era, as far as the row shows, and in earlier ones, of which the store may have lost the
+// newest.
+func (d Duty) Next(holder unit.DaemonID, incarnation unit.Incarnation, era unit.Era) Duty {
+	return Duty{Holder: holder, Incarnation: incarnation, Fence: max(d.Fence, lastEarlierFence(era)) + 1}
+}
+
+// HeldBy reports whether the daemon took the duty in this era.
+func (d Duty) HeldBy(holder unit.DaemonID, incarnation unit.Incarnation, era unit.Era) bool {
+	return d.Holder == holder && d.Incarnation == incarnation && d.Fence > lastEarlierFence(era)
+}
+
+// lastEarlierFence returns the highest fencing token that earlier eras may have given out.
+func lastEarlierFence(era unit.Era) unit.Fence {
+	if era <= 1 {
+		return 0
+	}
+	return unit.Fence(era-1) * fencesPerEra
+}
+
 // Member is the row of a daemon on the member list.
 type Member struct {
 	Daemon      unit.DaemonID    `json:"daemon"`
--- a/authorizer/authorizer_test.go
+++ b/authorizer/authorizer_test.go
@@ -379,3 +379,28 @@
 	is.True(!a.HoldsDuty(2, at(2)))
 	is.True(!a.HoldsDuty(3, at(lease+1))) // An extension does not count.
 }
+
+func TestFenceExceedsThoseOfEarlierEras(t *testing.T) {
+	t.Run("in the first era they are counted from one", func(t *testing.T) {
+		is := is.New(t)
+		first := Duty{}.Next("a", 1, 1)
+		is.Equal(first, Duty{Holder: "a", Incarnation: 1, Fence: 1})
+		is.Equal(first.Next("b", 1, 1).Fence, unit.Fence(2))
+	})
+	t.Run("after a restore the row may lack the newest", func(t *testing.T) {
+		is := is.New(t)
+		copied := Duty{}.Next("a", 1, 1)
+		lost := copied.Next("b", 1, 1).Next("a", 1, 1)
+		is.True(copied.Next("b", 1, 2).Fence > lost.Fence)
+		is.True(Duty{}.Next("b", 1, 3).Fence > copied.Next("b", 1, 2).Fence)
+	})
+	t.Run("a holder takes the duty again", func(t *testing.T) {
+		is := is.New(t)
+		duty := Duty{}.Next("a", 1, 1)
+		is.True(duty.HeldBy("a", 1, 1))
+		is.True(!duty.HeldBy("a", 2, 1))
+		is.True(!duty.HeldBy("b", 1, 1))
+		is.True(!duty.HeldBy("a", 1, 2))
+		is.True(duty.Next("a", 1, 2).HeldBy("a", 1, 2))
+	})
+}
--- a/tarragonshed/overseer/claim.go
+++ b/tarragonshed/overseer/claim.go
@@ -26,8 +26,8 @@
 	c := &primaryChange{Overseer: o, fault: f, events: make(chan replacer.Event, 64)}
 	o.mu.Unlock()
 	c.duty = view.Duty
-	if c.duty.Holder != o.self.Daemon || c.duty.Incarnation != o.self.Incarnation {
-		c.duty = authorizer.Duty{Holder: o.self.Daemon, Incarnation: o.self.Incarnation, Fence: view.Duty.Fence + 1}
+	if !c.duty.HeldBy(o.self.Daemon, o.self.Incarnation, view.Era) {
+		c.duty = view.Duty.Next(o.self.Daemon, o.self.Incarnation, view.Era)
 	}
 	c.era = view.Era
 	c.row = row
