authorizer: wait for daemons of an earlier era that nobody remembers

A change then waited for the daemons on the list only. Callers could have read from a replaced primary.

The row of the era now says until when daemons that are not on its list may have authority: for a lease if a list was confirmed shortly before the restore, for the limit of an extension by a majority if only an older one is known, for the full extension without any. Changes wait for that.

--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -158,6 +158,9 @@
 	// not Era, the store was restored and the rows may be older than those that daemons have
 	// acted on.
 	Opened unit.Era
+	// UnlistedUntil is the store's clock until which daemons that are not on the list may have
+	// authority from an earlier era.
+	UnlistedUntil time.Duration
 }
 
 // Revision returns the revision of the newest row.
--- a/authorizer/restoration.go
+++ b/authorizer/restoration.go
@@ -16,6 +16,8 @@
 	Incarnation unit.Incarnation
 	// View holds the rows of its last confirmation. It has no rows if there was none.
 	View View
+	// Age is the time since the request of that confirmation was sent.
+	Age time.Duration
 	// Held are the groups whose primary the daemon has authority to use.
 	Held []unit.GroupName
 	// Unsettled are the groups in whose change the daemon may have given orders: to step down,
@@ -55,7 +57,7 @@
 
 // Recollect returns what the daemon knows at now.
 func (a *Authorizer) Recollect(now unit.Instant) Recollection {
-	r := Recollection{Daemon: a.self, Incarnation: a.incarnation, View: a.view}
+	r := Recollection{Daemon: a.self, Incarnation: a.incarnation, View: a.view, Age: now.Sub(a.confirmedAt)}
 	for name, l := range a.view.Leaderships {
 		if a.Holds(l, now) {
 			r.Held = append(r.Held, name)
@@ -91,11 +93,14 @@
 //   - Otherwise the primary is not known. The row names no primary until a daemon has asked the
 //     instances.
 //   - The member list has all daemons of all recollections, so that later changes wait for the
-//     daemons that may have authority from the earlier era.
+//     daemons that may have authority from the earlier era. A list that was confirmed shortly
+//     before the restore lacks at most daemons that had just been added, and changes wait until
+//     their lease has ended. Otherwise they wait until an authority that daemons extend among
+//     themselves has ended.
 //
 // A Restoration is not safe for concurrent use.
 type Restoration struct {
-	lease     time.Duration
+	config    Config
 	found     View
 	seenAt    unit.Instant
 	responses map[unit.DaemonID]Recollection
@@ -104,7 +109,7 @@
 // NewRestoration returns the Restoration for an era whose first response arrived at seenAt. The
 // restored rows are found. Own is the recollection of the daemon that opens the era.
 func NewRestoration(config Config, found View, seenAt unit.Instant, own Recollection) *Restoration {
-	r := &Restoration{lease: config.Lease, found: found, seenAt: seenAt, responses: make(map[unit.DaemonID]Recollection)}
+	r := &Restoration{config: config, found: found, seenAt: seenAt, responses: make(map[unit.DaemonID]Recollection)}
 	r.Record(own)
 	return r
 }
@@ -163,7 +168,7 @@
 
 // Ready reports whether the rows can be determined at now.
 func (r *Restoration) Ready(now unit.Instant) bool {
-	return r.first() || now.Sub(r.seenAt) >= r.lease || r.complete()
+	return r.first() || now.Sub(r.seenAt) >= r.config.Lease || r.complete()
 }
 
 // first reports whether the era is the first one. Then no rows were lost.
@@ -203,8 +208,23 @@
 	return Leadership{}, false
 }
 
-// Rows returns the rows to open the era with. They may be written if Ready.
-func (r *Restoration) Rows() View {
+// unlistedFor returns for how long daemons that are not on the list may have authority.
+func (r *Restoration) unlistedFor(now unit.Instant) time.Duration {
+	longest := r.config.Extension
+	for _, c := range r.responses {
+		switch {
+		case len(c.View.Members) == 0:
+		case c.Age <= now.Sub(r.seenAt)+2*r.config.Lease:
+			return r.config.Lease
+		default:
+			longest = r.config.Majority
+		}
+	}
+	return longest
+}
+
+// Rows returns the rows to open the era with at now. They may be written if Ready.
+func (r *Restoration) Rows(now unit.Instant) View {
 	v := View{
 		Leaderships: make(map[unit.GroupName]Leadership), Members: make(map[unit.DaemonID]Member),
 		Now: r.found.Now, Era: r.found.Era, Opened: r.found.Era,
@@ -225,6 +245,7 @@
 	if r.first() {
 		return v
 	}
+	v.UnlistedUntil = v.Now + r.unlistedFor(now)
 	for name, l := range v.Leaderships {
 		v.Leaderships[name] = r.row(l)
 	}
--- a/authorizer/restoration_model_test.go
+++ b/authorizer/restoration_model_test.go
@@ -20,6 +20,7 @@
 	assumeSettled     fault = "a daemon that does not respond counts as having responded"
 	ignoreOrders      fault = "orders that a daemon may have given are not reported"
 	forgetLost        fault = "daemons that the store has lost are not on the list"
+	forgetUnlisted    fault = "a change does not wait for daemons that nobody remembers"
 	vouchForLost      fault = "a daemon vouches for one of an earlier era"
 	lateCalls         fault = "a transaction does not expect that its era is open"
 	ordersAfter       fault = "a change of an earlier era is continued"
@@ -300,7 +301,7 @@
 				d.respondFor(r, responded)
 			}
 			if r.Ready(w.clock(d)) || w.fault == openEarly {
-				d.write(r.Rows(), found, version)
+				d.write(r.Rows(w.clock(d)), found, version)
 			}
 		})
 	})
@@ -329,7 +330,9 @@
 	w := d.world
 	switch w.fault {
 	case forgetLost:
-		rows.Members = found.Members
+		rows.Members, rows.UnlistedUntil = found.Members, 0
+	case forgetUnlisted:
+		rows.UnlistedUntil = 0
 	case trustRestoredRows:
 		if l := rows.Leaderships["g"]; l.State == authorizer.Changing {
 			l.State = authorizer.Leading
@@ -376,7 +379,7 @@
 		useUnopened: newWorld(1, useUnopened, false), trustRestoredRows: newWorld(4, trustRestoredRows, false),
 		ignoreOrders: newWorld(10, ignoreOrders, false), assumeSettled: newWorld(579, assumeSettled, false),
 		ordersAfter: newWorld(712, ordersAfter, true), vouchForLost: newWorld(1542, vouchForLost, true),
-		forgetLost: newWorld(2692, forgetLost, true), openEarly: newWorld(3233, openEarly, false),
+		forgetLost: newWorld(2692, forgetLost, true), forgetUnlisted: newWorld(12435, forgetUnlisted, true), openEarly: newWorld(3233, openEarly, false),
 		establishAtOnce: newWorld(4641, establishAtOnce, true),
 	} {
 		t.Run(string(f), func(t *testing.T) {
--- a/authorizer/restoration_test.go
+++ b/authorizer/restoration_test.go
@@ -36,7 +36,7 @@
 // checkRow checks the row of the group with which the era is opened.
 func checkRow(t *testing.T, r *Restoration, want Leadership) {
 	t.Helper()
-	is.New(t).Equal(r.Rows().Leaderships["g"], want)
+	is.New(t).Equal(r.Rows(20).Leaderships["g"], want)
 }
 
 func TestRestoration(t *testing.T) {
@@ -53,7 +53,7 @@
 		r.Record(recollects("b", known, g, nil))
 		is.True(r.Ready(6))
 		checkRow(t, r, replaced)
-		is.Equal(r.Rows().Opened, unit.Era(2))
+		is.Equal(r.Rows(20).Opened, unit.Era(2))
 	})
 	t.Run("waits for a lease if a daemon does not respond", func(t *testing.T) {
 		is := is.New(t)
@@ -207,3 +207,34 @@
 	is.True(a.Vouch(unit.Revision{Era: 2}).Idle)
 	is.True(a.Vouch(unit.Revision{Era: 3}).Idle)
 }
+
+func TestChangeWaitsForDaemonsThatTheStoreHasLost(t *testing.T) {
+	found := eraView(2, copied)
+	// check checks how long changes wait after an era was opened at 20. It was seen at 5.
+	check := func(t *testing.T, own Recollection, want time.Duration) {
+		t.Helper()
+		is := is.New(t)
+		rows := NewRestoration(restorationConfig, found, 5, own).Rows(20)
+		is.Equal(rows.UnlistedUntil-rows.Now, want)
+	}
+	known := recollects("a", eraView(1, copied, memberA), nil, nil)
+	t.Run("known from a recent list", func(t *testing.T) { check(t, known, restorationConfig.Lease) })
+	t.Run("known from an old list", func(t *testing.T) {
+		old := known
+		old.Age = 36
+		check(t, old, restorationConfig.Majority)
+	})
+	t.Run("without a list", func(t *testing.T) {
+		check(t, Recollection{Daemon: "a", Incarnation: 2}, restorationConfig.Extension)
+	})
+	t.Run("although all daemons on the list have dropped the group", func(t *testing.T) {
+		is := is.New(t)
+		a := New("a", 1, restorationConfig)
+		v := eraView(2, copied, memberA)
+		v.UnlistedUntil = v.Now + 30
+		a.Confirm(v, 5)
+		r := a.BeginRevocation(6, 6)
+		is.True(!r.Complete(35))
+		is.True(r.Complete(36))
+	})
+}
--- a/authorizer/revocation.go
+++ b/authorizer/revocation.go
@@ -18,10 +18,12 @@
 //
 // The last two hold only for a daemon that is on all lists in use: no daemon gets an
 // extension by all daemons after this one has begun the change. A daemon that was added to
-// the list recently waits for all, or for [Config.Extension]. A Revocation is not safe for
+// the list recently waits for all, or for [Config.Extension]. After a restore of the store, the
+// list may lack daemons, and every change waits until their authority has ended. A Revocation is not safe for
 // concurrent use.
 type Revocation struct {
 	lease          time.Duration
+	notBefore      unit.Instant // Until when daemons that are not on the list may have authority.
 	deadline       unit.Instant // When no daemon has authority, whether or not it has dropped the group.
 	recentlyListed bool
 
@@ -41,6 +43,7 @@
 func (a *Authorizer) BeginRevocation(claimed, vacant unit.Instant) *Revocation {
 	r := &Revocation{
 		lease:          a.config.Lease,
+		notBefore:      claimed.Add(max(0, a.view.UnlistedUntil-a.view.Now)),
 		deadline:       max(claimed.Add(a.config.Lease), vacant.Add(a.config.Majority)),
 		recentlyListed: !a.IsListed() || a.RecentlyListed(a.view.Members[a.self]),
 		remaining:      make(map[unit.DaemonID]Member), onAllLists: make(map[unit.DaemonID]bool),
@@ -91,6 +94,8 @@
 // Complete reports whether no other daemon can have authority at now.
 func (r *Revocation) Complete(now unit.Instant) bool {
 	switch {
+	case now < r.notBefore:
+		return false
 	case len(r.remaining) == 0, now >= r.deadline:
 		return true
 	case r.recentlyListed || !r.minority:
--- a/tarragonshed/overseer/restore.go
+++ b/tarragonshed/overseer/restore.go
@@ -154,12 +154,16 @@
 	if !restoration.Ready(o.now()) {
 		return errors.New("overseer: daemons have not responded or have changes in progress")
 	}
-	return o.write(found, restoration.Rows())
+	return o.write(found, restoration.Rows(o.now()))
 }
 
 // recall asks the daemons on all member lists for their recollections. Their lists may have
 // further daemons, which are asked then.
 func (o *Overseer) recall(r *authorizer.Restoration, era unit.Era) {
+	o.mu.Lock()
+	known := o.auth.View()
+	o.mu.Unlock()
+	request := &peer.RecallRequest{Era: uint64(era), KnownEra: uint64(known.Era), KnownEpoch: known.Epoch}
 	asked := map[unit.DaemonID]bool{o.self.Daemon: true}
 	for {
 		members := slices.DeleteFunc(r.Members(), func(m authorizer.Member) bool { return asked[m.Daemon] || m.Removed != 0 })
@@ -168,12 +172,12 @@
 		}
 		responses := make(chan authorizer.Recollection, len(members))
 		o.callAll(members, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
-			response, err := c.Recall(ctx, connect.NewRequest(&peer.RecallRequest{Era: uint64(era)}))
+			response, err := c.Recall(ctx, connect.NewRequest(request))
 			if err != nil || response.Msg.Daemon != string(m.Daemon) {
 				o.logger.Info("no recollection from a daemon", "daemon", m.Daemon, "cause", err)
 				return
 			}
-			responses <- recollectionOf(response.Msg)
+			responses <- recollectionOf(response.Msg, known)
 		})
 		close(responses)
 		for c := range responses {
@@ -185,14 +189,18 @@
 	}
 }
 
-// recollectionOf returns the recollection in a response.
-func recollectionOf(m *peer.RecallResponse) authorizer.Recollection {
-	rows := make([]Row, 0, len(m.Rows))
-	for _, r := range m.Rows {
-		rows = append(rows, Row{Key: r.Key, Value: r.Value, Version: r.Version})
+// recollectionOf returns the recollection in a response to a daemon with the known rows.
+func recollectionOf(m *peer.RecallResponse, known authorizer.View) authorizer.Recollection {
+	c := authorizer.Recollection{
+		Daemon: unit.DaemonID(m.Daemon), Incarnation: unit.Incarnation(m.Incarnation), View: known, Age: time.Duration(m.Age),
+	}
+	if !m.Same {
+		rows := make([]Row, 0, len(m.Rows))
+		for _, r := range m.Rows {
+			rows = append(rows, Row{Key: r.Key, Value: r.Value, Version: r.Version})
+		}
+		c.View, _ = decode(newTable(unit.Era(m.Era), rows), time.Duration(m.StoreNow))
 	}
-	view, _ := decode(newTable(unit.Era(m.Era), rows), time.Duration(m.StoreNow))
-	c := authorizer.Recollection{Daemon: unit.DaemonID(m.Daemon), Incarnation: unit.Incarnation(m.Incarnation), View: view}
 	c.Held, c.Unsettled, c.Claimed = groupsOf(m.Held), groupsOf(m.Unsettled), groupsOf(m.Claimed)
 	return c
 }
@@ -228,9 +236,13 @@
 	c := o.auth.Recollect(o.now())
 	response := &peer.RecallResponse{
 		Daemon: string(c.Daemon), Incarnation: uint64(c.Incarnation),
-		Era: uint64(o.table.era), StoreNow: int64(c.View.Now),
+		Era: uint64(o.table.era), StoreNow: int64(c.View.Now), Age: int64(c.Age),
 		Held: namesOf(c.Held), Unsettled: namesOf(c.Unsettled), Claimed: namesOf(c.Claimed),
 	}
+	known := unit.Revision{Era: unit.Era(r.Msg.KnownEra), Version: r.Msg.KnownEpoch}
+	if response.Same = known == o.table.revision() && len(o.table.rows) > 0; response.Same {
+		return connect.NewResponse(response), nil
+	}
 	for _, row := range o.table.since(0) {
 		response.Rows = append(response.Rows, &peer.RelayedRow{Key: row.Key, Value: row.Value, Version: row.Version})
 	}
@@ -251,7 +263,7 @@
 		}
 		last := len(puts)+len(deletes) == 0
 		if last {
-			tx.Puts = append(tx.Puts, Put{Key: eraKey(wanted.Era), Value: []byte("{}")})
+			tx.Puts = append(tx.Puts, encode(eraKey(wanted.Era), opening{UnlistedUntil: wanted.UnlistedUntil}))
 		}
 		tx.Puts = append(tx.Puts, epochPut())
 		ctx, stop := context.WithTimeout(o.ctx, callTimeout)
--- a/tarragonshed/overseer/restore_test.go
+++ b/tarragonshed/overseer/restore_test.go
@@ -115,12 +115,25 @@
 		response, err := service{overseer: second}.Recall(t.Context(), connect.NewRequest(&peer.RecallRequest{Era: 2}))
 		is.NoErr(err)
 		is.Equal(response.Msg.Held, []string{"g"})
+		is.Equal(len(response.Msg.Rows), len(second.table.rows))
 		is.True(c.superseded())
 		awaitRead(t, first, store)
 		awaitRead(t, second, store)
 		_, err = service{overseer: second}.Recall(t.Context(), connect.NewRequest(&peer.RecallRequest{Era: 2}))
 		is.Equal(connect.CodeOf(err), connect.CodeFailedPrecondition) // The era is open.
 	})
+	t.Run("rows that the asking daemon has are not sent", func(t *testing.T) {
+		is := is.New(t)
+		store, first, second := pairWithRow(t)
+		is.NoErr(second.read())
+		store.restore(store.copy())
+		response, err := service{overseer: second}.Recall(t.Context(), connect.NewRequest(&peer.RecallRequest{
+			Era: 2, KnownEra: 1, KnownEpoch: first.table.epoch(),
+		}))
+		is.NoErr(err)
+		is.Equal(len(response.Msg.Rows), 0)
+		is.Equal(recollectionOf(response.Msg, first.auth.View()).View, first.auth.View())
+	})
 	t.Run("a store that is restored once more", func(t *testing.T) {
 		is := is.New(t)
 		store, first, second := pairWithRow(t)
--- a/tarragonshed/overseer/store.go
+++ b/tarragonshed/overseer/store.go
@@ -103,6 +103,13 @@
 	return Put{Key: key, Value: body}
 }
 
+// opening is the row of an era.
+type opening struct {
+	// UnlistedUntil is the store's clock until which changes wait for daemons that are not on
+	// the list.
+	UnlistedUntil time.Duration `json:"unlisted-until,omitempty"`
+}
+
 // decode returns the view of the rows when the store's clock was at now, and the keys of those
 // that can't be decoded.
 func decode(rows table, now time.Duration) (view authorizer.View, bad []string) {
@@ -127,8 +134,14 @@
 		return true
 	case strings.HasPrefix(row.Key, eraPrefix):
 		n, err := strconv.ParseUint(strings.TrimPrefix(row.Key, eraPrefix), 10, 64)
-		view.Opened = max(view.Opened, unit.Era(n))
-		return err == nil
+		var o opening
+		if err != nil || json.Unmarshal(row.Value, &o) != nil {
+			return false
+		}
+		if unit.Era(n) >= view.Opened {
+			view.Opened, view.UnlistedUntil = unit.Era(n), o.UnlistedUntil
+		}
+		return true
 	case row.Key == dutyKey:
 		return json.Unmarshal(row.Value, &view.Duty) == nil
 	case strings.HasPrefix(row.Key, groupPrefix):
--- a/tarragonshed/overseer/table_test.go
+++ b/tarragonshed/overseer/table_test.go
@@ -98,7 +98,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.epoch++
-	opened := []Row{{Key: eraKey(s.era), Version: s.epoch}, {Key: epochKey, Version: s.epoch}}
+	opened := []Row{{Key: eraKey(s.era), Value: []byte("{}"), Version: s.epoch}, {Key: epochKey, Version: s.epoch}}
 	s.history = append(s.history, opened...)
 	s.rows = s.rows.with(opened)
 }
