--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # usage: spec/check.sh [jobs]
-# Checks spec/failover.pml and spec/authority.pml with spin. The script fails unless every part holds in
+# Checks spec/failover.pml, spec/authority.pml and spec/restore.pml with spin. The script fails unless every part holds in
 # all of its states and every broken variant yields a counterexample.
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -50,6 +50,14 @@
   "authority-late-vouch fails -DBROKEN_LATE_VOUCH"
   "authority-recent-waits-lease fails -DRECENTLY_LISTED -DBROKEN_RECENTLY_LISTED_WAITS_LEASE"
   "authority-unbounded-extension fails -DRECENTLY_LISTED -DBROKEN_UNBOUNDED_EXTENSION"
+  "restore holds"
+  "restore-long-lease holds -DLEASE=3 -DEXTENSION=5 -DEND=9"
+  "restore-use-unopened fails -DBROKEN_USE_UNOPENED"
+  "restore-orders-after fails -DBROKEN_ORDERS_AFTER"
+  "restore-ignore-orders fails -DBROKEN_IGNORE_ORDERS"
+  "restore-open-early fails -DBROKEN_OPEN_EARLY"
+  "restore-trust-copy fails -DBROKEN_TRUST_COPY"
+  "restore-establish-at-once fails -DBROKEN_ESTABLISH_AT_ONCE"
   "claim-without-conflict fails -DKEYS -DWRITES=2 -DBROKEN_CLAIM_WITHOUT_CONFLICT"
 )
 
@@ -59,6 +67,7 @@
   local name=$1 expected=$2 definitions=${*:3} found=incomplete
   local file=failover.pml options=-DNOREDUCE
   if [[ $name == authority* ]]; then file=authority.pml options=; fi
+  if [[ $name == restore* ]]; then file=restore.pml options=; fi
   mkdir "$work/$name"
   cp "$file" "$work/$name"
   cd "$work/$name"
