overseer: open era zero of a store that names none

Cause: era zero counted as open, so it was never pending and never opened, and the rows lacked the row of their era.

An era is pending until the rows show that it is open, whatever its number.

--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -256,5 +256,5 @@
 func (o *Overseer) storeUnavailable(d time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.pending.era > o.table.era || !o.failingSince.IsZero() && time.Since(o.failingSince) > d
+	return o.isPending() || !o.failingSince.IsZero() && time.Since(o.failingSince) > d
 }
--- a/tarragonshed/overseer/restore.go
+++ b/tarragonshed/overseer/restore.go
@@ -31,8 +31,10 @@
 // confirm nothing.
 var errNotOpened = errors.New("overseer: the era of the store is not open")
 
-// pendingEra is an era that is not open yet, as far as this daemon knows.
+// pendingEra is an era that was not open when it was last read. The zero pendingEra is none.
+// A store that names no era is in era zero.
 type pendingEra struct {
+	seen   bool
 	era    unit.Era
 	seenAt unit.Instant // When the first response of the era arrived.
 }
@@ -54,7 +56,14 @@
 func (o *Overseer) pendingEra() (unit.Era, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.pending.era, o.pending.era > o.table.era
+	return o.pending.era, o.isPending()
+}
+
+// isPending reports whether the newest era is not open, as far as this daemon knows. The caller
+// holds mu.
+func (o *Overseer) isPending() bool {
+	opened := o.table.open() && o.table.era >= o.pending.era
+	return o.pending.seen && !opened
 }
 
 // awaitOpening records that an era is not open and makes this daemon open it unless another one
@@ -63,11 +72,12 @@
 	now := o.now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.pending.era == era && o.opening {
+	isNew := !o.pending.seen || o.pending.era != era
+	if !isNew && o.opening {
 		return errNotOpened
 	}
-	if o.pending.era != era {
-		o.pending = pendingEra{era: era, seenAt: now}
+	if isNew {
+		o.pending = pendingEra{seen: true, era: era, seenAt: now}
 		o.logger.Warn("era of the store is not open", "era", era, "known", o.table.era)
 	}
 	o.opening = true
@@ -126,7 +136,7 @@
 func (o *Overseer) stillPending(p pendingEra) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.pending == p && o.table.era < p.era
+	return o.pending == p && o.isPending()
 }
 
 // open writes the rows with which the era begins. It returns an error if they can't be
@@ -142,11 +152,11 @@
 	if moment.Era != p.era {
 		return ErrOtherEra
 	}
-	view, _ := decode(found, moment.Now)
-	if view.Opened == view.Era {
+	if found.open() {
 		o.confirmNow()
 		return errors.New("overseer: another daemon has opened the era")
 	}
+	view, _ := decode(found, moment.Now)
 	asked := o.now() // An authority that a daemon reports may have ended by the time of its response.
 	o.mu.Lock()
 	restoration := authorizer.NewRestoration(o.auth.Config(), view, p.seenAt, o.auth.Recollect(asked))
--- a/tarragonshed/overseer/restore_test.go
+++ b/tarragonshed/overseer/restore_test.go
@@ -136,6 +136,16 @@
 		is.Equal(len(response.Msg.Rows), 0)
 		is.Equal(recollectionOf(response.Msg, first.auth.View()).View, first.auth.View())
 	})
+	t.Run("a store that names no era", func(t *testing.T) {
+		is := is.New(t)
+		store := &memoryStore{unopened: true}
+		o := served(t, "d-1", store)
+		is.Equal(o.read(), errNotOpened)
+		for o.read() != nil {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(o.isListed())
+	})
 	t.Run("a store that is restored once more", func(t *testing.T) {
 		is := is.New(t)
 		store, first, second := pairWithRow(t)
@@ -181,7 +191,7 @@
 		}
 		is.New(t).NoErr(first.read())
 		store.restore(c)
-		return store, first, pendingEra{era: 2, seenAt: first.now() - unit.Instant(Lease)}
+		return store, first, pendingEra{seen: true, era: 2, seenAt: first.now() - unit.Instant(Lease)}
 	}
 	t.Run("are written in several transactions", func(t *testing.T) {
 		is := is.New(t)
--- a/tarragonshed/overseer/table_test.go
+++ b/tarragonshed/overseer/table_test.go
@@ -24,7 +24,7 @@
 	epoch          uint64
 	historyDropped bool
 	era            unit.Era
-	restored       bool // Whether restore was called.
+	unopened       bool // Whether the daemons have to open the era.
 	commits        int
 	fullReads      int // The number of calls of Rows.
 }
@@ -121,7 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
-	s.restored = true
+	s.unopened = true
 	s.rows, s.history, s.epoch = c.rows.with(nil), slices.Clone(c.history), c.epoch
 	s.rows.era = s.era
 }
@@ -156,7 +156,7 @@
 // served returns an overseer whose service is reachable but that starts no background work.
 func served(t *testing.T, daemon unit.DaemonID, store Store) *Overseer {
 	t.Helper()
-	if m, ok := store.(*memoryStore); ok && !m.restored && !m.rows.open() {
+	if m, ok := store.(*memoryStore); ok && !m.unopened && !m.rows.open() {
 		m.open()
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
