--- a/authorizer/revocation.go
+++ b/authorizer/revocation.go
@@ -19,8 +19,8 @@
 // The last two hold only for a daemon that is on all lists in use: no daemon gets an
 // extension by all daemons after this one has begun the change. A daemon that was added to
 // the list recently waits for all, or for [Config.Extension]. After a restore of the store, the
-// list may lack daemons, and every change waits until their authority has ended. A Revocation is not safe for
-// concurrent use.
+// list may lack daemons, and every change waits until their authority has ended. A Revocation
+// is not safe for concurrent use.
 type Revocation struct {
 	lease          time.Duration
 	notBefore      unit.Instant // Until when daemons that are not on the list may have authority.
