review: show that a leaving replica's commits are lost in a change of primary

Case 3: with SyncReplicas 1 a replica that is draining counts for the acknowledgement, but isn't asked when a successor is chosen.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,7 +28,7 @@
 	// is broken.
 	rounds int
 }{
-	"promote": {playPromote, 1}, "sync": {playSync, 4}, "smuggle": {playSmuggle, 1},
+	"promote": {playPromote, 1}, "sync": {playSync, 4}, "smuggle": {playSmuggle, 1}, "leaving": {playLeaving, 1},
 }
 
 func main() {
