--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -43,16 +43,6 @@
 	return "COMPLETE " + a.digest
 }
 
-// promise reports whether the answer promises that nothing is kept.
-func (a answer) promise() bool {
-	word, _, _ := strings.Cut(a.code, " ")
-	switch word {
-	case "RETRY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT":
-		return true
-	}
-	return false
-}
-
 // connect opens a session at the daemon.
 func connect(name string, d *daemon, database string) (*client, error) {
 	n, err := net.DialTimeout("tcp", d.front, 2*time.Second)
--- a/review/rig/daemon.go
+++ b/review/rig/daemon.go
@@ -182,12 +182,6 @@
 	return fmt.Errorf("the daemons are not ready after 20 s")
 }
 
-// signal sends a signal to the daemon.
-func (d *daemon) signal(s syscall.Signal) {
-	d.rig.record.log("%v to %s", s, d.name)
-	d.command.Process.Signal(s)
-}
-
 // close ends all processes, and appends what the instances have run and the daemons' logs to
 // the record.
 func (r *rig) close() {
