overseer: log on which statuses a promotion is decided

Three causes could not be told apart: the survey lacked a replica, it had an old status of it, or the choice between the statuses was wrong.

New line "promotion decided" with the statuses and the time since the claim.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -39,6 +39,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -273,6 +275,25 @@
 	return r.advance(now)
 }
 
+// Statuses returns what the instances have reported in the current survey, or in the one on
+// which the promotion was decided, sorted by name.
+func (r *Replacer) Statuses() []Status {
+	statuses := make([]Status, 0, len(r.statuses))
+	for _, name := range slices.Sorted(maps.Keys(r.statuses)) {
+		statuses = append(statuses, r.statuses[name])
+	}
+	return statuses
+}
+
+// String returns the status as one word for a log.
+func (s Status) String() string {
+	role := "replica"
+	if s.Primary {
+		role = "primary"
+	}
+	return fmt.Sprintf("%s=%s:%d:%v", s.Instance, role, s.Term, s.Received)
+}
+
 // advance performs what is due in the current step.
 func (r *Replacer) advance(now unit.Instant) []Effect {
 	if now.Sub(r.startedAt) > Timeout {
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -127,6 +127,8 @@
 	claimedAt  unit.Instant // When the response to the claim arrived.
 	events     chan replacer.Event
 	revocation *authorizer.Revocation // Of the authority of the other daemons.
+	replacer   *replacer.Replacer
+	decided    string // The last decision that was logged.
 	ctx        context.Context
 }
 
@@ -137,6 +139,7 @@
 	defer stop()
 	c.withdraw(c.revocation.Remaining())
 	r, effects := replacer.New(c.plan(g), c.claimedAt)
+	c.replacer = r
 	if c.fault.reason == unreachable {
 		go c.watchOldPrimary()
 	}
--- a/tarragonshed/overseer/effect.go
+++ b/tarragonshed/overseer/effect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"tarragonshed.example/authorizer"
 	"tarragonshed.example/replacer"
@@ -30,6 +31,7 @@
 			go c.survey(name)
 		}
 	case replacer.Promote:
+		c.logDecision(effect)
 		go c.promote(effect.Instance)
 	case replacer.Verify:
 		go func() { c.send(replacer.Verified{Status: c.status(effect.Instance)}) }()
@@ -42,6 +44,19 @@
 	return false
 }
 
+// logDecision logs which instance is to be promoted and the statuses that decided it. A retry
+// of the same promotion is not logged.
+func (c *primaryChange) logDecision(p replacer.Promote) {
+	statuses := c.replacer.Statuses()
+	decision := fmt.Sprint(p.Instance, statuses)
+	if decision == c.decided {
+		return
+	}
+	c.decided = decision
+	c.logger.Info("promotion decided", "group", c.row.Group, "instance", p.Instance, "old-primary", c.row.Primary, "term", c.row.Term,
+		"statuses", statuses, "claimed", c.now().Sub(c.claimedAt))
+}
+
 // logEnd logs and counts the outcome of the change.
 func (c *primaryChange) logEnd(s replacer.Stop) {
 	took := c.now().Sub(c.claimedAt)
