replacer: promote only a replica that is known to have every acknowledged write

The one replica that had received them served all reads, had no slot for the request of its status, and after 300 ms another replica, 3 s behind, was promoted.

Cause: the choice waited a fixed time once one replica had answered. Time proves nothing: with S synchronous replicas a write may be on the old primary and any S replicas. And a request of a status that the instance refused for lack of a slot was not repeated in that survey.

Evidence: "promotion decided ... statuses=[i-ledger-2=replica:1:1/113]" 310.7 ms after the claim, right after "instance status not available ... instance overloaded" for i-ledger-1, which had 1/228.

Ruled out: a wrong comparison of positions (the status is missing, not misjudged); a status from before the end of the authority (surveys begin after it); a promote that arrives late (one call).

For groups with synchronous replicas the change looks for a position that no acknowledged write exceeds, the lowest of: what the primary had when it stepped down; the highest of as many answers as cannot all lack a write (all instances, the old primary included, but S); the last write that any daemon saw acknowledged, reported with the withdrawal of its authority. Only an instance that has received it is promoted. Until one is known all are asked again every 100 ms, and a refused request is repeated every 10 ms. Groups with SyncReplicas 0 choose as before. The repetition also serves the relief of a primary and what follows a restore.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -15,6 +15,9 @@
 // surveyed only once the revocation is complete: every acknowledged write had been made by
 // then, so a replica that has received it includes it in its reported position.
 //
+// Where replicas are synchronous, an instance is promoted only if it is known to have every
+// acknowledged write, see [Plan.Synchronous].
+//
 // A working primary steps down first. If it could have remained, it is promoted again unless a
 // replica has received all its writes. An unreachable one steps down when the revocation is
 // complete. If it becomes reachable before, the change is cancelled, because that primary
@@ -51,7 +54,7 @@
 
 const (
 	// surveyTimeout is how long a survey waits for the remaining replicas once one has
-	// responded. It is multiplied by one plus the number of synchronous replicas.
+	// responded.
 	surveyTimeout = 150 * time.Millisecond
 	// surveyInterval is the time between two surveys that found no candidate.
 	surveyInterval = 100 * time.Millisecond
@@ -93,8 +96,21 @@
 	// Replacer.
 	Revocation *authorizer.Revocation
 	// Synchronous is the number of replicas that must receive a write before it is
-	// acknowledged.
+	// acknowledged. If it is not zero, the change looks for a position that no acknowledged
+	// write exceeds, and promotes an instance that has received it:
+	//
+	//   - what the old primary had when it stepped down,
+	//   - what the answers of all instances but Synchronous show: at most so many lack the
+	//     write less one, because the old primary and Synchronous replicas have it,
+	//   - the last write that any daemon has seen acknowledged, if all of them report it.
+	//
+	// A group does not remain without a primary for ever for want of that: see
+	// [Replacer.Unproven].
 	Synchronous int
+	// VacantSince is since when the row is known to name no primary.
+	VacantSince unit.Instant
+	// Acknowledged is the highest position of a write that this daemon has seen acknowledged.
+	Acknowledged unit.Position
 	// Planned means that the old primary works and steps down first.
 	Planned bool
 	// Voluntary means that the change is planned and the old primary could remain. It is
@@ -115,10 +131,17 @@
 	Term unit.Term
 }
 
-// Event is an input of the Replacer: [Dropped], [Recovered], [SteppedDown], [Surveyed],
-// [Promoted], [Verified], [Published] or [Tick].
+// Event is an input of the Replacer: [Reported], [Dropped], [Recovered], [SteppedDown],
+// [Surveyed], [Promoted], [Verified], [Published] or [Tick].
 type Event interface{ event() }
 
+// Reported reports the highest position of a write that a daemon has seen acknowledged. The
+// daemon must not have authority any more. Reported precedes [Dropped].
+type Reported struct {
+	Daemon       unit.DaemonID
+	Acknowledged unit.Position
+}
+
 // Dropped reports that a daemon has dropped its authority over the group.
 type Dropped struct{ Daemon unit.DaemonID }
 
@@ -162,6 +185,7 @@
 // Tick advances the time. It must be sent every few milliseconds.
 type Tick struct{}
 
+func (Reported) event()    {}
 func (Dropped) event()     {}
 func (Recovered) event()   {}
 func (SteppedDown) event() {}
@@ -226,11 +250,15 @@
 	startedAt unit.Instant // When the change began.
 	enteredAt unit.Instant // When the current step began.
 	retryAt   unit.Instant // When the step's call is retried. Zero while the call is in flight.
+	askedAt   unit.Instant // When the instances were last surveyed.
 
 	statuses        map[unit.InstanceName]Status
 	notRunning      map[unit.InstanceName]bool
 	primaryReceived unit.Position // Last position of the primary that stepped down.
+	acknowledged    unit.Position // Highest acknowledged position according to the reports.
+	unreported      map[unit.DaemonID]bool
 	candidate       unit.InstanceName
+	unproven        bool // Whether the candidate is not known to have every acknowledged write.
 	leader          Status
 	// awaitingRecovery means that the old primary may become reachable soon. It has not been
 	// requested to step down.
@@ -241,8 +269,11 @@
 // New begins a change. The row was claimed by a transaction whose response arrived at now.
 func New(plan Plan, now unit.Instant) (*Replacer, []Effect) {
 	r := &Replacer{
-		plan: plan, startedAt: now, enteredAt: now,
-		notRunning: make(map[unit.InstanceName]bool),
+		plan: plan, startedAt: now, enteredAt: now, acknowledged: plan.Acknowledged,
+		notRunning: make(map[unit.InstanceName]bool), unreported: make(map[unit.DaemonID]bool),
+	}
+	for _, m := range plan.Revocation.Remaining() {
+		r.unreported[m.Daemon] = true
 	}
 	var effects []Effect
 	if plan.Planned {
@@ -257,6 +288,9 @@
 		return nil
 	}
 	switch event := event.(type) {
+	case Reported:
+		r.acknowledged = r.acknowledged.Max(event.Acknowledged)
+		delete(r.unreported, event.Daemon)
 	case Dropped:
 		r.plan.Revocation.RecordDrop(event.Daemon, now)
 	case Recovered:
@@ -264,7 +298,7 @@
 	case SteppedDown:
 		r.primaryReceived = r.primaryReceived.Max(event.Received)
 	case Surveyed:
-		r.surveyed(event.Status)
+		r.recordStatus(event.Status)
 	case Promoted:
 		return r.promoted(event, now)
 	case Verified:
@@ -285,6 +319,14 @@
 	return statuses
 }
 
+// Acknowledged returns the highest position of a write that a daemon is known to have seen
+// acknowledged.
+func (r *Replacer) Acknowledged() unit.Position { return r.acknowledged }
+
+// Unproven reports whether the instance to promote is not known to have every acknowledged write
+// of a group with synchronous replicas, because no such instance was found in time.
+func (r *Replacer) Unproven() bool { return r.unproven }
+
 // String returns the status as one word for a log.
 func (s Status) String() string {
 	role := "replica"
@@ -367,11 +409,20 @@
 
 func (r *Replacer) survey(now unit.Instant) []Effect {
 	r.enter(choosing, now)
+	r.askedAt = now
 	r.statuses = make(map[unit.InstanceName]Status)
-	return []Effect{Survey{Instances: r.plan.Replicas}}
+	return []Effect{Survey{Instances: r.instances()}}
 }
 
-func (r *Replacer) surveyed(s Status) {
+// instances returns the instances to survey.
+func (r *Replacer) instances() []unit.InstanceName {
+	if r.plan.Synchronous > 0 {
+		return r.holders()
+	}
+	return r.plan.Replicas
+}
+
+func (r *Replacer) recordStatus(s Status) {
 	if r.step == choosing {
 		r.statuses[s.Instance] = s
 	}
@@ -379,6 +430,9 @@
 
 // choose promotes the replica that has received most, once enough replicas have responded.
 func (r *Replacer) choose(now unit.Instant) []Effect {
+	if r.plan.Synchronous > 0 {
+		return r.chooseSynchronous(now)
+	}
 	best, ok := r.best()
 	waited := now.Sub(r.enteredAt)
 	if !ok {
@@ -391,7 +445,7 @@
 	if r.awaitingRecovery && waited < recoveryTimeout {
 		return nil
 	}
-	if len(r.statuses) < len(r.plan.Replicas) && waited < surveyTimeout*time.Duration(1+r.plan.Synchronous) {
+	if len(r.statuses) < len(r.plan.Replicas) && waited < surveyTimeout {
 		return nil
 	}
 	if r.awaitsStepDown(now) {
@@ -407,10 +461,15 @@
 		}
 		return nil
 	}
-	r.candidate = best.Instance
 	if r.plan.Voluntary && lacks && !r.notRunning[r.plan.Primary] {
-		r.candidate = r.plan.Primary
+		return r.promote(r.plan.Primary, now)
 	}
+	return r.promote(best.Instance, now)
+}
+
+// promote begins the promotion of the instance.
+func (r *Replacer) promote(name unit.InstanceName, now unit.Instant) []Effect {
+	r.candidate = name
 	r.enter(promoting, now)
 	if r.awaitingRecovery {
 		r.awaitingRecovery = false
--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -36,6 +36,7 @@
 	mu            sync.Mutex
 	targets       map[unit.InstanceName]*target
 	floors        tracker.Floors
+	acknowledged  unit.Position // Highest position of an acknowledged write.
 	strain        strain
 	retryBudget   retrier.Budget
 	positionQuery chan struct{} // Closed when the position request in flight has ended. Nil if there is none.
@@ -161,6 +162,15 @@
 	g.floors.Observe(p, sentAt)
 }
 
+// acknowledge records the position of a write that the primary has acknowledged. It must be
+// recorded before the authority over the primary is checked, so that a position that is read
+// after the authority has ended includes every write that a caller was told of.
+func (g *group) acknowledge(p unit.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.acknowledged = g.acknowledged.Max(p)
+}
+
 // floor returns the position that a read must observe if it must see all writes
 // acknowledged before since and the session's own last write, at position own. The result
 // is false if no recent enough position is known.
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -58,6 +58,9 @@
 			return Answer{Err: err}
 		}
 		reply, err := j.execute(t, priorityOf(j.call.writes, true), unit.Position{})
+		if err == nil && j.call.writes {
+			j.group.acknowledge(reply.Position)
+		}
 		if err == nil && !e.authority.Holds(l) {
 			err = result.New(result.AuthorityLost, "instance %s may no longer be the primary", t.name())
 		}
--- a/tarragonshed/engine/monitor.go
+++ b/tarragonshed/engine/monitor.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// Acknowledged returns the highest position of a write to the group that this daemon has seen
+// acknowledged, or zero. Once the daemon has no authority over the primary, it includes every
+// write that a caller was told of.
+func (e *Engine) Acknowledged(group unit.GroupName) unit.Position {
+	g, ok := e.current.Load().groups[group]
+	if !ok {
+		return unit.Position{}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.acknowledged
+}
+
 // Status requests the status of an instance.
 func (e *Engine) Status(ctx context.Context, group unit.GroupName, name unit.InstanceName) (InstanceStatus, error) {
 	return e.requestStatus(ctx, group, name, Status{})
--- a/tarragonshed/engine/transaction.go
+++ b/tarragonshed/engine/transaction.go
@@ -283,6 +283,9 @@
 	if reply.Err != nil {
 		return Answer{Err: reply.Err}
 	}
+	if t.wrote {
+		t.group.acknowledge(reply.Position)
+	}
 	if t.wrote && !e.authority.Holds(t.leadership) {
 		return Answer{Err: result.New(result.AuthorityLost, "instance %s may no longer be the primary", pc.target.name())}
 	}
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -81,7 +82,7 @@
 			continue
 		}
 		ctx, stop := context.WithTimeout(o.ctx, callTimeout)
-		status, err := (*o.instances.Load()).Status(ctx, g.Name, i.Name)
+		status, err := o.instanceStatus(ctx, g.Name, i.Name)
 		stop()
 		if err != nil || !status.Primary {
 			o.logger.Info("instance does not report that it is the primary", "group", g.Name, "instance", i.Name, "cause", err)
@@ -128,7 +129,8 @@
 	events     chan replacer.Event
 	revocation *authorizer.Revocation // Of the authority of the other daemons.
 	replacer   *replacer.Replacer
-	decided    string // The last decision that was logged.
+	decided    string   // The last decision that was logged.
+	queried    sync.Map // The instances whose status is being queried.
 	ctx        context.Context
 }
 
@@ -180,7 +182,8 @@
 	why := c.fault.reason
 	p := replacer.Plan{
 		Group: g.Name, Primary: c.row.Primary, Term: c.row.Term,
-		Revocation: c.revocation, Synchronous: g.Synchronous,
+		Revocation: c.revocation, VacantSince: c.vacantSince(),
+		Synchronous: g.Synchronous, Acknowledged: c.acknowledged(g.Name),
 		Planned: why == leaving || why == strained, Voluntary: why == strained, Cancellable: why == unreachable,
 	}
 	for _, i := range g.Instances {
@@ -223,6 +226,9 @@
 		response, err := c.peer(m.Address).Withdraw(ctx, connect.NewRequest(request))
 		stop()
 		if err == nil && response.Msg.Dropped && response.Msg.Daemon == string(m.Daemon) {
+			if response.Msg.ReportsAcknowledged {
+				c.send(replacer.Reported{Daemon: m.Daemon, Acknowledged: acknowledgedIn(response.Msg)})
+			}
 			c.send(replacer.Dropped{Daemon: m.Daemon})
 			return
 		}
@@ -230,6 +236,10 @@
 	}
 }
 
+func acknowledgedIn(r *peer.WithdrawResponse) unit.Position {
+	return unit.Position{Term: unit.Term(r.AcknowledgedTerm), Index: unit.Index(r.AcknowledgedIndex)}
+}
+
 // watchOldPrimary sends [replacer.Recovered] when the old primary is reachable again and
 // still leads its term.
 func (c *primaryChange) watchOldPrimary() {
--- a/tarragonshed/overseer/claim.go
+++ b/tarragonshed/overseer/claim.go
@@ -77,17 +77,21 @@
 			continue
 		}
 		c.mu.Lock()
-		vacant := c.claimedAt
-		if c.fault.reason.takesOver() {
-			vacant = c.fault.sinceInstant
-		}
-		c.revocation = c.auth.BeginRevocation(c.claimedAt, vacant)
+		c.revocation = c.auth.BeginRevocation(c.claimedAt, c.vacantSince())
 		c.mu.Unlock()
 		return true
 	}
 	return false
 }
 
+// vacantSince returns since when the row is known to name no primary.
+func (c *primaryChange) vacantSince() unit.Instant {
+	if c.fault.reason.takesOver() {
+		return c.fault.sinceInstant
+	}
+	return c.claimedAt
+}
+
 // ownsRow reports whether the row is as this daemon claimed it. This is so if an earlier
 // call was executed and its response was lost.
 func (c *primaryChange) ownsRow() bool {
--- a/tarragonshed/overseer/effect.go
+++ b/tarragonshed/overseer/effect.go
@@ -7,7 +7,6 @@
 
 	"tarragonshed.example/authorizer"
 	"tarragonshed.example/replacer"
-	"tarragonshed.example/tarragonshed/engine"
 	"tarragonshed.example/unit"
 )
 
@@ -22,7 +21,8 @@
 			return false
 		}
 		go func() {
-			if received, ok := c.stepDown(c.row.Group, c.row.Primary, effect.Term); ok {
+			received, ok := c.stepDown(c.row.Group, c.row.Primary, effect.Term)
+			if ok && c.reach(c.row.Group, c.row.Primary).Incarnation == c.row.Incarnation {
 				c.send(replacer.SteppedDown{Received: received})
 			}
 		}()
@@ -53,8 +53,14 @@
 		return
 	}
 	c.decided = decision
-	c.logger.Info("promotion decided", "group", c.row.Group, "instance", p.Instance, "old-primary", c.row.Primary, "term", c.row.Term,
-		"statuses", statuses, "claimed", c.now().Sub(c.claimedAt))
+	log := c.logger.Info
+	if c.replacer.Unproven() {
+		c.meters.unproven.Inc(1)
+		log = c.logger.Warn
+	}
+	log("promotion decided", "group", c.row.Group, "instance", p.Instance, "old-primary", c.row.Primary, "term", c.row.Term,
+		"statuses", statuses, "claimed", c.now().Sub(c.claimedAt), "acknowledged", c.replacer.Acknowledged(),
+		"may-lose-acknowledged-writes", c.replacer.Unproven())
 }
 
 // logEnd logs and counts the outcome of the change.
@@ -92,7 +98,9 @@
 // status queries the status of an instance. Without a response the result holds only the
 // name of the instance.
 func (c *primaryChange) status(name unit.InstanceName) replacer.Status {
-	s, err := c.instanceStatus(name)
+	ctx, stop := context.WithTimeout(c.ctx, callTimeout)
+	defer stop()
+	s, err := c.instanceStatus(ctx, c.row.Group, name)
 	if err != nil {
 		c.logger.Info("instance status not available", "group", c.row.Group, "instance", name, "cause", err)
 		return replacer.Status{Instance: name}
@@ -100,13 +108,12 @@
 	return replacer.Status{Instance: name, Primary: s.Primary, Received: s.Received, Term: s.Term}
 }
 
-func (c *primaryChange) instanceStatus(name unit.InstanceName) (engine.InstanceStatus, error) {
-	ctx, stop := context.WithTimeout(c.ctx, callTimeout)
-	defer stop()
-	return (*c.instances.Load()).Status(ctx, c.row.Group, name)
-}
-
+// survey queries the status of an instance, unless a query is still in flight.
 func (c *primaryChange) survey(name unit.InstanceName) {
+	if _, inFlight := c.queried.LoadOrStore(name, true); inFlight {
+		return
+	}
+	defer c.queried.Delete(name)
 	if s := c.status(name); s.Term > 0 {
 		c.logger.Info("replica surveyed", "group", c.row.Group, "instance", name, "primary", s.Primary, "term", s.Term, "received", s.Received)
 		c.send(replacer.Surveyed{Status: s})
--- a/tarragonshed/overseer/establish.go
+++ b/tarragonshed/overseer/establish.go
@@ -53,7 +53,7 @@
 	var wg sync.WaitGroup
 	for _, i := range g.Instances {
 		wg.Go(func() {
-			status, err := (*o.instances.Load()).Status(ctx, g.Name, i.Name)
+			status, err := o.instanceStatus(ctx, g.Name, i.Name)
 			if err != nil {
 				return
 			}
--- a/tarragonshed/overseer/meters.go
+++ b/tarragonshed/overseer/meters.go
@@ -10,6 +10,7 @@
 	relayed     metrics.Counter
 	changes     metrics.Counter
 	failed      metrics.Counter
+	unproven    metrics.Counter
 	duration    metrics.Timer
 }
 
@@ -22,6 +23,7 @@
 		relayed:     counter("confirmations.relayed"),
 		changes:     counter("changes"),
 		failed:      counter("changes.failed"),
+		unproven:    counter("changes.unproven"),
 		duration:    metrics.GetOrRegisterTimer("overseer.change", r),
 	}
 }
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -106,6 +106,7 @@
 	Reach(unit.GroupName, unit.InstanceName) engine.Reach
 	Status(context.Context, unit.GroupName, unit.InstanceName) (engine.InstanceStatus, error)
 	StepDown(context.Context, unit.GroupName, unit.InstanceName, unit.Term) (engine.InstanceStatus, error)
+	Acknowledged(unit.GroupName) unit.Position
 }
 
 // Platform promotes instances.
--- a/tarragonshed/overseer/relief.go
+++ b/tarragonshed/overseer/relief.go
@@ -17,8 +17,7 @@
 func (o *Overseer) hasSuccessor(g manifest.Group, row authorizer.Leadership) bool {
 	ctx, stop := context.WithTimeout(o.ctx, 2*callTimeout)
 	defer stop()
-	instances := *o.instances.Load()
-	primary, err := instances.Status(ctx, g.Name, row.Primary)
+	primary, err := o.instanceStatus(ctx, g.Name, row.Primary)
 	if err != nil || !primary.Primary || primary.Term != row.Term {
 		o.logger.Info("strained primary not relieved: no status", "group", g.Name, "primary", row.Primary, "cause", err)
 		return false
@@ -28,7 +27,7 @@
 		if i.Name == row.Primary || i.Leaving {
 			continue
 		}
-		s, err := instances.Status(ctx, g.Name, i.Name)
+		s, err := o.instanceStatus(ctx, g.Name, i.Name)
 		if err == nil && !s.Received.Before(primary.Received) {
 			o.logger.Info("strained primary is relieved", "group", g.Name, "primary", row.Primary, "successor", i.Name, "received", s.Received)
 			return true
--- a/tarragonshed/overseer/relief_test.go
+++ b/tarragonshed/overseer/relief_test.go
@@ -64,6 +64,8 @@
 	return s, nil
 }
 
+func (g *strainedGroup) Acknowledged(unit.GroupName) unit.Position { return unit.Position{} }
+
 func (g *strainedGroup) Promote(_ context.Context, _ unit.GroupName, name unit.InstanceName, _ authorizer.Duty) replacer.PromotionResult {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/tarragonshed/overseer/service.go
+++ b/tarragonshed/overseer/service.go
@@ -25,7 +25,11 @@
 	if r.Msg.Instance != "" {
 		go o.stepDown(group, unit.InstanceName(r.Msg.Instance), unit.Term(r.Msg.Term))
 	}
-	return connect.NewResponse(&peer.WithdrawResponse{Daemon: string(o.self.Daemon), Dropped: dropped}), nil
+	acknowledged := o.acknowledged(group)
+	return connect.NewResponse(&peer.WithdrawResponse{
+		Daemon: string(o.self.Daemon), Dropped: dropped, ReportsAcknowledged: true,
+		AcknowledgedTerm: uint64(acknowledged.Term), AcknowledgedIndex: uint64(acknowledged.Index),
+	}), nil
 }
 
 // Vouch implements [peerconnect.OverseerHandler].
--- a/tarragonshed/overseer/watch.go
+++ b/tarragonshed/overseer/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 	"tarragonshed.example/authorizer"
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/replacer"
+	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/engine"
 	"tarragonshed.example/unit"
 	"tarragonshed.example/wire/peer"
@@ -28,6 +30,9 @@
 	// minChangeInterval is the minimum time between the end of a change of a group and the
 	// next change for an unreachable primary that other daemons still reach.
 	minChangeInterval = 3 * time.Second
+	// statusRetryInterval is the time before an instance that had no slot for a request of its
+	// status is asked again.
+	statusRetryInterval = 10 * time.Millisecond
 	// minReliefInterval is the minimum time between two attempts to relieve the primary of a
 	// group. After a change, the instances need some time to serve reads again.
 	minReliefInterval = 5 * time.Second
@@ -59,6 +64,32 @@
 	return engine.Reach{}
 }
 
+// instanceStatus requests the status of an instance. It repeats the request until ctx ends if
+// the instance has no slot for it.
+func (o *Overseer) instanceStatus(ctx context.Context, g unit.GroupName, i unit.InstanceName) (engine.InstanceStatus, error) {
+	for {
+		status, err := (*o.instances.Load()).Status(ctx, g, i)
+		var refusal *result.Error
+		if !errors.As(err, &refusal) || refusal.Code != result.Overloaded {
+			return status, err
+		}
+		select {
+		case <-time.After(statusRetryInterval):
+		case <-ctx.Done():
+			return status, err
+		}
+	}
+}
+
+// acknowledged returns the highest position of a write to the group that this daemon has seen
+// acknowledged.
+func (o *Overseer) acknowledged(g unit.GroupName) unit.Position {
+	if p := o.instances.Load(); p != nil {
+		return (*p).Acknowledged(g)
+	}
+	return unit.Position{}
+}
+
 func (o *Overseer) watchGroup(g manifest.Group) {
 	o.mu.Lock()
 	_, confirmed := o.auth.Confirmed()
--- a/unit/unit.go
+++ b/unit/unit.go
@@ -29,6 +29,7 @@
 package unit
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -145,6 +146,11 @@
 	return p.Index < q.Index
 }
 
+// Compare returns -1, 0 or 1 if p is ordered before q, equals q or is ordered after it.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Term, q.Term), cmp.Compare(p.Index, q.Index))
+}
+
 // AtLeast reports whether p equals q or is ordered after it.
 func (p Position) AtLeast(q Position) bool {
 	return !p.Before(q)
