replacer: survey leaving replicas where replicas are synchronous

The replica that had them was leaving and ran for six seconds more.

Cause: the plan of a change left leaving instances out altogether. They must not get new work, but they receive and count for the acknowledgement until they end. Who may be promoted and who has to be asked were one list.

Evidence: "promotion decided ... statuses=[i-ledger-2=replica:1:1/127]" 2.9 ms after the claim; the leaving i-ledger-1 is neither surveyed nor refused.

A plan names them apart. They are surveyed and count among the answers. One of them is promoted only if no other instance has every acknowledged write. It is then a leaving primary, and a leaving primary of such a group stays in use until a replica has received its log: before, a change would have begun at once and promoted it again, over and over. SyncReplicas 0 is as before.

The lines of the relief were renamed, since they now serve both.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -92,6 +92,10 @@
 	Term unit.Term
 	// Replicas are the instances that may be promoted.
 	Replicas []unit.InstanceName
+	// Leaving are the instances, other than the old primary, that will end soon but still count
+	// as synchronous replicas. One of them is promoted only if no other instance has every
+	// acknowledged write. They matter only if replicas are synchronous.
+	Leaving []unit.InstanceName
 	// Revocation reports when no daemon uses the old primary any more. It is owned by the
 	// Replacer.
 	Revocation *authorizer.Revocation
@@ -486,8 +490,11 @@
 
 // best returns the status of the replica that has received most. A replica that leads already
 // takes precedence: it was promoted by a call whose response was lost.
-func (r *Replacer) best() (best Status, ok bool) {
-	for _, name := range r.plan.Replicas {
+func (r *Replacer) best() (best Status, ok bool) { return r.bestOf(r.plan.Replicas) }
+
+// bestOf is like best for the given instances.
+func (r *Replacer) bestOf(names []unit.InstanceName) (best Status, ok bool) {
+	for _, name := range names {
 		s, responded := r.statuses[name]
 		if !responded || r.notRunning[name] {
 			continue
--- a/replacer/synchronous.go
+++ b/replacer/synchronous.go
@@ -22,9 +22,8 @@
 // chooseSynchronous promotes an instance that has every acknowledged write. It asks the
 // instances again until one is known, or until the group has waited for too long.
 func (r *Replacer) chooseSynchronous(now unit.Instant) []Effect {
-	best, ok := r.best()
-	if ok && r.leads(best) {
-		return r.promote(best.Instance, now)
+	if leader, ok := r.promotedBefore(); ok {
+		return r.promote(leader, now)
 	}
 	if r.awaitsAnswers(now) {
 		return r.askAgain(now)
@@ -36,6 +35,10 @@
 			return r.promote(name, now)
 		}
 	}
+	best, ok := r.best()
+	if !ok {
+		best, ok = r.bestOf(r.plan.Leaving)
+	}
 	if ok && now.Sub(r.plan.VacantSince) >= patience(bounded) {
 		r.unproven = true
 		return r.promote(best.Instance, now)
@@ -59,12 +62,28 @@
 	if r.awaitingRecovery && waited < recoveryTimeout || r.awaitsStepDown(now) {
 		return true
 	}
-	return waited < synchronousSurveyTimeout && slices.ContainsFunc(r.plan.Replicas, func(name unit.InstanceName) bool {
+	return waited < synchronousSurveyTimeout && slices.ContainsFunc(r.survivors(), func(name unit.InstanceName) bool {
 		_, answered := r.statuses[name]
 		return !answered
 	})
 }
 
+// promotedBefore returns an instance that leads a later term: it was promoted by a call whose response
+// was lost.
+func (r *Replacer) promotedBefore() (unit.InstanceName, bool) {
+	for _, name := range r.survivors() {
+		if r.leads(r.statuses[name]) && !r.notRunning[name] {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// survivors returns the instances that are expected to answer.
+func (r *Replacer) survivors() []unit.InstanceName {
+	return slices.Concat(r.plan.Replicas, r.plan.Leaving)
+}
+
 // askAgain surveys the instances again when it is time. What they have reported before remains
 // valid until then.
 func (r *Replacer) askAgain(now unit.Instant) []Effect {
@@ -92,10 +111,11 @@
 
 // holders returns the instances that may have received acknowledged writes.
 func (r *Replacer) holders() []unit.InstanceName {
-	if r.plan.Primary == "" || slices.Contains(r.plan.Replicas, r.plan.Primary) {
-		return r.plan.Replicas
+	names := r.survivors()
+	if r.plan.Primary == "" || slices.Contains(names, r.plan.Primary) {
+		return names
 	}
-	return append(slices.Clone(r.plan.Replicas), r.plan.Primary)
+	return append(names, r.plan.Primary)
 }
 
 // bound returns a position that no acknowledged write exceeds: the lowest that is known. The
@@ -138,7 +158,8 @@
 }
 
 // holderOf returns the instance to promote that has received the position, or false if there is
-// none yet. If only the old primary has, it leads again.
+// none yet. If only the old primary has, it leads again; if only a leaving instance has, that one
+// leads until another one has received its log.
 func (r *Replacer) holderOf(p unit.Position, now unit.Instant) (unit.InstanceName, bool) {
 	best, ok := r.best()
 	switch {
@@ -151,5 +172,8 @@
 	case !r.primaryReceived.IsZero() && !r.notRunning[r.plan.Primary]:
 		return r.plan.Primary, true
 	}
+	if best, ok := r.bestOf(r.plan.Leaving); ok && !best.Received.Before(p) {
+		return best.Instance, true
+	}
 	return "", false
 }
--- a/replacer/synchronous_test.go
+++ b/replacer/synchronous_test.go
@@ -181,3 +181,41 @@
 		p.expectPromotions("a")
 	})
 }
+
+// TestLeavingReplicaIsSurveyed guards against the loss of acknowledged writes: the replica that had
+// received them was leaving and not asked (review/3).
+func TestLeavingReplicaIsSurveyed(t *testing.T) {
+	leaving := func(t *testing.T) *harness {
+		change := synchronousPlan()
+		change.Replicas, change.Leaving = []unit.InstanceName{"b"}, []unit.InstanceName{"c"}
+		p := withAuthorityEnded(t, change, pos(3, 20))
+		is.New(t).Equal(p.effects[1], Survey{Instances: []unit.InstanceName{"b", "c", "a"}})
+		return p
+	}
+	t.Run("it is promoted if no other replica has the writes", func(t *testing.T) {
+		p := leaving(t)
+		p.step(replica("b", pos(3, 10)))
+		p.expectPromotions()
+		p.step(replica("c", pos(3, 20)))
+		p.expectPromotions("c")
+	})
+	t.Run("another replica is preferred", func(t *testing.T) {
+		p := leaving(t)
+		p.step(replica("c", pos(3, 20)), replica("b", pos(3, 20)))
+		p.expectPromotions("b")
+	})
+	t.Run("only leaving replicas are left", func(t *testing.T) {
+		change := synchronousPlan()
+		change.Replicas, change.Leaving = nil, []unit.InstanceName{"b", "c"}
+		p := withAuthorityEnded(t, change, pos(3, 20))
+		p.step(replica("c", pos(3, 20)), replica("b", pos(3, 10)))
+		p.expectPromotions("c")
+	})
+	t.Run("it is not promoted without synchronous replicas", func(t *testing.T) {
+		change := plan()
+		change.Replicas, change.Leaving = []unit.InstanceName{"b"}, []unit.InstanceName{"c"}
+		p := withAuthorityEnded(t, change, pos(3, 20))
+		p.step(replica("c", pos(3, 20)), replica("b", pos(3, 10)))
+		p.expectPromotions("b")
+	})
+}
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -47,7 +47,7 @@
 		case f.reason == noRow:
 			o.createRow(g)
 		case f.reason == unestablished && o.establish(g, row):
-		case f.reason != strained || o.hasSuccessor(g, row):
+		case !o.needsSuccessor(g, f) || o.hasSuccessor(g, row):
 			o.changeWithoutAuthority(g, row, f)
 		}
 		o.meters.duration.UpdateSince(began)
@@ -187,10 +187,13 @@
 		Planned: why == leaving || why == strained, Voluntary: why == strained, Cancellable: why == unreachable,
 	}
 	for _, i := range g.Instances {
-		if i.Leaving || i.Name == c.row.Primary && why != restarted && !why.takesOver() {
-			continue
+		switch {
+		case i.Name == c.row.Primary && why != restarted && !why.takesOver():
+		case i.Leaving:
+			p.Leaving = append(p.Leaving, i.Name)
+		default:
+			p.Replicas = append(p.Replicas, i.Name)
 		}
-		p.Replicas = append(p.Replicas, i.Name)
 	}
 	return p
 }
--- a/tarragonshed/overseer/relief.go
+++ b/tarragonshed/overseer/relief.go
@@ -11,6 +11,13 @@
 // successorDelay is the time that a replica has to receive what the primary had received.
 const successorDelay = 200 * time.Millisecond
 
+// needsSuccessor reports whether the primary is replaced only if a replica receives its log. A
+// leaving primary continues if acknowledged writes must not be lost, because without such a replica
+// it would have to be promoted again.
+func (o *Overseer) needsSuccessor(g manifest.Group, f *fault) bool {
+	return f.reason == strained || f.reason == leaving && g.Synchronous > 0
+}
+
 // hasSuccessor reports whether a replica receives the log of the primary at present, although
 // it is slow to apply it. Such a replica can take over without the loss of a write: once it is
 // the primary it has applied its log, and the old primary, which is not behind, serves reads.
@@ -19,7 +26,7 @@
 	defer stop()
 	primary, err := o.instanceStatus(ctx, g.Name, row.Primary)
 	if err != nil || !primary.Primary || primary.Term != row.Term {
-		o.logger.Info("strained primary not relieved: no status", "group", g.Name, "primary", row.Primary, "cause", err)
+		o.logger.Info("primary keeps its role: no status", "group", g.Name, "primary", row.Primary, "cause", err)
 		return false
 	}
 	time.Sleep(successorDelay)
@@ -29,10 +36,10 @@
 		}
 		s, err := o.instanceStatus(ctx, g.Name, i.Name)
 		if err == nil && !s.Received.Before(primary.Received) {
-			o.logger.Info("strained primary is relieved", "group", g.Name, "primary", row.Primary, "successor", i.Name, "received", s.Received)
+			o.logger.Info("primary has a successor", "group", g.Name, "primary", row.Primary, "successor", i.Name, "received", s.Received)
 			return true
 		}
 	}
-	o.logger.Info("strained primary not relieved: no replica receives its log", "group", g.Name, "primary", row.Primary)
+	o.logger.Info("primary keeps its role: no replica receives its log", "group", g.Name, "primary", row.Primary)
 	return false
 }
