overseer: ask all replicas at once whether one can succeed the primary

The instances were asked one after the other within one time limit; the dark old primary used it up before the last one was asked. The relief of a strained primary has had the same fault.

Change: all are asked at the same time, as after a restore. TestDarkReplicaHidesNoSuccessor fails before.

--- a/tarragonshed/overseer/relief.go
+++ b/tarragonshed/overseer/relief.go
@@ -22,20 +22,21 @@
 // it is slow to apply it. Such a replica can take over without the loss of a write: once it is
 // the primary it has applied its log, and the old primary, which is not behind, serves reads.
 func (o *Overseer) hasSuccessor(g manifest.Group, row authorizer.Leadership) bool {
-	ctx, stop := context.WithTimeout(o.ctx, 2*callTimeout)
-	defer stop()
+	ctx, stop := context.WithTimeout(o.ctx, callTimeout)
 	primary, err := o.instanceStatus(ctx, g.Name, row.Primary)
+	stop()
 	if err != nil || !primary.Primary || primary.Term != row.Term {
 		o.logger.Info("primary keeps its role: no status", "group", g.Name, "primary", row.Primary, "cause", err)
 		return false
 	}
 	time.Sleep(successorDelay)
+	statuses := o.statusOfAll(g)
 	for _, i := range g.Instances {
-		if i.Name == row.Primary || i.Leaving {
+		s, responded := statuses[i.Name]
+		if i.Name == row.Primary || i.Leaving || !responded {
 			continue
 		}
-		s, err := o.instanceStatus(ctx, g.Name, i.Name)
-		if err == nil && !s.Received.Before(primary.Received) {
+		if !s.Received.Before(primary.Received) {
 			o.logger.Info("primary has a successor", "group", g.Name, "primary", row.Primary, "successor", i.Name, "received", s.Received)
 			return true
 		}
--- a/tarragonshed/overseer/relief_test.go
+++ b/tarragonshed/overseer/relief_test.go
@@ -144,6 +144,32 @@
 	})
 }
 
+// groupWithDark is a strainedGroup with another instance, dark, that never responds.
+type groupWithDark struct{ *strainedGroup }
+
+func (g groupWithDark) Status(ctx context.Context, group unit.GroupName, name unit.InstanceName) (engine.InstanceStatus, error) {
+	if name == "dark" {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return engine.InstanceStatus{}, ctx.Err()
+	}
+	return g.strainedGroup.Status(ctx, group, name)
+}
+
+// TestDarkReplicaHidesNoSuccessor guards against a primary that was never relieved: the replicas
+// were asked one after the other, and one that did not respond used up the time for all.
+func TestDarkReplicaHidesNoSuccessor(t *testing.T) {
+	is := is.New(t)
+	g := newStrainedGroup(10)
+	o, _ := overseen(t, g)
+	var instances Instances = groupWithDark{g}
+	o.instances.Store(&instances)
+	group := g.Manifest().Groups[0]
+	group.Instances = []manifest.Instance{{Name: "a"}, {Name: "dark"}, {Name: "b"}}
+	is.True(o.hasSuccessor(group, o.rowOf("g")))
+}
+
 // TestReliefMayBegin checks that a strained primary stays in use if its relief could take
 // longer than the strain costs.
 func TestReliefMayBegin(t *testing.T) {
