overseer: count unlisted and restarted instances as holders of acknowledged writes

With SyncReplicas 1 a change of the primary lost acknowledged writes when the replica that had received them

- had restarted and knew nothing ("may start again under the Id that it had"): it answered for its earlier incarnation.
Shown for the choice only (TestUnlistedHolders), not on a deployment;
- was the old primary, restarted: its empty log counted as an answer.

The overseer remembers for 30 s which incarnations departed from the list, and in which term. They count as holders of writes; one that is only unlisted is asked at its last address and may be promoted once it is listed again, which a change under way now notices.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -83,6 +83,22 @@
 	Timeout = 15 * time.Second
 )
 
+// Roster lists the instances of a group other than its old primary. All but the replicas matter
+// only where replicas are synchronous.
+type Roster struct {
+	// Replicas are the instances that may be promoted.
+	Replicas []unit.InstanceName
+	// Leaving are the instances that will end soon but still count as synchronous replicas.
+	// One of them is promoted only if no other instance has every acknowledged write.
+	Leaving []unit.InstanceName
+	// Departed are the instances that were no longer listed in the old primary's term. They may
+	// still run, and may have received writes, but can't be promoted.
+	Departed []unit.InstanceName
+	// Forgotten is the number of incarnations of instances that received writes in the old
+	// primary's term and have restarted without them.
+	Forgotten int
+}
+
 // Plan describes a change.
 type Plan struct {
 	Group unit.GroupName
@@ -90,12 +106,7 @@
 	Primary unit.InstanceName
 	// Term is the highest known term.
 	Term unit.Term
-	// Replicas are the instances that may be promoted.
-	Replicas []unit.InstanceName
-	// Leaving are the instances, other than the old primary, that will end soon but still count
-	// as synchronous replicas. One of them is promoted only if no other instance has every
-	// acknowledged write. They matter only if replicas are synchronous.
-	Leaving []unit.InstanceName
+	Roster
 	// Revocation reports when no daemon uses the old primary any more. It is owned by the
 	// Replacer.
 	Revocation *authorizer.Revocation
@@ -135,10 +146,16 @@
 	Term unit.Term
 }
 
-// Event is an input of the Replacer: [Reported], [Dropped], [Recovered], [SteppedDown],
+// Event is an input of the Replacer: [Relisted], [Reported], [Dropped], [Recovered], [SteppedDown],
 // [Surveyed], [Promoted], [Verified], [Published] or [Tick].
 type Event interface{ event() }
 
+// Relisted replaces the roster. What the restarted instances have reported is obsolete.
+type Relisted struct {
+	Roster
+	Restarted []unit.InstanceName
+}
+
 // Reported reports the highest position of a write that a daemon has seen acknowledged. The
 // daemon must not have authority any more. Reported precedes [Dropped].
 type Reported struct {
@@ -189,6 +206,7 @@
 // Tick advances the time. It must be sent every few milliseconds.
 type Tick struct{}
 
+func (Relisted) event()    {}
 func (Reported) event()    {}
 func (Dropped) event()     {}
 func (Recovered) event()   {}
@@ -292,6 +310,11 @@
 		return nil
 	}
 	switch event := event.(type) {
+	case Relisted:
+		r.plan.Roster = event.Roster
+		for _, name := range event.Restarted {
+			delete(r.statuses, name)
+		}
 	case Reported:
 		r.acknowledged = r.acknowledged.Max(event.Acknowledged)
 		delete(r.unreported, event.Daemon)
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -18,7 +18,7 @@
 
 func plan() Plan {
 	return Plan{
-		Group: "g", Primary: "a", Term: 3, Replicas: []unit.InstanceName{"b", "c"},
+		Group: "g", Primary: "a", Term: 3, Roster: Roster{Replicas: []unit.InstanceName{"b", "c"}},
 		Revocation: revocation(2 * time.Second),
 	}
 }
--- a/replacer/synchronous.go
+++ b/replacer/synchronous.go
@@ -62,6 +62,9 @@
 	if r.awaitingRecovery && waited < recoveryTimeout || r.awaitsStepDown(now) {
 		return true
 	}
+	if best, ok := r.best(); ok && !r.primaryReceived.IsZero() && !best.Received.Before(r.primaryReceived) {
+		return false // No instance has more.
+	}
 	return waited < synchronousSurveyTimeout && slices.ContainsFunc(r.survivors(), func(name unit.InstanceName) bool {
 		_, answered := r.statuses[name]
 		return !answered
@@ -111,7 +114,7 @@
 
 // holders returns the instances that may have received acknowledged writes.
 func (r *Replacer) holders() []unit.InstanceName {
-	names := r.survivors()
+	names := append(r.survivors(), r.plan.Departed...)
 	if r.plan.Primary == "" || slices.Contains(names, r.plan.Primary) {
 		return names
 	}
@@ -140,16 +143,18 @@
 
 // quorumBound returns the bound that follows from the answers of the instances. A write was
 // acknowledged once the old primary and Synchronous replicas had it. Fewer than all holders
-// but Synchronous lack it, so among that many answers the highest has it.
+// but Synchronous lack it, so among that many answers the highest has it. Holders that have
+// restarted without their log count as ones that do not answer.
 func (r *Replacer) quorumBound() (unit.Position, bool) {
 	holders := r.holders()
 	var received []unit.Position
 	for _, name := range holders {
-		if s, answered := r.statuses[name]; answered {
+		// An instance with an empty log has lost what it had received.
+		if s, answered := r.statuses[name]; answered && !s.Received.IsZero() {
 			received = append(received, s.Received)
 		}
 	}
-	needed := max(1, len(holders)-r.plan.Synchronous)
+	needed := max(1, len(holders)+r.plan.Forgotten-r.plan.Synchronous)
 	if len(received) < needed {
 		return unit.Position{}, false
 	}
--- a/replacer/synchronous_test.go
+++ b/replacer/synchronous_test.go
@@ -219,3 +219,59 @@
 		p.expectPromotions("b")
 	})
 }
+
+// TestUnlistedHolders guards against the loss of acknowledged writes that only an instance had
+// received that is no longer listed, or has restarted.
+func TestUnlistedHolders(t *testing.T) {
+	t.Run("a departed instance is asked and waited for", func(t *testing.T) {
+		change := synchronousPlan()
+		change.Replicas, change.Departed = []unit.InstanceName{"b"}, []unit.InstanceName{"c"}
+		p := withAuthorityEnded(t, change, pos(3, 20))
+		is.New(t).Equal(p.effects[1], Survey{Instances: []unit.InstanceName{"b", "c", "a"}})
+		p.step(replica("b", pos(3, 10)))
+		p.advance(time.Second)
+		p.expectPromotions()
+		p.step(replica("c", pos(3, 20)))
+		p.expectPromotions() // It can't be promoted yet.
+		p.step(Relisted{Roster: Roster{Replicas: []unit.InstanceName{"b", "c"}}})
+		p.expectPromotions("c")
+	})
+	t.Run("a departed instance shows that nothing is missing", func(t *testing.T) {
+		change := synchronousPlan()
+		change.Replicas, change.Departed = []unit.InstanceName{"b"}, []unit.InstanceName{"c"}
+		p := withAuthorityEnded(t, change, pos(3, 20))
+		p.step(replica("b", pos(3, 10)), replica("c", pos(3, 9)))
+		p.expectPromotions("b")
+	})
+	t.Run("a restarted replica does not speak for its earlier incarnation", func(t *testing.T) {
+		change := synchronousPlan()
+		change.Forgotten = 1
+		p := withAuthorityEnded(t, change, pos(3, 20))
+		p.step(replica("b", pos(3, 10)), replica("c", pos(3, 1)))
+		p.advance(time.Second)
+		p.expectPromotions()
+	})
+	t.Run("a replica restarts during the change", func(t *testing.T) {
+		change := synchronousPlan()
+		change.Replicas = []unit.InstanceName{"b", "c", "d"}
+		p := withAuthorityEnded(t, change, pos(3, 20))
+		p.step(replica("b", pos(3, 10)), replica("c", pos(3, 10)))
+		change.Roster.Forgotten = 1
+		p.step(Relisted{Roster: change.Roster, Restarted: []unit.InstanceName{"c"}}, replica("d", pos(3, 9)))
+		p.advance(time.Second)
+		p.expectPromotions()
+	})
+	t.Run("an empty log shows nothing", func(t *testing.T) {
+		p := withAuthorityEnded(t, synchronousPlan(), pos(3, 20))
+		p.step(replica("b", pos(3, 10)), replica("c", unit.Position{}))
+		p.advance(time.Second)
+		p.expectPromotions()
+	})
+	t.Run("planned: a replica with the whole log is promoted without the silent ones", func(t *testing.T) {
+		change := synchronousPlan()
+		change.Planned = true
+		p := withAuthorityEnded(t, change, pos(3, 20))
+		p.step(SteppedDown{pos(3, 20)}, replica("b", pos(3, 20)))
+		p.expectPromotions("b")
+	})
+}
--- a/tarragonshed/engine/monitor.go
+++ b/tarragonshed/engine/monitor.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tarragonshed.example/manifest"
 	"tarragonshed.example/result"
 	"tarragonshed.example/unit"
 )
@@ -61,6 +62,28 @@
 	return e.requestStatus(ctx, group, name, Status{})
 }
 
+// StatusAt requests the status of an instance that may be missing from the manifest in force, over
+// a connection of its own.
+func (e *Engine) StatusAt(ctx context.Context, group unit.GroupName, i manifest.Instance) (InstanceStatus, error) {
+	conn, failure := e.connector.Connect(ctx, group, i, "")
+	if failure != nil {
+		return InstanceStatus{}, failure
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, conn.Close)()
+	if err := conn.Send(Request{Statement: Status{}}); err != nil {
+		return InstanceStatus{}, err
+	}
+	reply, err := conn.Receive()
+	if err != nil {
+		return InstanceStatus{}, err
+	}
+	if reply.Err != nil {
+		return InstanceStatus{}, reply.Err
+	}
+	return e.connector.Status(reply)
+}
+
 // StepDown makes an instance stop acting as the primary of any term below term.
 func (e *Engine) StepDown(ctx context.Context, group unit.GroupName, name unit.InstanceName, term unit.Term) (InstanceStatus, error) {
 	return e.requestStatus(ctx, group, name, StepDown{Term: term})
--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -129,8 +129,9 @@
 	events     chan replacer.Event
 	revocation *authorizer.Revocation // Of the authority of the other daemons.
 	replacer   *replacer.Replacer
-	decided    string   // The last decision that was logged.
-	queried    sync.Map // The instances whose status is being queried.
+	listed     []manifest.Instance // The instances in the roster of the replacer.
+	decided    string              // The last decision that was logged.
+	queried    sync.Map            // The instances whose status is being queried.
 	ctx        context.Context
 }
 
@@ -153,6 +154,7 @@
 				return
 			}
 		}
+		effects = nil
 		var event replacer.Event = replacer.Tick{}
 		select {
 		case event = <-c.events:
@@ -165,7 +167,10 @@
 			c.logger.Warn("change of primary abandoned: another daemon has claimed the row, or the store was restored", "group", c.row.Group)
 			return
 		}
-		effects = r.Step(event, c.now())
+		if relisted, changed := c.relist(); changed {
+			effects = append(effects, r.Step(relisted, c.now())...)
+		}
+		effects = append(effects, r.Step(event, c.now())...)
 	}
 }
 
@@ -186,15 +191,8 @@
 		Synchronous: g.Synchronous, Acknowledged: c.acknowledged(g.Name),
 		Planned: why == leaving || why == strained, Voluntary: why == strained, Cancellable: why == unreachable,
 	}
-	for _, i := range g.Instances {
-		switch {
-		case i.Name == c.row.Primary && why != restarted && !why.takesOver():
-		case i.Leaving:
-			p.Leaving = append(p.Leaving, i.Name)
-		default:
-			p.Replicas = append(p.Replicas, i.Name)
-		}
-	}
+	c.listed = g.Instances
+	p.Roster = c.roster(g.Instances)
 	return p
 }
 
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -105,6 +105,7 @@
 	Manifest() *manifest.Manifest
 	Reach(unit.GroupName, unit.InstanceName) engine.Reach
 	Status(context.Context, unit.GroupName, unit.InstanceName) (engine.InstanceStatus, error)
+	StatusAt(context.Context, unit.GroupName, manifest.Instance) (engine.InstanceStatus, error)
 	StepDown(context.Context, unit.GroupName, unit.InstanceName, unit.Term) (engine.InstanceStatus, error)
 	Acknowledged(unit.GroupName) unit.Position
 }
@@ -174,6 +175,8 @@
 	changed              chan struct{}
 	reconfirmed          chan struct{} // Closed when the store confirms the rows again.
 	faults               map[unit.GroupName]*fault
+	watched              *manifest.Manifest // The manifest at the last check of the primaries.
+	departed             map[unit.GroupName][]departure
 	changes              map[unit.GroupName]bool
 	failingSince         time.Time // Since when reads of the store have failed, or zero.
 	failures             int       // The number of failed reads since then.
@@ -239,6 +242,7 @@
 		changed:        make(chan struct{}),
 		reconfirmed:    make(chan struct{}),
 		faults:         make(map[unit.GroupName]*fault),
+		departed:       make(map[unit.GroupName][]departure),
 		changes:        make(map[unit.GroupName]bool),
 		changeEndedAt:  make(map[unit.GroupName]time.Time),
 		respondedAt:    make(map[unit.DaemonID]time.Time),
--- a/tarragonshed/overseer/relief_test.go
+++ b/tarragonshed/overseer/relief_test.go
@@ -64,6 +64,10 @@
 	return s, nil
 }
 
+func (g *strainedGroup) StatusAt(ctx context.Context, group unit.GroupName, i manifest.Instance) (engine.InstanceStatus, error) {
+	return g.Status(ctx, group, i.Name)
+}
+
 func (g *strainedGroup) Acknowledged(unit.GroupName) unit.Position { return unit.Position{} }
 
 func (g *strainedGroup) Promote(_ context.Context, _ unit.GroupName, name unit.InstanceName, _ authorizer.Duty) replacer.PromotionResult {
--- a/tarragonshed/overseer/survey_test.go
+++ b/tarragonshed/overseer/survey_test.go
@@ -34,6 +34,10 @@
 	return engine.InstanceStatus{Term: 1, Received: unit.Position{Term: 1, Index: 20}}, nil
 }
 
+func (*busyGroup) Reach(unit.GroupName, unit.InstanceName) engine.Reach {
+	return engine.Reach{Known: true}
+}
+
 func (*busyGroup) Acknowledged(unit.GroupName) unit.Position {
 	return unit.Position{Term: 1, Index: 20}
 }
--- a/tarragonshed/overseer/watch.go
+++ b/tarragonshed/overseer/watch.go
@@ -44,6 +44,7 @@
 	if m == nil {
 		return
 	}
+	o.recordDepartures(m)
 	for _, g := range m.Groups {
 		o.watchGroup(g)
 	}
@@ -64,11 +65,11 @@
 	return engine.Reach{}
 }
 
-// instanceStatus requests the status of an instance. It repeats the request until ctx ends if
-// the instance has no slot for it.
+// instanceStatus requests the status of an instance, which may have departed. It repeats the
+// request until ctx ends if the instance has no slot for it.
 func (o *Overseer) instanceStatus(ctx context.Context, g unit.GroupName, i unit.InstanceName) (engine.InstanceStatus, error) {
 	for {
-		status, err := (*o.instances.Load()).Status(ctx, g, i)
+		status, err := o.requestStatus(ctx, g, i)
 		var refusal *result.Error
 		if !errors.As(err, &refusal) || refusal.Code != result.Overloaded {
 			return status, err
