--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -450,8 +450,12 @@
 }
 
 func (r *Replacer) recordStatus(s Status) {
-	if r.step == choosing {
-		r.statuses[s.Instance] = s
+	if r.step != choosing {
+		return
+	}
+	r.statuses[s.Instance] = s
+	if s.Instance == r.plan.Primary && !s.Primary && !slices.Contains(r.plan.Replicas, s.Instance) {
+		r.primaryReceived = r.primaryReceived.Max(s.Received) // It has stepped down.
 	}
 }
 
