overseer: log and count acknowledged writes that a change of primary lost

A promotion that turned out wrong left no trace: an operator could not tell it from a good one. The daemons report the last write that they saw acknowledged when they give up their authority; if the log of the promoted instance ends before it, the completed change is logged as a warning with both positions and counted (overseer.changes.lossy), also without synchronous replicas, where a crash may lose writes. A report that arrives after the promotion counts as well (TestLoss).

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -280,7 +280,8 @@
 	acknowledged    unit.Position // Highest acknowledged position according to the reports.
 	unreported      map[unit.DaemonID]bool
 	candidate       unit.InstanceName
-	unproven        bool // Whether the candidate is not known to have every acknowledged write.
+	received        unit.Position // What the candidate had received when it was chosen.
+	unproven        bool          // Whether the candidate is not known to have every acknowledged write.
 	leader          Status
 	// awaitingRecovery means that the old primary may become reachable soon. It has not been
 	// requested to step down.
@@ -354,6 +355,13 @@
 // of a group with synchronous replicas, because no such instance was found in time.
 func (r *Replacer) Unproven() bool { return r.unproven }
 
+// Loss returns the position up to which the log of the promoted instance goes, and whether a daemon
+// has reported a later write as acknowledged, which is then lost. Daemons may report it after the
+// promotion.
+func (r *Replacer) Loss() (end unit.Position, lost bool) {
+	return r.received, !r.cancelled && r.received.Before(r.acknowledged)
+}
+
 // String returns the status as one word for a log.
 func (s Status) String() string {
 	role := "replica"
@@ -500,7 +508,10 @@
 
 // promote begins the promotion of the instance.
 func (r *Replacer) promote(name unit.InstanceName, now unit.Instant) []Effect {
-	r.candidate = name
+	r.candidate, r.received = name, r.statuses[name].Received
+	if name == r.plan.Primary {
+		r.received = r.received.Max(r.primaryReceived)
+	}
 	r.enter(promoting, now)
 	if r.awaitingRecovery {
 		r.awaitingRecovery = false
--- a/replacer/synchronous_test.go
+++ b/replacer/synchronous_test.go
@@ -275,3 +275,35 @@
 		p.expectPromotions("b")
 	})
 }
+
+// TestLoss checks that a promotion that loses acknowledged writes is recognized as such.
+func TestLoss(t *testing.T) {
+	expect := func(t *testing.T, p *harness, end unit.Position, lost bool) {
+		t.Helper()
+		is := is.New(t)
+		gotEnd, gotLost := p.r.Loss()
+		is.Equal(gotEnd, end)
+		is.Equal(gotLost, lost)
+	}
+	t.Run("a write is reported after the promotion", func(t *testing.T) {
+		p := withAuthorityEnded(t, plan(), pos(3, 10))
+		p.step(replica("b", pos(3, 9)), replica("c", pos(3, 10)))
+		expect(t, p, pos(3, 10), false)
+		p.step(Reported{"d-3", pos(3, 12)})
+		expect(t, p, pos(3, 10), true)
+	})
+	t.Run("nothing shows which instance has the writes", func(t *testing.T) {
+		p := withAuthorityEnded(t, synchronousPlan(), pos(3, 20))
+		p.step(replica("b", pos(3, 10)))
+		p.advance(lossTimeout)
+		expect(t, p, pos(3, 10), true)
+	})
+	t.Run("the old primary leads again", func(t *testing.T) {
+		change := synchronousPlan()
+		change.Planned = true
+		p := withAuthorityEnded(t, change, pos(3, 12))
+		p.step(SteppedDown{pos(3, 12)}, replica("b", pos(3, 10)))
+		p.advance(catchUpTimeout + 20*time.Millisecond)
+		expect(t, p, pos(3, 12), false)
+	})
+}
--- a/tarragonshed/overseer/effect.go
+++ b/tarragonshed/overseer/effect.go
@@ -74,9 +74,21 @@
 		c.logger.Info("change of primary cancelled", "group", c.row.Group, "primary", c.row.Primary, "took", took)
 	default:
 		c.logger.Info("change of primary completed", "group", c.row.Group, "took", took)
+		c.logLoss()
 	}
 }
 
+// logLoss logs and counts a completed change that has lost acknowledged writes.
+func (c *primaryChange) logLoss() {
+	end, lost := c.replacer.Loss()
+	if !lost {
+		return
+	}
+	c.meters.lossy.Inc(1)
+	c.logger.Warn("acknowledged writes were lost with the old primary", "group", c.row.Group, "old-primary", c.row.Primary,
+		"log-ends", end, "acknowledged", c.replacer.Acknowledged(), "without-proof", c.replacer.Unproven())
+}
+
 // stepDown requests an instance to step down if it leads a term below the given one. It
 // returns the position that the instance has received.
 func (o *Overseer) stepDown(g unit.GroupName, i unit.InstanceName, term unit.Term) (unit.Position, bool) {
--- a/tarragonshed/overseer/meters.go
+++ b/tarragonshed/overseer/meters.go
@@ -11,6 +11,7 @@
 	changes     metrics.Counter
 	failed      metrics.Counter
 	unproven    metrics.Counter
+	lossy       metrics.Counter
 	duration    metrics.Timer
 }
 
@@ -24,6 +25,7 @@
 		changes:     counter("changes"),
 		failed:      counter("changes.failed"),
 		unproven:    counter("changes.unproven"),
+		lossy:       counter("changes.lossy"),
 		duration:    metrics.GetOrRegisterTimer("overseer.change", r),
 	}
 }
