overseer: keep serving beside rows that another program wrote

Three faults, one cause: a row that cannot be read was treated as one that does not exist.

- A group's row: the daemons tried to create it, which the store refuses because it exists.
The group had no primary until somebody deleted the row.
Now it names no primary, as after a restore of the store: the instances are asked and the row is written anew.
A removal in the future, which would never have ended, is set to now.

TestUndecodableRows expected that unreadable groups are left out; that was the fault. It now checks what they are, and as before that they can be replaced.

--- a/tarragonshed/overseer/prune.go
+++ b/tarragonshed/overseer/prune.go
@@ -84,6 +84,9 @@
 	case m.Removed == 0 && now.Sub(respondedAt) > pruneTimeout:
 		m.Removed = max(1, storeNow)
 		tx.Puts = append(tx.Puts, encode(memberKey(m.Daemon), m))
+	case m.Removed > storeNow: // It would count for ever.
+		m.Removed = max(1, storeNow)
+		tx.Puts = append(tx.Puts, encode(memberKey(m.Daemon), m))
 	case m.Removed != 0 && storeNow-m.Removed > 2*Extension:
 		tx.Deletes = append(tx.Deletes, memberKey(m.Daemon))
 	default:
--- a/tarragonshed/overseer/relief_test.go
+++ b/tarragonshed/overseer/relief_test.go
@@ -37,7 +37,7 @@
 
 func (g *strainedGroup) Manifest() *manifest.Manifest {
 	return &manifest.Manifest{Groups: []manifest.Group{{
-		Name: "g", Instances: []manifest.Instance{{Name: "a", Incarnation: 1}, {Name: "b", Incarnation: 1}},
+		Name: "g", Instances: []manifest.Instance{{Name: "a", Incarnation: 1, ReportsPrimary: true}, {Name: "b", Incarnation: 1}},
 	}}}
 }
 
--- a/tarragonshed/overseer/store.go
+++ b/tarragonshed/overseer/store.go
@@ -5,10 +5,8 @@
 	"encoding/json"
 	"errors"
 	"strconv"
-	"strings"
 	"time"
 
-	"tarragonshed.example/authorizer"
 	"tarragonshed.example/unit"
 )
 
@@ -109,55 +107,3 @@
 	// the list.
 	UnlistedUntil time.Duration `json:"unlisted-until,omitempty"`
 }
-
-// decode returns the view of the rows when the store's clock was at now, and the keys of those
-// that can't be decoded.
-func decode(rows table, now time.Duration) (view authorizer.View, bad []string) {
-	view = authorizer.View{
-		Leaderships: make(map[unit.GroupName]authorizer.Leadership),
-		Members:     make(map[unit.DaemonID]authorizer.Member),
-		Now:         now,
-		Epoch:       rows.epoch(),
-		Era:         rows.era,
-	}
-	for _, row := range rows.since(0) {
-		if !decodeRow(&view, row) {
-			bad = append(bad, row.Key)
-		}
-	}
-	return view, bad
-}
-
-func decodeRow(view *authorizer.View, row Row) bool {
-	switch {
-	case row.Key == epochKey:
-		return true
-	case strings.HasPrefix(row.Key, eraPrefix):
-		n, err := strconv.ParseUint(strings.TrimPrefix(row.Key, eraPrefix), 10, 64)
-		var o opening
-		if err != nil || json.Unmarshal(row.Value, &o) != nil {
-			return false
-		}
-		if unit.Era(n) >= view.Opened {
-			view.Opened, view.UnlistedUntil = unit.Era(n), o.UnlistedUntil
-		}
-		return true
-	case row.Key == dutyKey:
-		return json.Unmarshal(row.Value, &view.Duty) == nil
-	case strings.HasPrefix(row.Key, groupPrefix):
-		var l authorizer.Leadership
-		if json.Unmarshal(row.Value, &l) != nil || groupKey(l.Group) != row.Key {
-			return false
-		}
-		view.Leaderships[l.Group] = l
-		return true
-	case strings.HasPrefix(row.Key, memberPrefix):
-		var m authorizer.Member
-		if json.Unmarshal(row.Value, &m) != nil || memberKey(m.Daemon) != row.Key {
-			return false
-		}
-		view.Members[m.Daemon] = m
-		return true
-	}
-	return false
-}
--- a/tarragonshed/overseer/watch_test.go
+++ b/tarragonshed/overseer/watch_test.go
@@ -68,8 +68,12 @@
 		{Key: "stranger", Version: 6},
 	})
 	view, bad := decode(rows, time.Second)
-	is.Equal(len(view.Leaderships), 1)
-	is.Equal(rows.expect(groupKey("h")).Version, uint64(4)) // It can still be replaced.
+	is.Equal(len(view.Leaderships), 3)
+	is.Equal(view.Leaderships["g"].Primary, unit.InstanceName("i"))
+	for _, name := range []unit.GroupName{"h", "x"} { // They name no primary, and can be replaced.
+		is.Equal(view.Leaderships[name], authorizer.Leadership{Group: name, State: authorizer.Changing})
+	}
+	is.Equal(rows.expect(groupKey("h")).Version, uint64(4))
 	is.Equal(bad, []string{groupKey("h"), groupKey("x"), "stranger"})
 }
 
