replacer: wait longer when a report shows that a write is missing

Where not all daemons had reported the group waited 4 s, although one report may show already that the best instance lacks an acknowledged write. It now waits the 8 s of a known loss.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -114,9 +114,9 @@
 	// acknowledged. If it is not zero, the change looks for a position that no acknowledged
 	// write exceeds, and promotes an instance that has received it:
 	//
-	//   - what the old primary had when it stepped down,
-	//   - what the answers of all instances but Synchronous show: at most so many lack the
-	//     write less one, because the old primary and Synchronous replicas have it,
+	//   - the last position of the old primary when it stepped down,
+	//   - the highest position among as many answers as can't all lack a write: those of all
+	//     instances but Synchronous, because the old primary and Synchronous replicas have it,
 	//   - the last write that any daemon has seen acknowledged, if all of them report it.
 	//
 	// A group does not remain without a primary for ever for want of that: see
--- a/replacer/synchronous.go
+++ b/replacer/synchronous.go
@@ -39,7 +39,8 @@
 	if !ok {
 		best, ok = r.bestOf(r.plan.Leaving)
 	}
-	if ok && now.Sub(r.plan.VacantSince) >= patience(bounded) {
+	missing := bounded || best.Received.Before(r.acknowledged)
+	if ok && now.Sub(r.plan.VacantSince) >= patience(missing) {
 		r.unproven = true
 		return r.promote(best.Instance, now)
 	}
@@ -47,10 +48,10 @@
 }
 
 // patience returns how long a group may remain without a primary for want of an instance that
-// has every acknowledged write. Bounded means that it is known what such an instance must have
-// received.
-func patience(bounded bool) time.Duration {
-	if bounded {
+// has every acknowledged write. Missing means that the instances that can be promoted are known to
+// lack a position that such an instance must have received.
+func patience(missing bool) time.Duration {
+	if missing {
 		return lossTimeout
 	}
 	return unprovenTimeout
