overseer: compare only the instances of groups with synchronous replicas

Found in the last reading: with each new manifest the overseer looked up every group in the earlier one, a linear search for each, also where nothing is synchronous. At 960 groups and 20 checks a second that is some 18 million comparisons of names a second. It now keeps the instances of the groups that matter, by name, and drops what it remembers of groups that are gone.

--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -175,7 +175,8 @@
 	changed              chan struct{}
 	reconfirmed          chan struct{} // Closed when the store confirms the rows again.
 	faults               map[unit.GroupName]*fault
-	watched              *manifest.Manifest // The manifest at the last check of the primaries.
+	watched              *manifest.Manifest                     // The manifest at the last check of the primaries.
+	synchronous          map[unit.GroupName][]manifest.Instance // The instances of its groups with synchronous replicas.
 	departed             map[unit.GroupName][]departure
 	changes              map[unit.GroupName]bool
 	failingSince         time.Time // Since when reads of the store have failed, or zero.
--- a/tarragonshed/overseer/roster.go
+++ b/tarragonshed/overseer/roster.go
@@ -32,31 +32,35 @@
 	if m == o.watched {
 		return
 	}
-	previous := o.watched
 	o.watched = m
-	if previous == nil {
-		return
-	}
-	now := time.Now()
+	previous := o.synchronous
+	o.synchronous = make(map[unit.GroupName][]manifest.Instance)
+	departed := make(map[unit.GroupName][]departure)
 	for _, g := range m.Groups {
-		earlier, _ := previous.Group(g.Name)
-		if g.Synchronous == 0 {
-			delete(o.departed, g.Name)
-			continue
+		if g.Synchronous > 0 {
+			o.synchronous[g.Name] = g.Instances
+			departed[g.Name] = o.departedFrom(g, previous[g.Name])
 		}
-		kept := slices.DeleteFunc(o.departed[g.Name], func(d departure) bool {
-			return now.Sub(d.at) > departureMemory || slices.ContainsFunc(g.Instances, d.isAgain)
-		})
-		term := o.auth.View().Leaderships[g.Name].Term
-		for _, i := range earlier.Instances {
-			d := departure{instance: i, term: term, at: now}
-			if !slices.ContainsFunc(g.Instances, d.isAgain) && !slices.ContainsFunc(g.Instances, d.isReplacedBy) {
-				kept = append(kept, d)
-				o.logger.Info("instance departed that may have acknowledged writes", "group", g.Name, "instance", i.Name, "term", term)
-			}
+	}
+	o.departed = departed
+}
+
+// departedFrom returns the instances that have departed from the group, given those that were listed
+// before. The caller holds mu.
+func (o *Overseer) departedFrom(g manifest.Group, previous []manifest.Instance) []departure {
+	now := time.Now()
+	departed := slices.DeleteFunc(o.departed[g.Name], func(d departure) bool {
+		return now.Sub(d.at) > departureMemory || slices.ContainsFunc(g.Instances, d.isAgain)
+	})
+	term := o.auth.View().Leaderships[g.Name].Term
+	for _, i := range previous {
+		d := departure{instance: i, term: term, at: now}
+		if !slices.ContainsFunc(g.Instances, d.isAgain) && !slices.ContainsFunc(g.Instances, d.isReplacedBy) {
+			departed = append(departed, d)
+			o.logger.Info("instance departed that may have acknowledged writes", "group", g.Name, "instance", i.Name, "term", term)
 		}
-		o.departed[g.Name] = kept
 	}
+	return departed
 }
 
 // isAgain reports whether the instance is the departed incarnation.
