--- a/tarragonshed/engine/conn.go
+++ b/tarragonshed/engine/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"tarragonshed.example/limiter"
@@ -156,6 +157,11 @@
 func (pc *pooledConn) roundTrip(deadline time.Time, requests ...Request) (Reply, *result.Error) {
 	pc.link.unread += len(requests)
 	if err := pc.link.send(requests...); err != nil {
+		pc.link.Close() // It counts replies that will not come, and state that it does not have.
+		var refused *result.Error
+		if errors.As(err, &refused) {
+			return Reply{}, refused
+		}
 		return Reply{}, result.New(result.ConnectionLost, "instance %s: %v", pc.target.instance.Name, err)
 	}
 	timer := time.NewTimer(time.Until(deadline))
--- a/tarragonshed/engine/fake_test.go
+++ b/tarragonshed/engine/fake_test.go
@@ -23,6 +23,8 @@
 	// if the second result is false.
 	answer  func(c *fakeConn, r Request) (*Reply, bool)
 	connect *result.Error
+	// unsendable is the text of a write that can't be encoded for the instance.
+	unsendable string
 }
 
 // fakeConn is a connection to a fakeInstance.
@@ -46,6 +48,11 @@
 }
 
 func (c *fakeConn) Send(requests ...Request) error {
+	for _, r := range requests {
+		if w, ok := r.Statement.(Write); ok && c.instance.unsendable != "" && w.Text == c.instance.unsendable {
+			return result.New(result.ProtocolViolation, "injected by the test")
+		}
+	}
 	for _, r := range requests {
 		c.instance.mu.Lock()
 		c.instance.sent = append(c.instance.sent, r)
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -189,7 +189,7 @@
 	e := j.session.engine
 	read := !j.call.writes
 	retryable := retrier.Retryable(err.Code.Entry().Outcome, read, false) || read && err.Code == result.StatementFailed
-	if !retryable || err.Code == result.StatementTimeout || !time.Now().Before(until) {
+	if !retryable || final(err.Code) || !time.Now().Before(until) {
 		return false
 	}
 	if j.excluded == nil {
@@ -215,6 +215,11 @@
 	return pause(e.ctx, retrier.Backoff{}.Delay(j.attempts, rand.Float64()), until)
 }
 
+// final reports whether an error would be the same on any instance, or leaves no time for one.
+func final(c result.Code) bool {
+	return c == result.StatementTimeout || c == result.StatementTooLarge || c == result.ProtocolViolation
+}
+
 // pause sleeps for d. It returns false, without sleeping, if d exceeds the time that is
 // left until the given time, and false if the context ends.
 func pause(ctx context.Context, d time.Duration, until time.Time) bool {
--- a/tarragonshed/engine/ports.go
+++ b/tarragonshed/engine/ports.go
@@ -12,7 +12,8 @@
 // Conn is a connection to an instance in the protocol of the instance. Requests are
 // answered in the order in which they were sent.
 type Conn interface {
-	// Send sends the requests without waiting for the replies.
+	// Send sends the requests without waiting for the replies. The error is a
+	// [*result.Error] if a request can't be encoded. Then nothing has been sent.
 	Send(requests ...Request) error
 	// Receive returns the next reply. It is called by one goroutine, concurrently with
 	// Send, and fails once the connection is closed.
