engine: serve reads that have no room for a position at the primary

Callers saw: a read of nearly 1 MiB on a bounded or session route was not served (a lost connection at each instance in turn; since the encoder checks sizes, TOOLARGE).

Cause: WAITLSN and the position are put before the read, and the message is then over 1 MiB. The daemon's names of prepared statements may also be longer than the caller's. Sizes were checked only where messages come in.

The engine now asks the protocol whether a statement fits with the longest position and name. A read that lacks room only for the position runs at the primary under its authority. What fits nowhere is refused before anything runs: statements, PARSE and SET alike, since the acknowledgement of the latter two could not be kept.

--- a/tarragonshed/engine/fake_test.go
+++ b/tarragonshed/engine/fake_test.go
@@ -183,6 +183,29 @@
 	return &fakeConn{instance: f, replies: make(chan Reply, 64), closed: make(chan struct{}), state: Idle}, nil
 }
 
+// largestText is the length of the longest text that the fake protocol carries, with the name of a
+// prepared statement and one byte for a position.
+const largestText = 100
+
+// Fits implements [Connector].
+func (h *harness) Fits(r Request) bool {
+	length := 0
+	switch st := r.Statement.(type) {
+	case Read:
+		length = len(st.Text)
+	case Execute:
+		length = len(st.Name) + len(st.Text)
+	case Prepare:
+		length = len(st.Name) + len(st.Definition.Text)
+	case Set:
+		length = len(st.Value)
+	}
+	if !r.After.IsZero() {
+		length++
+	}
+	return length <= largestText
+}
+
 // Status implements [Connector].
 func (h *harness) Status(Reply) (InstanceStatus, error) {
 	return InstanceStatus{Primary: true, Term: 1, Received: replyPosition}, nil
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -42,7 +42,7 @@
 
 // run runs the statement on an instance that may serve it.
 func (j *job) run() Answer {
-	if j.call.writes || j.route.Consistency == manifest.PrimaryReads {
+	if j.call.writes || j.call.withoutPosition || j.route.Consistency == manifest.PrimaryReads {
 		return j.runAtPrimary()
 	}
 	return j.runAtAnyInstance()
--- a/tarragonshed/engine/link.go
+++ b/tarragonshed/engine/link.go
@@ -155,4 +155,7 @@
 	definition Definition
 	writes     bool
 	values     map[string]string
+	// withoutPosition is true for a read that is too long to be sent with the position that an
+	// instance must have reached. The primary has reached any.
+	withoutPosition bool
 }
--- a/tarragonshed/engine/ports.go
+++ b/tarragonshed/engine/ports.go
@@ -27,6 +27,8 @@
 	// daemon at that address. The error has code ConnectionsExhausted if the instance is
 	// reachable but has too many connections.
 	Connect(ctx context.Context, group unit.GroupName, i manifest.Instance, via string) (Conn, *result.Error)
+	// Fits reports whether a request is within the size limit of the protocol.
+	Fits(Request) bool
 	// Status decodes the reply to [Status] or [StepDown].
 	Status(Reply) (InstanceStatus, error)
 }
--- a/tarragonshed/engine/session.go
+++ b/tarragonshed/engine/session.go
@@ -155,6 +155,9 @@
 	if _, ok := s.values[st.Name]; !ok && len(s.values) >= maxValues {
 		return protocolError("SET", "the session has too many values")
 	}
+	if !s.engine.connector.Fits(Request{Statement: st}) {
+		return Answer{Err: errTooLarge()}
+	}
 	s.values[st.Name] = st.Value
 	return Answer{}
 }
@@ -163,6 +166,9 @@
 	if _, ok := s.prepared[st.Name]; !ok && len(s.prepared) >= maxPreparedNames {
 		return protocolError("PREPARE", "the session has too many prepared statements")
 	}
+	if !s.engine.connector.Fits(Request{Statement: Prepare{Name: longestName, Definition: st.Definition}}) {
+		return Answer{Err: errTooLarge()}
+	}
 	s.prepared[st.Name] = st.Definition
 	return Answer{}
 }
@@ -180,6 +186,9 @@
 		}
 		c.definition, c.writes = definition, definition.Writes
 	}
+	if err := s.checkSize(&c); err != nil {
+		return Answer{Err: err}
+	}
 	if s.tx != nil {
 		return s.tx.run(c)
 	}
