coder: read replies with too many rows to their end

Callers saw: a read whose rows exceed 8 MiB ended in a lost connection, outcome unknown, after it had been run at each instance in turn.

Cause: the bound was an error of the reader, as a broken message is. The reply is now read to its end and becomes TS4001 (it ran, its answer can't be delivered), which is not tried again; the connection stays.

--- a/tarragonshed/engine/transaction.go
+++ b/tarragonshed/engine/transaction.go
@@ -236,7 +236,7 @@
 // not sent, so the transaction has no effect.
 func (t *transaction) callerError(err *result.Error) *result.Error {
 	switch err.Code {
-	case result.StatementFailed, result.StatementTimeout, result.StatementTooLarge, result.ProtocolViolation:
+	case result.StatementFailed, result.StatementTimeout, result.AnswerCut, result.StatementTooLarge, result.ProtocolViolation:
 		return err
 	}
 	return result.New(result.RolledBack, "%v", err)
