tarragonshed: write one log line for each entry in the text format

Cause: the library's text format shows line ends as they are. The text format is logfmt now, as on the users' platform; it quotes them. The JSON format did so before.

--- a/tarragonshed/main.go
+++ b/tarragonshed/main.go
@@ -19,6 +19,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -119,7 +120,7 @@
 }
 
 func serve(ctx context.Context, s settings.Settings) error {
-	logger := newLogger(s.Log).With("daemon", string(s.ID))
+	logger := newLogger(os.Stderr, s.Log).With("daemon", string(s.ID))
 	d, err := daemon.New(s, daemon.WithLogger(logger))
 	if err != nil {
 		return err
@@ -143,14 +144,15 @@
 	return d.Shutdown(drainCtx)
 }
 
-func newLogger(s settings.Log) *log.Logger {
+// newLogger returns a logger that writes one line for each entry, whatever its values contain.
+func newLogger(out io.Writer, s settings.Log) *log.Logger {
 	level, err := log.ParseLevel(s.Level)
 	if err != nil {
 		level = log.InfoLevel
 	}
-	options := log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano}
+	options := log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter}
 	if s.Format == "json" {
 		options.Formatter = log.JSONFormatter
 	}
-	return log.NewWithOptions(os.Stderr, options)
+	return log.NewWithOptions(out, options)
 }
