tarragonctl: keep each value in its cell or line

Operators saw: a value with a line end became a row of a table, or a line of the time line that looks like another event; escapes reached the terminal.

Cells and details are escaped as in Go. A field of the time line is quoted if it contains a blank or an equals sign, which separate fields there.

Before the fix TestOddCells (4 lines in place of 3) and TestLineOfOddTexts failed; they pass now.

--- a/tarragonctl/printer/printer.go
+++ b/tarragonctl/printer/printer.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 )
@@ -40,6 +41,16 @@
 	return &Printer{writer: w, format: format}
 }
 
+// Escape replaces line ends and other characters that can't be seen by escapes as in Go, so that a
+// text stays in its line and sends no commands to the terminal.
+func Escape(text string) string {
+	quoted := strconv.Quote(text)
+	if quoted == `"`+text+`"` {
+		return text
+	}
+	return strings.ReplaceAll(quoted[1:len(quoted)-1], `\"`, `"`)
+}
+
 // Row writes one row of a table. An empty cell is written as "-".
 type Row func(cells ...any)
 
@@ -54,7 +65,7 @@
 	rows(func(cells ...any) {
 		texts := make([]string, len(cells))
 		for i, cell := range cells {
-			texts[i] = fmt.Sprint(cell)
+			texts[i] = Escape(fmt.Sprint(cell))
 			if texts[i] == "" {
 				texts[i] = "-"
 			}
--- a/tarragonctl/printer/printer_test.go
+++ b/tarragonctl/printer/printer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -44,3 +46,18 @@
 	}))
 	is.Equal(b.String(), "A    LONG\nxyz  -\n")
 }
+
+// TestOddCells guards against a cell with a line end or a tab that looks like another row or column.
+func TestOddCells(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	err := printer.New(&out, printer.Table).Print(nil, printer.Columns("ID", "CAUSE"), func(row printer.Row) {
+		row("a\nb\tc", errors.New("x\x1b[2J \xff"))
+		row("c \"d\"", "é")
+	})
+	is.NoErr(err)
+	lines := strings.Split(strings.TrimSuffix(out.String(), "\n"), "\n")
+	is.Equal(len(lines), 3)
+	is.Equal(strings.Fields(lines[1]), []string{`a\nb\tc`, `x\x1b[2J`, `\xff`})
+	is.Equal(strings.Fields(lines[2]), []string{"c", `"d"`, "é"})
+}
--- a/tarragonctl/timeliner/timeliner.go
+++ b/tarragonctl/timeliner/timeliner.go
@@ -21,10 +21,12 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"tarragonshed.example/tarragonctl/client"
+	"tarragonshed.example/tarragonctl/printer"
 	"tarragonshed.example/wire/operator/gen/daemon"
 	"tarragonshed.example/wire/operator/gen/types"
 )
@@ -125,7 +127,7 @@
 		value *string
 	}{{"group", e.Group}, {"instance", e.Instance}, {"daemon", e.Daemon}, {"request", e.Request}} {
 		if field.value != nil {
-			fmt.Fprintf(&b, " %s=%s", field.name, *field.value)
+			fmt.Fprintf(&b, " %s=%s", field.name, quote(*field.value))
 		}
 	}
 	if e.Term != nil {
@@ -135,7 +137,15 @@
 		fmt.Fprintf(&b, " position=%d/%d", e.Position.Term, e.Position.Index)
 	}
 	if e.Detail != nil {
-		fmt.Fprintf(&b, ": %s", *e.Detail)
+		fmt.Fprintf(&b, ": %s", printer.Escape(*e.Detail))
 	}
 	return strings.TrimRight(b.String(), " ")
 }
+
+// quote returns the value of a field, quoted if it could look like several fields or lines.
+func quote(value string) string {
+	if quoted := strconv.Quote(value); strings.ContainsAny(value, " =") || quoted != `"`+value+`"` {
+		return quoted
+	}
+	return value
+}
--- a/tarragonctl/timeliner/timeliner_test.go
+++ b/tarragonctl/timeliner/timeliner_test.go
@@ -70,3 +70,16 @@
 	is.True(!strings.Contains(b.String(), detail)) // The details are escaped, so that they cannot end the script.
 	is.True(!strings.Contains(b.String(), "src=")) // The page loads no other resource.
 }
+
+// TestLineOfOddTexts guards against a value with a line end or a blank that looks like another event
+// or field.
+func TestLineOfOddTexts(t *testing.T) {
+	is := is.New(t)
+	e := event("a", "first", 1, 0)
+	request, detail := "r\n15:04:05.000000 b promoted group=x", "no primary\r\nforged \x1b[31m"
+	e.Request, e.Detail = &request, &detail
+	line := timeliner.Line(e)
+	is.True(!strings.ContainsAny(line, "\r\n\x1b"))
+	is.True(strings.Contains(line, `request="r\n15:04:05.000000 b promoted group=x"`))
+	is.True(strings.HasSuffix(line, `: no primary\r\nforged \x1b[31m`))
+}
