spooler: cut log lines that are as long as a caller's text

Operators saw: lines of up to 1 MiB, since an id or a name that a caller sends is logged with its refusal, up to twenty times a second.

Cause: the spooler bounded the number of lines, not their length. A line is now cut at 8 KiB, before an escape that would not be whole; an open quote is closed and line-cut=true is the last field, so that it can be decoded as any other.

Before the fix TestLongLinesAreCut failed (a line longer than the limit); it passes now. It decodes lines that are cut at all places of ten texts.

--- a/tarragonshed/spooler/spooler.go
+++ b/tarragonshed/spooler/spooler.go
@@ -7,6 +7,9 @@
 // goroutine. While the output blocks and the buffer is full, new lines are dropped
 // and counted. The count is written after the next line that is written.
 //
+// A line longer than [MaxLineBytes] is cut and marked, because a value may be as long as what
+// a caller sent.
+//
 // # Usage
 //
 //	out := spooler.New(os.Stdout)
@@ -25,6 +28,15 @@
 // DefaultCapacity is the default number of buffered lines.
 const DefaultCapacity = 2048
 
+// MaxLineBytes is the length of the longest line, its end included.
+const MaxLineBytes = 8 << 10
+
+// cutMark is the last field of a line that was cut.
+const cutMark = " line-cut=true\n"
+
+// maxEscapeBytes is the length of the longest escape in a quoted value, as in \u000a.
+const maxEscapeBytes = 6
+
 // Spooler writes lines in the background. It is safe for concurrent use.
 type Spooler struct {
 	out     io.Writer
@@ -66,17 +78,43 @@
 	}
 }
 
-// Write buffers one line, or drops it if the buffer is full. It never fails. It must
-// not be called after [Spooler.Close].
+// Write buffers one line in the logfmt format, or drops it if the buffer is full. It never fails.
+// It must not be called after [Spooler.Close].
 func (s *Spooler) Write(line []byte) (int, error) {
 	select {
-	case s.lines <- bytes.Clone(line):
+	case s.lines <- cut(line):
 	default:
 		s.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// cut returns a copy of the line that is at most MaxLineBytes long. A quoted value that is cut is
+// closed, so that the line can still be decoded.
+func cut(line []byte) []byte {
+	if len(line) <= MaxLineBytes {
+		return bytes.Clone(line)
+	}
+	kept := line[:MaxLineBytes-len(cutMark)-len(`"`)]
+	quoted := false
+	for n := 0; n < len(kept); n++ {
+		switch kept[n] {
+		case '"':
+			quoted = !quoted
+		case '\\':
+			if n+maxEscapeBytes > len(kept) {
+				kept = kept[:n] // The escape may not be whole.
+			}
+			n++ // What it escapes.
+		}
+	}
+	short := append(make([]byte, 0, MaxLineBytes), kept...)
+	if quoted {
+		short = append(short, '"')
+	}
+	return append(short, cutMark...)
+}
+
 // Dropped returns the number of dropped lines that have not been reported.
 func (s *Spooler) Dropped() int64 { return s.dropped.Load() }
 
--- a/tarragonshed/spooler/spooler_test.go
+++ b/tarragonshed/spooler/spooler_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
+	"github.com/go-logfmt/logfmt"
 	"github.com/matryer/is"
 )
 
@@ -50,3 +52,39 @@
 	s.Close(time.Minute)
 	is.Equal(s.Failed(), int64(2))
 }
+
+// TestLongLinesAreCut guards against log lines as long as a caller's text, and checks that a line that
+// is cut can be decoded, wherever that is.
+func TestLongLinesAreCut(t *testing.T) {
+	for _, text := range []string{"x", "\n", "\x00", `"`, `\`, "x\n", "\x00\"", "\xff", " ", "é"} {
+		for shift := range 8 {
+			is := is.New(t)
+			var out bytes.Buffer
+			s := New(&out)
+			log.NewWithOptions(s, log.Options{Formatter: log.LogfmtFormatter}).
+				Info(strings.Repeat("m", shift), "id", strings.Repeat(text, MaxLineBytes), "cause", "c")
+			s.Close(time.Minute)
+			is.True(out.Len() <= MaxLineBytes)
+			is.True(out.Len() > MaxLineBytes-2*maxEscapeBytes-len(cutMark))
+			is.Equal(bytes.Count(out.Bytes(), []byte("\n")), 1)
+			d := logfmt.NewDecoder(&out)
+			is.True(d.ScanRecord())
+			var last string
+			for d.ScanKeyval() {
+				last = string(d.Key()) + "=" + string(d.Value())
+			}
+			is.NoErr(d.Err())
+			is.Equal(last, "line-cut=true")
+		}
+	}
+}
+
+func TestShortLinesAreKept(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	s := New(&out)
+	longest := strings.Repeat("x", MaxLineBytes-1) + "\n"
+	fmt.Fprint(s, longest)
+	s.Close(time.Minute)
+	is.Equal(out.String(), longest)
+}
