wire: carry texts of callers between daemons as bytes

Callers of the PostgreSQL side saw: a prepared statement, a setting or a request key that is not UTF-8 waited until its time limit when the home was another daemon; a startup option arrived with U+FFFD in place of its bytes.

Cause: the fields were Protobuf strings, which must be UTF-8. Sending failed, and that looks like a home that can't be reached. Options were split by runes.

The fields are bytes now, with the same encoding on the wire: values of settings, the request key, the text of a prepared statement, the detail of a refusal. Options are split by bytes.

The fake carrier of entry encodes each message now, as the way to another daemon does.

--- a/tarragonshed/carrier/streams_test.go
+++ b/tarragonshed/carrier/streams_test.go
@@ -174,3 +174,25 @@
 		is.New(t).Equal(result.CodeOf(err), result.HomeUnreachable)
 	})
 }
+
+// TestTextsThatAreNotUTF8 guards against a caller's text that can't be sent to another daemon.
+func TestTextsThatAreNotUTF8(t *testing.T) {
+	local, remote := newPair(t)
+	for name, d := range map[string]*daemon{"on the home": local, "from another daemon": remote} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			stream, err := d.streams.Open(withTimeout(t), "a")
+			is.NoErr(err)
+			const odd = "a\xff\r\nb"
+			message, err := (&pgproto3.Query{String: "SHOW application_name"}).Encode(nil)
+			is.NoErr(err)
+			is.NoErr(stream.Send(&peer.CarryRequest{Kind: &peer.CarryRequest_Open{Open: &peer.Open{
+				Group: ledger, Instance: "a", Class: peer.Class_CLASS_WRITE, Settings: map[string][]byte{"application_name": []byte(odd)},
+				Batch: &peer.Batch{Messages: message, Statements: []*peer.Statement{{Name: "s", Query: []byte("SELECT '" + odd + "'")}}, Last: true},
+			}}}))
+			response, err := stream.Receive()
+			is.NoErr(err)
+			is.True(strings.Contains(string(response.GetSettled().GetMessages()), odd))
+		})
+	}
+}
--- a/tarragonshed/entry/batch.go
+++ b/tarragonshed/entry/batch.go
@@ -190,7 +190,7 @@
 	start := len(b.messages)
 	b.messages = append(b.messages, 'P', 0, 0, 0, 0)
 	b.messages = appendString(b.messages, s.wire.Name)
-	b.messages = appendString(b.messages, s.wire.Query)
+	b.messages = appendString(b.messages, string(s.wire.Query))
 	b.messages = append(b.messages, rest...)
 	b.endMessage(start)
 	return nil
@@ -207,7 +207,7 @@
 	var sum [8]byte
 	binary.BigEndian.PutUint64(sum[:], digest.Sum64())
 	s := &statement{
-		wire:  &peer.Statement{Name: "ts_" + hex.EncodeToString(sum[:]), Query: query},
+		wire:  &peer.Statement{Name: "ts_" + hex.EncodeToString(sum[:]), Query: []byte(query)},
 		query: parsed,
 	}
 	for count := binary.BigEndian.Uint16(types); count > 0; count-- {
--- a/tarragonshed/entry/claim_test.go
+++ b/tarragonshed/entry/claim_test.go
@@ -35,7 +35,7 @@
 			mustEventually(t, func() bool {
 				opened, _ := b.fake.takeRecorded()
 				for _, o := range opened {
-					claimed = claimed || o.ClaimKey && o.RequestKey == "k"
+					claimed = claimed || o.ClaimKey && string(o.RequestKey) == "k"
 				}
 				return claimed
 			})
--- a/tarragonshed/entry/entry_test.go
+++ b/tarragonshed/entry/entry_test.go
@@ -16,6 +16,7 @@
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/entry/authenticator"
 	"tarragonshed.example/tarragonshed/holder"
+	"tarragonshed.example/tarragonshed/translator"
 	"tarragonshed.example/unit"
 )
 
@@ -223,12 +224,12 @@
 	b.fake.takeRecorded()
 	exec("INSERT x")
 	opened, _ := b.fake.takeRecorded()
-	is.Equal(opened[0].Settings, map[string]string{"search_path": "x", "work_mem": "1MB"})
+	is.Equal(translator.FromSettings(opened[0].Settings), map[string]string{"search_path": "x", "work_mem": "1MB"})
 	exec("DISCARD ALL")
 	exec("INSERT /*tarragon_request_key='k'*/ x")
 	opened, _ = b.fake.takeRecorded()
 	is.Equal(len(opened[0].Settings), 0)
-	is.Equal(opened[0].RequestKey, "k")
+	is.Equal(string(opened[0].RequestKey), "k")
 }
 
 func TestRefusedStatements(t *testing.T) {
--- a/tarragonshed/entry/fake_test.go
+++ b/tarragonshed/entry/fake_test.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"google.golang.org/protobuf/proto"
 
 	"tarragonshed.example/instance"
 	"tarragonshed.example/result"
@@ -179,6 +180,11 @@
 }
 
 func (f *fakeStream) Send(request *peer.CarryRequest) error {
+	// As on the way to another daemon, where texts that Protobuf can't carry end the stream.
+	if _, err := proto.Marshal(request); err != nil {
+		f.Close()
+		return result.New(result.HomeUnreachable, "%v", err)
+	}
 	batch := request.GetBatch()
 	if open := request.GetOpen(); open != nil {
 		batch = open.Batch
@@ -228,7 +234,7 @@
 		f.statements = make(map[string]string)
 	}
 	for _, s := range batch.Statements {
-		f.statements[s.Name] = s.Query
+		f.statements[s.Name] = string(s.Query)
 	}
 	failed := false
 	held := false
--- a/tarragonshed/entry/open.go
+++ b/tarragonshed/entry/open.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragonshed.example/router"
+	"tarragonshed.example/tarragonshed/translator"
 	"tarragonshed.example/wire/peer"
 )
 
@@ -20,8 +21,8 @@
 		TimeoutMicroseconds: microseconds(time.Until(r.deadline)),
 		Caller:              string(r.caller),
 		RequestId:           fmt.Sprintf("%d-%d", r.id, r.requests),
-		Settings:            r.options.settings,
-		RequestKey:          string(r.plan.key),
+		Settings:            translator.ToSettings(r.options.settings),
+		RequestKey:          []byte(r.plan.key),
 		Begins:              r.plan.begins,
 		ClaimKey:            r.claiming,
 	}
@@ -30,7 +31,7 @@
 	}
 	floor := r.tracker.Position()
 	open.Priority = peer.Priority_PRIORITY_PRIMARY_READ
-	open.RequestKey = ""
+	open.RequestKey = nil
 	open.Floor = &peer.Position{Term: uint64(floor.Term), Index: uint64(floor.Index)}
 	if use.Primary {
 		// The primary may return data that is not on a majority yet. Since the
--- a/tarragonshed/entry/relay.go
+++ b/tarragonshed/entry/relay.go
@@ -68,7 +68,7 @@
 			return
 		case *peer.CarryResponse_Refused:
 			out.report = kind.Refused.Report
-			out.err = &result.Error{Code: result.Code(kind.Refused.Code), Detail: kind.Refused.Detail}
+			out.err = &result.Error{Code: result.Code(kind.Refused.Code), Detail: string(kind.Refused.Detail)}
 			return
 		}
 		if out.err == nil && s.writeFailed {
--- a/tarragonshed/entry/settings.go
+++ b/tarragonshed/entry/settings.go
@@ -92,20 +92,20 @@
 	var words []string
 	var word strings.Builder
 	escaped := false
-	for _, r := range text {
+	for _, c := range []byte(text) {
 		switch {
 		case escaped:
-			word.WriteRune(r)
+			word.WriteByte(c)
 			escaped = false
-		case r == '\\':
+		case c == '\\':
 			escaped = true
-		case r == ' ' || r == '\t' || r == '\n':
+		case c == ' ' || c == '\t' || c == '\n':
 			if word.Len() > 0 {
 				words = append(words, word.String())
 				word.Reset()
 			}
 		default:
-			word.WriteRune(r)
+			word.WriteByte(c)
 		}
 	}
 	if word.Len() > 0 {
--- a/tarragonshed/home/batch.go
+++ b/tarragonshed/home/batch.go
@@ -97,9 +97,9 @@
 		if s.Name != "" && c.prepared.mayExist(s.Name) {
 			out = c.injectClose(out, s.Name)
 		}
-		out = append(out, encode(&pgproto3.Parse{Name: s.Name, Query: s.Query, ParameterOIDs: s.ParameterTypes})...)
+		out = append(out, encode(&pgproto3.Parse{Name: s.Name, Query: string(s.Query), ParameterOIDs: s.ParameterTypes})...)
 		if c.push(pendingResponse{kind: 'P', discard: true, name: s.Name}) {
-			c.prepared.add(s.Name, s.Query, s.ParameterTypes)
+			c.prepared.add(s.Name, string(s.Query), s.ParameterTypes)
 		}
 	}
 	for {
--- a/tarragonshed/home/failure_test.go
+++ b/tarragonshed/home/failure_test.go
@@ -300,7 +300,7 @@
 	is.Equal(query(t, s, write("a"), "SELECT 1").refused, result.Code(0)) // Opens a connection.
 	r.a.Pause()
 	o := write("a")
-	o.Settings = map[string]string{"application_name": "other"}
+	o.Settings = map[string][]byte{"application_name": []byte("other")}
 	begin(t, s, o)
 	send(t, s, simple("SELECT 1"))
 	time.AfterFunc(50*time.Millisecond, func() { _ = r.a.Close() })
--- a/tarragonshed/home/home_test.go
+++ b/tarragonshed/home/home_test.go
@@ -47,7 +47,7 @@
 		is := is.New(t)
 		is.Equal(query(t, s, read("b", unit.Position{}), "SHOW default_transaction_read_only").text, "T on SHOW;")
 		o := read("b", unit.Position{})
-		o.Settings = map[string]string{"application_name": "x"}
+		o.Settings = map[string][]byte{"application_name": []byte("x")}
 		is.Equal(query(t, s, o, "SHOW default_transaction_read_only").text, "T on SHOW;")
 	})
 	t.Run("a transaction keeps its connection", func(t *testing.T) {
@@ -68,7 +68,7 @@
 	t.Run("settings apply to one session only", func(t *testing.T) {
 		is := is.New(t)
 		o := write("a")
-		o.Settings = map[string]string{"application_name": "it's"}
+		o.Settings = map[string][]byte{"application_name": []byte("it's")}
 		is.Equal(query(t, s, o, "SHOW application_name").text, "T it's SHOW;")
 		is.Equal(query(t, s, write("a"), "SHOW application_name").text, "T tarragonshed SHOW;")
 	})
@@ -85,9 +85,9 @@
 
 func TestPreparedStatements(t *testing.T) {
 	r := newRig(t)
-	one := &peer.Statement{Name: "s", Query: "SELECT 1"}
-	two := &peer.Statement{Name: "s", Query: "SELECT 2"}
-	broken := &peer.Statement{Name: "x", Query: "SELECT nothing FROM nowhere"}
+	one := &peer.Statement{Name: "s", Query: []byte("SELECT 1")}
+	two := &peer.Statement{Name: "s", Query: []byte("SELECT 2")}
+	broken := &peer.Statement{Name: "x", Query: []byte("SELECT nothing FROM nowhere")}
 	s := r.home.Open()
 	defer s.Close()
 	run := func(t *testing.T, b *peer.Batch) string {
@@ -107,10 +107,10 @@
 		{"is replaced by another of the same name", &peer.Batch{Messages: execute("s"), Statements: []*peer.Statement{two}}, "2 2 SELECT 1;"},
 		{"is replaced by the caller's Parse", &peer.Batch{Messages: append(messages(&pgproto3.Parse{Name: "s", Query: "SELECT 3"}), execute("s")...)}, "1 2 3 SELECT 1;"},
 		{"that fails gives only its error", &peer.Batch{Messages: execute("x"), Statements: []*peer.Statement{broken}}, "error 42601;"},
-		{"is prepared again after a failure", &peer.Batch{Messages: execute("x"), Statements: []*peer.Statement{{Name: "x", Query: "SELECT 4"}}}, "2 4 SELECT 1;"},
+		{"is prepared again after a failure", &peer.Batch{Messages: execute("x"), Statements: []*peer.Statement{{Name: "x", Query: []byte("SELECT 4")}}}, "2 4 SELECT 1;"},
 		{"is skipped after an error", &peer.Batch{Messages: append(messages(
 			&pgproto3.Parse{Name: "", Query: "SELECT nothing FROM nowhere"}, &pgproto3.Parse{Name: "s", Query: "SELECT 5"}), execute("s")...)}, "error 42601;"},
-		{"is injected after it was skipped", &peer.Batch{Messages: execute("s"), Statements: []*peer.Statement{{Name: "s", Query: "SELECT 5"}}}, "2 5 SELECT 1;"},
+		{"is injected after it was skipped", &peer.Batch{Messages: execute("s"), Statements: []*peer.Statement{{Name: "s", Query: []byte("SELECT 5")}}}, "2 5 SELECT 1;"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is.New(t).Equal(run(t, c.batch), c.want)
@@ -126,7 +126,7 @@
 	for i := range 600 {
 		begin(t, s, write("a"))
 		name := string(rune('a'+i%26)) + strings.Repeat("x", i/26)
-		send(t, s, &peer.Batch{Messages: execute(name), Statements: []*peer.Statement{{Name: name, Query: "SELECT 1"}}, Last: true})
+		send(t, s, &peer.Batch{Messages: execute(name), Statements: []*peer.Statement{{Name: name, Query: []byte("SELECT 1")}}, Last: true})
 		is.Equal(receive(t, s).text, "2 1 SELECT 1;")
 	}
 }
--- a/tarragonshed/home/keyed.go
+++ b/tarragonshed/home/keyed.go
@@ -92,7 +92,7 @@
 // insertRow inserts the key's row. A claim commits the row; a request leaves its
 // transaction open.
 func (t *transaction) insertRow(ctx context.Context, outcome resolver.Outcome, s *settlement) resolver.Event {
-	text := insertKey(t.request.RequestKey, outcome, "")
+	text := insertKey(string(t.request.RequestKey), outcome, "")
 	if outcome == resolver.Done {
 		text = "BEGIN; " + text
 	}
@@ -111,7 +111,7 @@
 	if _, err := t.query(ctx, "ROLLBACK"); err != nil {
 		return resolver.Failed{Err: err}
 	}
-	found, err := t.query(ctx, "SELECT outcome, tag FROM tarragon_requests WHERE key = "+quoteLiteral(t.request.RequestKey))
+	found, err := t.query(ctx, "SELECT outcome, tag FROM tarragon_requests WHERE key = "+quoteLiteral(string(t.request.RequestKey)))
 	switch {
 	case err != nil:
 		return resolver.Failed{Err: err}
@@ -174,7 +174,7 @@
 
 // insert inserts the key into the transaction that the batch has begun.
 func (t *transaction) insert(ctx context.Context) bool {
-	_, err := t.query(ctx, insertKey(t.request.RequestKey, resolver.Done, "COMMIT"))
+	_, err := t.query(ctx, insertKey(string(t.request.RequestKey), resolver.Done, "COMMIT"))
 	if err == nil {
 		return true
 	}
@@ -201,7 +201,7 @@
 func (t *transaction) commit(ctx context.Context, s *settlement) bool {
 	t.sent = true
 	done, err := t.query(ctx, "UPDATE tarragon_requests SET tag = "+quoteLiteral(s.tag)+
-		" WHERE key = "+quoteLiteral(t.request.RequestKey)+"; COMMIT")
+		" WHERE key = "+quoteLiteral(string(t.request.RequestKey))+"; COMMIT")
 	if err != nil {
 		var failure *queryError
 		if errors.As(err, &failure) {
--- a/tarragonshed/home/keyed_test.go
+++ b/tarragonshed/home/keyed_test.go
@@ -12,7 +12,7 @@
 
 func keyed(key string) *peer.Open {
 	o := write("a")
-	o.RequestKey = key
+	o.RequestKey = []byte(key)
 	return o
 }
 
--- a/tarragonshed/home/preparer.go
+++ b/tarragonshed/home/preparer.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	known := element.Value.(*prepared)
-	if known.uncertain || known.query != s.Query || !slices.Equal(known.types, s.ParameterTypes) {
+	if known.uncertain || known.query != string(s.Query) || !slices.Equal(known.types, s.ParameterTypes) {
 		return false
 	}
 	p.order.MoveToFront(element)
--- a/tarragonshed/home/run.go
+++ b/tarragonshed/home/run.go
@@ -38,7 +38,7 @@
 			return
 		}
 	}
-	if t.request.RequestKey != "" && !t.claimed && executes(b.Messages) && !t.claim(ctx, b) {
+	if len(t.request.RequestKey) > 0 && !t.claimed && executes(b.Messages) && !t.claim(ctx, b) {
 		return
 	}
 	t.partial = !b.Last
--- a/tarragonshed/home/stream.go
+++ b/tarragonshed/home/stream.go
@@ -127,7 +127,7 @@
 	s.skipping = true
 	s.open = nil
 	s.home.metrics.refused.Inc(1)
-	refused := &peer.Refused{Code: uint32(err.Code), Detail: err.Detail, Answered: answered}
+	refused := &peer.Refused{Code: uint32(err.Code), Detail: []byte(err.Detail), Answered: answered}
 	if t != nil && t.target != nil {
 		report, _, _ := t.target.last()
 		refused.Report = translator.ToReport(report)
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -239,14 +239,13 @@
 
 // settings returns the settings to apply to the connection.
 func (t *transaction) settings() map[string]string {
-	if !t.isRead() {
-		return t.request.Settings
-	}
-	if len(t.request.Settings) == 0 {
+	if t.isRead() && len(t.request.Settings) == 0 {
 		return readOnly
 	}
-	settings := maps.Clone(t.request.Settings)
-	maps.Copy(settings, readOnly)
+	settings := translator.FromSettings(t.request.Settings)
+	if t.isRead() {
+		maps.Copy(settings, readOnly)
+	}
 	return settings
 }
 
--- a/tarragonshed/translator/translator.go
+++ b/tarragonshed/translator/translator.go
@@ -1,4 +1,4 @@
-// Package translator converts positions and reports to and from their wire types.
+// Package translator converts positions, settings and reports to and from their wire types.
 //
 // # Usage
 //
@@ -25,6 +25,27 @@
 	return unit.Position{Term: unit.Term(p.GetTerm()), Index: unit.Index(p.GetIndex())}
 }
 
+// ToSettings returns the wire form of the settings of a session. Their values need not be UTF-8.
+func ToSettings(settings map[string]string) map[string][]byte {
+	if len(settings) == 0 {
+		return nil
+	}
+	wire := make(map[string][]byte, len(settings))
+	for name, value := range settings {
+		wire[name] = []byte(value)
+	}
+	return wire
+}
+
+// FromSettings returns the settings that the wire form represents, never nil.
+func FromSettings(wire map[string][]byte) map[string]string {
+	settings := make(map[string]string, len(wire))
+	for name, value := range wire {
+		settings[name] = string(value)
+	}
+	return settings
+}
+
 // ToReport returns the wire form of r. A report without an instance name becomes nil.
 func ToReport(r instance.Report) *peer.InstanceReport {
 	if r.Instance == "" {
