home: wait for the answer to COMMIT and cut off the replicas in a test

Cause, traced there: when the test ended the lags, a replica could still receive the stranded record from the primary that was being closed, and a majority then had it; or the primary was closed before its answer had reached the home.

The test now waits until the home has counted the execution, which it does when the answer has arrived, and grants the next term before it ends the lags: a granted instance receives no record of an earlier term. What is checked stays the same.

--- a/tarragonshed/home/failure_test.go
+++ b/tarragonshed/home/failure_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"tarragonshed.example/instance"
 	"tarragonshed.example/member"
@@ -17,10 +18,13 @@
 
 func TestUnconfirmedWrites(t *testing.T) {
 	const insert = "INSERT INTO batches VALUES (1, 'one')"
-	// strandWrite starts a write on a that c does not receive. b does not receive it
-	// either, unless the group has additional members, which are unreachable.
+	// strandWrite starts a write on a that c does not receive, and returns when the home has
+	// the answer to its COMMIT. b does not receive it either, unless the group has additional
+	// members, which are unreachable.
 	strandWrite := func(t *testing.T, timeout time.Duration, members ...unit.InstanceName) (*rig, stream) {
-		r := newRig(t)
+		registry := metrics.NewRegistry()
+		executed := metrics.GetOrRegisterTimer("home.execution", registry)
+		r := newRigWith(t, []home.Option{home.WithMetrics(registry)})
 		p := r.table(t)
 		for _, i := range []unit.InstanceName{"b", "c"} {
 			eventually(t, func() bool {
@@ -38,7 +42,9 @@
 		o := write("a")
 		o.TimeoutMicroseconds = uint64(timeout.Microseconds())
 		begin(t, s, o)
+		before := executed.Count()
 		send(t, s, simple(insert))
+		eventually(t, func() bool { return executed.Count() > before })
 		eventually(t, func() bool {
 			next := unit.Position{Term: p.Term, Index: p.Index + 1}
 			return r.a.Report().Last.AtLeast(next) && (len(members) == 0 || r.b.Report().Last.AtLeast(next))
@@ -52,6 +58,7 @@
 	t.Run("are refused as unconfirmed when the new primary lacks them", func(t *testing.T) {
 		r, s := strandWrite(t, waitTimeout)
 		is.New(t).NoErr(r.a.Close())
+		r.grant(t, 2, r.b, r.c) // From now on they receive nothing of the earlier term.
 		r.b.SetReceiveLag(0)
 		r.c.SetReceiveLag(0)
 		r.promote(t, 2, r.b, r.c)
@@ -62,6 +69,7 @@
 		is := is.New(t)
 		r, s := strandWrite(t, waitTimeout, "x", "y") // With five members, a and b are no majority.
 		is.NoErr(r.a.Close())
+		r.grant(t, 2, r.b, r.c)
 		r.c.SetReceiveLag(0)
 		r.promote(t, 2, r.b, r.c)
 		is.NoErr(r.a.Restart())
--- a/tarragonshed/home/rig_test.go
+++ b/tarragonshed/home/rig_test.go
@@ -97,11 +97,7 @@
 func (r *rig) promote(t *testing.T, term unit.Term, to *target.Target, others ...*target.Target) {
 	t.Helper()
 	is := is.New(t)
-	for _, i := range append([]*target.Target{to}, others...) {
-		report, err := r.control(t, i).Grant(t.Context(), term, "p")
-		is.NoErr(err)
-		is.Equal(report.GrantedTo, "p")
-	}
+	r.grant(t, term, append([]*target.Target{to}, others...)...)
 	_, err := r.control(t, to).Promote(t.Context(), term, "p")
 	is.NoErr(err)
 	for _, i := range others {
@@ -110,6 +106,18 @@
 	}
 }
 
+// grant grants the term in which promote promotes. The instances then receive no records of an
+// earlier one.
+func (r *rig) grant(t *testing.T, term unit.Term, instances ...*target.Target) {
+	t.Helper()
+	is := is.New(t)
+	for _, i := range instances {
+		report, err := r.control(t, i).Grant(t.Context(), term, "p")
+		is.NoErr(err)
+		is.Equal(report.GrantedTo, "p")
+	}
+}
+
 func (r *rig) control(t *testing.T, i *target.Target) *controller.Conn {
 	t.Helper()
 	c, err := controller.Dial(t.Context(), dialer.Default, i.Address(), controller.WithDatabase(ledger))
