caller: log and count refused messages

Operators saw nothing of a caller's message that was refused before it became a statement: malformed ones, reserved ids, unknown databases, messages that are too large or too slow.

They are logged as "message refused" with database, id, code and cause, twenty lines a second at most beside those about statements, and counted by code as these are.

Before, TestRefusedMessagesAreLogged failed in all five cases; it passes now.

--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -68,6 +68,7 @@
 	domain     unit.DomainName
 	peers      Peers
 	refusalLog logLimiter // Limits the log lines about refused statements.
+	messageLog logLimiter // Limits the log lines about refused messages, which are no statements.
 	retryLog   logLimiter // Limits the log lines about retried statements.
 	// daemons is the number of daemons that share the instances.
 	daemons atomic.Int64
--- a/tarragonshed/engine/report.go
+++ b/tarragonshed/engine/report.go
@@ -48,6 +48,19 @@
 		"primary", l.Primary, "primary-usable", usable, "term", l.Term, "fence", l.Fence, "lines-left-out", omitted)
 }
 
+// RecordRefusal counts and logs a message of a caller that is refused before it is a statement. The
+// database and the ID are empty if they are not known.
+func (e *Engine) RecordRefusal(database unit.DatabaseName, id unit.RequestID, err *result.Error) {
+	e.meters.recordRefusal(err.Code)
+	omitted, ok := e.messageLog.take(time.Now())
+	if !ok {
+		return
+	}
+	entry := err.Code.Entry()
+	e.logger.Info("message refused", "request", id, "database", database, "code", err.Code,
+		"name", entry.Name, "outcome", entry.Outcome, "cause", err.Detail, "lines-left-out", omitted)
+}
+
 // logRetry logs a statement that is retried.
 func (e *Engine) logRetry(id unit.RequestID, t *target, err *result.Error, attempt int) {
 	omitted, ok := e.retryLog.take(time.Now())
