entry: bound the time from the first byte of a message to its end

Callers of the PostgreSQL side could hold a session, and up to 16 MiB of memory, with half a message for as long as they liked, as callers of the line protocol could.

Cause: the read deadline of the startup is taken away after it, since a session may rest for any time between messages. A message that has begun and is not buffered as a whole now has the statement timeout to arrive; after it the caller gets TS1006 and the session ends.

--- a/tarragonshed/entry/batch.go
+++ b/tarragonshed/entry/batch.go
@@ -3,7 +3,10 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
+	"errors"
+	"os"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -96,7 +99,7 @@
 // collectMessage reads one message. It returns false or an error if the session
 // ends.
 func (s *session) collectMessage(b *batch) (bool, error) {
-	kind, body, err := s.reader.Next()
+	kind, body, err := s.nextMessage()
 	switch {
 	case err != nil && result.CodeOf(err) == result.StatementTooLarge:
 		b.setFault(err)
@@ -116,6 +119,24 @@
 	return true, nil
 }
 
+// nextMessage reads one message. From its first byte on it must arrive within the statement timeout,
+// so that half a message does not hold its memory for as long as the caller likes.
+func (s *session) nextMessage() (byte, []byte, error) {
+	if err := s.reader.Await(); err != nil {
+		return 0, nil, err
+	}
+	if s.reader.Whole() {
+		return s.reader.Next()
+	}
+	s.conn.SetReadDeadline(time.Now().Add(s.entry.limits.StatementTimeout))
+	kind, body, err := s.reader.Next()
+	s.conn.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = result.New(result.ProtocolViolation, "a message was not received within %v", s.entry.limits.StatementTimeout)
+	}
+	return kind, body, err
+}
+
 // setFault sets the fault of the batch unless it has one.
 func (b *batch) setFault(err error) {
 	if b.fault == nil {
--- a/tarragonshed/entry/framer/framer.go
+++ b/tarragonshed/entry/framer/framer.go
@@ -78,6 +78,14 @@
 	return err
 }
 
+// Whole reports whether the next message has been read from the source as a whole.
+func (r *Reader) Whole() bool {
+	if r.awaited || r.end-r.start < HeaderSize {
+		return false
+	}
+	return r.end-r.start > int(binary.BigEndian.Uint32(r.buffer[r.start+1:]))
+}
+
 // Release returns the buffer to the pool unless it holds unconsumed bytes.
 func (r *Reader) Release() {
 	if r.buffer == nil || r.end > r.start {
