chunker: split streams for the round trips of both codecs

The tests of the line protocol's reader and of the PostgreSQL framer each had the same reader that returns a stream in chunks of given sizes.

--- a/tarragonshed/entry/framer/framer_test.go
+++ b/tarragonshed/entry/framer/framer_test.go
@@ -9,33 +9,13 @@
 
 	"github.com/matryer/is"
 
+	"tarragonshed.example/internal/chunker"
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/entry/framer"
 )
 
 const limit = 10_000
 
-// chunkReader returns the stream in chunks whose sizes it takes from a list, in turn.
-type chunkReader struct {
-	stream []byte
-	sizes  []byte
-	reads  int
-}
-
-func (c *chunkReader) Read(b []byte) (int, error) {
-	if len(c.stream) == 0 {
-		return 0, io.EOF
-	}
-	size := len(c.stream)
-	if len(c.sizes) > 0 {
-		size = 1 + int(c.sizes[c.reads%len(c.sizes)])
-	}
-	c.reads++
-	n := copy(b[:min(size, len(b))], c.stream)
-	c.stream = c.stream[n:]
-	return n, nil
-}
-
 // message is a message as the protocol defines it: a type, a length that counts itself, a body.
 type message struct {
 	kind byte
@@ -54,7 +34,7 @@
 	for _, m := range messages {
 		stream = append(stream, m.encode()...)
 	}
-	r := framer.New(&chunkReader{stream: stream, sizes: sizes}, limit)
+	r := framer.New(chunker.New(stream, sizes), limit)
 	for _, m := range messages {
 		if awaits {
 			if err := r.Await(); err != nil {
