--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -77,6 +77,14 @@
 	numPriorities
 )
 
+// Rank orders waiting requests of the same [Priority]. Lower values go first.
+type Rank struct {
+	// Route is the priority of the route that the request uses.
+	Route int
+	// Caller is the priority of the caller.
+	Caller int
+}
+
 // meanDivisor is the inverse of the weight that the latest statement has in the moving
 // average of statement durations.
 const meanDivisor = 16
@@ -122,9 +130,13 @@
 	ID       ID
 	Caller   unit.CallerName
 	Priority Priority
+	Rank     Rank
 	Now      time.Time
 	// Deadline is the time by which the statement must have ended.
 	Deadline time.Time
+	// Target is the time by which the statement should have ended for its caller to be
+	// served well. It is zero if the route has no target latency.
+	Target time.Time
 }
 
 // Withdraw cancels a waiting request.
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -69,6 +69,24 @@
 	SCRAMSecret string `toml:"scram-secret"`
 	// Groups lists the groups that the caller may use. Empty means all.
 	Groups []unit.GroupName `toml:"groups"`
+	// Keys identify the caller where callers present a key and no password. They are
+	// not part of the document.
+	Keys []Key `toml:"-"`
+	// Priority orders callers under overload. Zero is the highest. It is not part of
+	// the document.
+	Priority int `toml:"-"`
+	// RateLimit limits the operations of the caller on all daemons together. It is nil
+	// if there is no limit. It is not part of the document.
+	RateLimit *RateLimit `toml:"-"`
+}
+
+// RateLimit is a limit of operations. An operation is a statement outside of a
+// transaction, or a transaction.
+type RateLimit struct {
+	// PerSecond is the sustained rate of operations.
+	PerSecond float64
+	// Burst is the number of operations that may exceed the rate at once.
+	Burst float64
 }
 
 // Group is a database group: one database and the instances that replicate it.
--- a/manifest/route.go
+++ b/manifest/route.go
@@ -35,6 +35,8 @@
 	TargetLatency time.Duration
 	// Priority orders routes under overload. Zero is the highest.
 	Priority int
+	// Public is true if the route serves callers without a key.
+	Public bool
 }
 
 // Route returns the route of the database.
--- a/result/codes.go
+++ b/result/codes.go
@@ -35,6 +35,7 @@
 	InstanceRefuses      Code = 2016
 	RolledBack           Code = 2017
 	CutOff               Code = 2018
+	RateLimited          Code = 2019
 )
 
 // Codes of requests whose outcome is unknown.
@@ -116,6 +117,7 @@
 	{InstanceRefuses, "instance-refuses", NotRun, "08001", "The instance's VM refuses connections: its process is not running."},
 	{RolledBack, "rolled-back", NotRun, "40001", "The transaction was rolled back before its COMMIT was sent; it had no effect."},
 	{CutOff, "cut-off", NotRun, "57P03", "The daemon is partitioned from the platform and from other daemons; another daemon may serve the request."},
+	{RateLimited, "rate-limited", NotRun, "53400", "The caller has used up its rate limit; the detail states when to try again."},
 
 	{ConnectionLost, "connection-lost", Unknown, "08007", "The connection to the instance was lost after the statement was sent."},
 	{Unconfirmed, "unconfirmed", Unknown, "40003", "The write was committed on a primary, but a majority did not confirm it before the deadline."},
--- a/router/placement.go
+++ b/router/placement.go
@@ -58,6 +58,16 @@
 	return l.latency * time.Duration(l.outstanding+1)
 }
 
+// Report is the load of an instance as seen by a daemon that owns connections to it.
+type Report struct {
+	// Slots is the number of statements that may run concurrently.
+	Slots   int
+	Running int
+	Queued  int
+	// Mean is the mean duration of a statement.
+	Mean time.Duration
+}
+
 // ReadCandidate is an instance that may serve a read.
 type ReadCandidate struct {
 	Instance unit.InstanceName
--- a/tarragonshed/engine/conn.go
+++ b/tarragonshed/engine/conn.go
@@ -54,7 +54,7 @@
 		pc.slot = true
 		return nil
 	}
-	id, answer := t.Admit("", p, deadline)
+	id, answer := t.Admit(limiter.Request{Priority: p, Deadline: deadline})
 	if p == limiter.OpenTransaction {
 		defer time.AfterFunc(overdueAfter, func() { t.Overdue(id) }).Stop()
 	}
--- a/tarragonshed/engine/statement.go
+++ b/tarragonshed/engine/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"tarragonshed.example/result"
+	"tarragonshed.example/router"
 	"tarragonshed.example/unit"
 )
 
@@ -108,6 +109,9 @@
 	Err      *result.Error
 	State    TransactionState
 	Position unit.Position
+	// Load is the load of the instance as seen by the daemon that ran the request, or nil if
+	// that is not known.
+	Load *router.Report
 }
 
 // InstanceStatus is the status that an instance reports.
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -186,7 +186,7 @@
 		t.beginSlot(requestedAt)
 		return nil
 	}
-	id, answer := t.target.Admit(unit.CallerName(t.request.Caller), p, t.deadline)
+	id, answer := t.target.Admit(limiter.Request{Caller: unit.CallerName(t.request.Caller), Priority: p, Deadline: t.deadline})
 	if p == limiter.OpenTransaction {
 		defer time.AfterFunc(lockTimeout, func() { t.target.Overdue(id) }).Stop()
 	}
--- a/tarragonshed/lender/lender.go
+++ b/tarragonshed/lender/lender.go
@@ -12,7 +12,7 @@
 //
 //	l := lender.New(ctx, open, limits, poolLimits)
 //	if !l.TryAdmit(limiter.Write) {
-//		id, answer := l.Admit(caller, limiter.Write, deadline)
+//		id, answer := l.Admit(limiter.Request{Caller: caller, Priority: limiter.Write, Deadline: deadline})
 //		...
 //	}
 //	ticket, results := l.Acquire()
--- a/tarragonshed/lender/lender_test.go
+++ b/tarragonshed/lender/lender_test.go
@@ -133,7 +133,7 @@
 	<-first.Conn.closed
 	is.True(f.acquire(t).Err != nil)
 	is.True(!f.TryAdmit(limiter.Write))
-	_, answer := f.Admit("", limiter.Write, time.Now().Add(time.Hour))
+	_, answer := f.Admit(limiter.Request{Priority: limiter.Write, Deadline: time.Now().Add(time.Hour)})
 	is.True(<-answer != nil)
 }
 
@@ -142,7 +142,7 @@
 	f := newFixture(1, 2)
 	is.True(f.TryAdmit(limiter.Write))
 	is.True(!f.TryAdmit(limiter.Write))
-	id, answer := f.Admit("", limiter.Write, time.Now().Add(time.Hour))
+	id, answer := f.Admit(limiter.Request{Priority: limiter.Write, Deadline: time.Now().Add(time.Hour)})
 	is.Equal(f.Load().Queued, 1)
 	f.Finish(time.Millisecond)
 	is.Equal(<-answer, nil)
--- a/tarragonshed/lender/slot.go
+++ b/tarragonshed/lender/slot.go
@@ -5,24 +5,24 @@
 
 	"tarragonshed.example/limiter"
 	"tarragonshed.example/result"
-	"tarragonshed.example/unit"
 )
 
 // Admit requests a slot and, unless the transaction is already open, the right to
-// use a connection. The channel receives one value, which is nil on admission.
-func (l *Lender[C]) Admit(caller unit.CallerName, p limiter.Priority, deadline time.Time) (limiter.ID, <-chan *result.Error) {
+// use a connection. The channel receives one value, which is nil on admission. The
+// Lender sets the ID of the request and its time.
+func (l *Lender[C]) Admit(r limiter.Request) (limiter.ID, <-chan *result.Error) {
 	answer := make(chan *result.Error, 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastID++
-	id := limiter.ID(l.lastID)
+	r.ID, r.Now = limiter.ID(l.lastID), time.Now()
 	if l.stopped {
 		answer <- l.stopErr()
-		return id, answer
+		return r.ID, answer
 	}
-	l.admitWaiters[id] = answer
-	l.applyLimiter(l.limiter.Step(limiter.Request{ID: id, Caller: caller, Priority: p, Now: time.Now(), Deadline: deadline}))
-	return id, answer
+	l.admitWaiters[r.ID] = answer
+	l.applyLimiter(l.limiter.Step(r))
+	return r.ID, answer
 }
 
 // TryAdmit is like [Lender.Admit] but does not wait. It reports whether the request was
