--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -51,6 +51,9 @@
 	Groups  []Group              `toml:"groups"`
 	// Routes is not part of the document.
 	Routes []Route `toml:"-"`
+	// KeysRequired reports whether callers must present a key, except on public routes.
+	// It is not part of the document.
+	KeysRequired bool `toml:"-"`
 	// TransactionIdle is the time that an open transaction may be idle between
 	// two statements. Zero means no limit. It is not part of the document.
 	TransactionIdle time.Duration `toml:"-"`
--- a/pooler/event.go
+++ b/pooler/event.go
@@ -4,30 +4,34 @@
 	"time"
 
 	"tarragonshed.example/result"
+	"tarragonshed.example/unit"
 )
 
 // Event is an input of a [Pooler]: [Acquire], [Withdraw], [Opened], [OpenFailed],
 // [Returned], [Closed], [Resize], [Tick], [Suspect] or [Probed].
 type Event interface{ event() }
 
-// Acquire requests a connection.
+// Acquire requests a connection of the caller.
 type Acquire struct {
 	Ticket Ticket
+	Caller unit.CallerName
 	Now    time.Time
 }
 
 // Withdraw cancels a request for a connection.
 type Withdraw struct{ Ticket Ticket }
 
-// Opened reports that an [Open] succeeded.
+// Opened reports that an [Open] for the caller succeeded.
 type Opened struct {
-	Conn Conn
-	Now  time.Time
+	Conn   Conn
+	Caller unit.CallerName
+	Now    time.Time
 }
 
-// OpenFailed reports that an [Open] failed.
+// OpenFailed reports that an [Open] for the caller failed.
 type OpenFailed struct {
-	Now time.Time
+	Caller unit.CallerName
+	Now    time.Time
 	// Exhausted is set if the instance rejected the connection because it has too
 	// many.
 	Exhausted bool
@@ -104,8 +108,8 @@
 	Err    *result.Error
 }
 
-// Open opens a connection.
-type Open struct{}
+// Open opens a connection of the caller.
+type Open struct{ Caller unit.CallerName }
 
 // Close closes a connection. It needs no [Closed] event in return.
 type Close struct{ Conn Conn }
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -24,6 +24,14 @@
 // idle for longer than [IdleCheckThreshold] is checked with a round trip before use,
 // because it may have been closed without notice.
 //
+// # Callers
+//
+// An instance may be told at the start of a connection which caller uses it. Such a
+// connection is assigned to requests of its caller only. If the pool has reached its share,
+// the connection that has been idle the longest is closed to open one for another caller.
+// Connections of instances that are not told the caller belong to the empty name, and only
+// these are kept warm.
+//
 // # Unresponsive connections
 //
 // A connection whose response has been pending for too long is a suspect. The instance is
@@ -44,7 +52,7 @@
 //	for _, effect := range p.Step(pooler.Acquire{Ticket: 1, Now: now}) {
 //		switch effect := effect.(type) {
 //		case pooler.Open:
-//			go open() // Followed by pooler.Opened or pooler.OpenFailed.
+//			go open(effect.Caller) // Followed by pooler.Opened or pooler.OpenFailed.
 //		case pooler.Assign:
 //			use(effect.Ticket, effect.Conn) // Followed by pooler.Returned or pooler.Closed.
 //		case pooler.Close:
@@ -53,7 +61,12 @@
 //	}
 package pooler
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"tarragonshed.example/unit"
+)
 
 // ReservedConnections is the number of an instance's connections that are reserved for the
 // control connections of homes and watchers. A watcher is a daemon that monitors the
@@ -97,17 +110,24 @@
 
 // idle is a connection that is not in use.
 type idle struct {
-	conn  Conn
-	since time.Time
+	conn   Conn
+	caller unit.CallerName
+	since  time.Time
+}
+
+// waiter is a waiting request.
+type waiter struct {
+	ticket Ticket
+	caller unit.CallerName
 }
 
 // Pooler holds the state of one pool. It is not safe for concurrent use.
 type Pooler struct {
 	limits  Limits
-	idle    []idle // Ordered by last use, the most recent last.
-	inUse   map[Conn]bool
-	opening int
-	waiting []Ticket
+	idle    []idle                   // Ordered by last use, the most recent last.
+	inUse   map[Conn]unit.CallerName // The callers of the connections in use.
+	opening map[unit.CallerName]int  // The number of connections being opened.
+	waiting []waiter
 	probing map[Conn]bool
 
 	tokens      float64
@@ -117,11 +137,23 @@
 
 // New returns a Pooler without connections.
 func New(limits Limits) *Pooler {
-	return &Pooler{limits: limits, inUse: make(map[Conn]bool), probing: make(map[Conn]bool), tokens: float64(limits.Share)}
+	return &Pooler{
+		limits: limits, inUse: make(map[Conn]unit.CallerName), opening: make(map[unit.CallerName]int),
+		probing: make(map[Conn]bool), tokens: float64(limits.Share),
+	}
 }
 
 // Size returns the number of connections, including those being opened.
-func (p *Pooler) Size() int { return len(p.idle) + len(p.inUse) + p.opening }
+func (p *Pooler) Size() int { return len(p.idle) + len(p.inUse) + p.openingCount() }
+
+// openingCount returns the number of connections being opened.
+func (p *Pooler) openingCount() int {
+	n := 0
+	for _, count := range p.opening {
+		n += count
+	}
+	return n
+}
 
 // Idle returns the number of idle connections.
 func (p *Pooler) Idle() int { return len(p.idle) }
@@ -137,16 +169,17 @@
 	case Withdraw:
 		p.withdraw(event.Ticket)
 	case Opened:
-		p.opening--
-		return p.put(event.Conn, event.Now)
+		p.endOpening(event.Caller)
+		return p.put(event.Conn, event.Caller, event.Now)
 	case OpenFailed:
 		return p.openFailed(event)
 	case Returned:
-		if !p.inUse[event.Conn] {
+		caller, inUse := p.inUse[event.Conn]
+		if !inUse {
 			return nil // The connection has been closed in the meantime.
 		}
 		delete(p.inUse, event.Conn)
-		return p.put(event.Conn, event.Now)
+		return p.put(event.Conn, caller, event.Now)
 	case Closed:
 		p.remove(event.Conn)
 		return p.openNeeded(event.Now)
@@ -163,64 +196,83 @@
 	return nil
 }
 
-// TryAcquire assigns an idle connection if there is one, as [Acquire] does. The caller must
-// pass a [Tick] to Step afterwards, which opens warm connections.
-func (p *Pooler) TryAcquire(now time.Time) (Assign, bool) {
-	n := len(p.idle)
-	if n == 0 {
+// TryAcquire assigns an idle connection of the caller if there is one, as [Acquire] does. The
+// caller of the function must pass a [Tick] to Step afterwards, which opens warm connections.
+func (p *Pooler) TryAcquire(caller unit.CallerName, now time.Time) (Assign, bool) {
+	for n := len(p.idle) - 1; n >= 0; n-- {
+		if p.idle[n].caller == caller {
+			return p.assignIdle(n, now), true
+		}
+	}
+	return Assign{}, false
+}
+
+// TryAcquireAny assigns the most recently used idle connection of any caller, for a request
+// that is not made on behalf of a caller.
+func (p *Pooler) TryAcquireAny(now time.Time) (Assign, bool) {
+	if len(p.idle) == 0 {
 		return Assign{}, false
 	}
-	last := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	p.inUse[last.conn] = true
-	return Assign{Conn: last.conn, Check: now.Sub(last.since) > IdleCheckThreshold}, true
+	return p.assignIdle(len(p.idle)-1, now), true
+}
+
+func (p *Pooler) assignIdle(n int, now time.Time) Assign {
+	chosen := p.idle[n]
+	p.idle = slices.Delete(p.idle, n, n+1)
+	p.inUse[chosen.conn] = chosen.caller
+	return Assign{Conn: chosen.conn, Check: now.Sub(chosen.since) > IdleCheckThreshold}
 }
 
 func (p *Pooler) acquire(e Acquire) []Effect {
-	if assign, ok := p.TryAcquire(e.Now); ok {
+	if assign, ok := p.TryAcquire(e.Caller, e.Now); ok {
 		assign.Ticket = e.Ticket
 		return append([]Effect{assign}, p.openNeeded(e.Now)...)
 	}
-	p.waiting = append(p.waiting, e.Ticket)
+	p.waiting = append(p.waiting, waiter{ticket: e.Ticket, caller: e.Caller})
 	return p.openNeeded(e.Now)
 }
 
 func (p *Pooler) withdraw(t Ticket) {
-	for i, w := range p.waiting {
-		if w == t {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			return
-		}
-	}
+	p.waiting = slices.DeleteFunc(p.waiting, func(w waiter) bool { return w.ticket == t })
 }
 
-// put assigns a connection to the first waiting request, or else makes it idle. It closes
-// the connection if the pool exceeds its share.
-func (p *Pooler) put(c Conn, now time.Time) []Effect {
+// put assigns a connection to the first waiting request of its caller, or else makes it idle.
+// It closes the connection if the pool exceeds its share.
+func (p *Pooler) put(c Conn, caller unit.CallerName, now time.Time) []Effect {
 	if p.Size()+1 > p.limits.Share {
 		return []Effect{Close{Conn: c}}
 	}
-	if len(p.waiting) > 0 {
-		t := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		p.inUse[c] = true
+	if n := slices.IndexFunc(p.waiting, func(w waiter) bool { return w.caller == caller }); n >= 0 {
+		t := p.waiting[n].ticket
+		p.waiting = slices.Delete(p.waiting, n, n+1)
+		p.inUse[c] = caller
 		return append([]Effect{Assign{Ticket: t, Conn: c}}, p.openNeeded(now)...)
 	}
-	p.idle = append(p.idle, idle{conn: c, since: now})
-	return nil
+	p.idle = append(p.idle, idle{conn: c, caller: caller, since: now})
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	return p.openNeeded(now) // It may be closed to open one for another caller.
+}
+
+func (p *Pooler) endOpening(caller unit.CallerName) {
+	p.opening[caller]--
+	if p.opening[caller] <= 0 {
+		delete(p.opening, caller)
+	}
 }
 
 func (p *Pooler) openFailed(e OpenFailed) []Effect {
-	p.opening--
+	p.endOpening(e.Caller)
 	if e.Exhausted {
 		p.pausedUntil = e.Now.Add(ExhaustedBackoff)
-		if len(p.inUse)+p.opening > 0 {
+		if len(p.inUse)+p.openingCount() > 0 {
 			return nil // A connection in use or being opened will serve the requests.
 		}
 	}
 	var effects []Effect
-	for _, t := range p.waiting {
-		effects = append(effects, Fail{Ticket: t, Err: e.Err})
+	for _, w := range p.waiting {
+		effects = append(effects, Fail{Ticket: w.ticket, Err: e.Err})
 	}
 	p.waiting = nil
 	return effects
@@ -230,20 +282,52 @@
 func (p *Pooler) openNeeded(now time.Time) []Effect {
 	p.refill(now)
 	var effects []Effect
-	for p.shortfall() > 0 && p.mayOpen(now) {
-		p.opening++
+	for {
+		caller, needed := p.shortfall()
+		if !needed || !p.mayOpen(now) {
+			return effects
+		}
+		if p.Size() >= p.limits.Share {
+			if !p.evictable(caller) {
+				return effects
+			}
+			effects = append(effects, Close{Conn: p.idle[0].conn})
+			p.idle = slices.Delete(p.idle, 0, 1)
+		}
+		p.opening[caller]++
 		p.tokens--
-		effects = append(effects, Open{})
+		effects = append(effects, Open{Caller: caller})
 	}
-	return effects
 }
 
-func (p *Pooler) shortfall() int {
-	return len(p.waiting) + max(0, p.limits.Warm-len(p.idle)) - p.opening
+// evictable reports whether an idle connection may be closed to open one for the caller. A warm
+// connection is not worth closing another one.
+func (p *Pooler) evictable(caller unit.CallerName) bool {
+	waits := slices.ContainsFunc(p.waiting, func(w waiter) bool { return w.caller == caller })
+	return waits && len(p.idle) > 0 && p.Size() == p.limits.Share
+}
+
+// shortfall returns the caller that a connection has to be opened for. The result is false if
+// there is none.
+func (p *Pooler) shortfall() (unit.CallerName, bool) {
+	if len(p.waiting) == 0 {
+		return "", p.limits.Warm-len(p.idle) > p.opening[""]
+	}
+	coming := make(map[unit.CallerName]int, len(p.opening))
+	for caller, n := range p.opening {
+		coming[caller] = n
+	}
+	for _, w := range p.waiting {
+		if coming[w.caller] == 0 {
+			return w.caller, true
+		}
+		coming[w.caller]--
+	}
+	return "", p.limits.Warm-len(p.idle) > coming[""]
 }
 
 func (p *Pooler) mayOpen(now time.Time) bool {
-	return p.Size() < p.limits.Share && p.opening < p.limits.Opening && p.tokens >= 1 && !now.Before(p.pausedUntil)
+	return p.openingCount() < p.limits.Opening && p.tokens >= 1 && !now.Before(p.pausedUntil)
 }
 
 func (p *Pooler) refill(now time.Time) {
@@ -281,7 +365,7 @@
 }
 
 func (p *Pooler) suspect(s Suspect) []Effect {
-	if p.probing[s.Conn] || !p.inUse[s.Conn] {
+	if p.probing[s.Conn] || !p.isInUse(s.Conn) {
 		return nil
 	}
 	p.probing[s.Conn] = true
@@ -290,11 +374,11 @@
 
 func (p *Pooler) probed(e Probed) []Effect {
 	delete(p.probing, e.Conn)
-	if !e.Answered && e.ControlLost && p.inUse[e.Conn] {
+	if !e.Answered && e.ControlLost && p.isInUse(e.Conn) {
 		delete(p.inUse, e.Conn)
 		return []Effect{Close{Conn: e.Conn}}
 	}
-	if !e.Answered || e.StatementRunning || !p.inUse[e.Conn] {
+	if !e.Answered || e.StatementRunning || !p.isInUse(e.Conn) {
 		return nil
 	}
 	delete(p.inUse, e.Conn)
@@ -311,6 +395,11 @@
 	return effects
 }
 
+func (p *Pooler) isInUse(c Conn) bool {
+	_, inUse := p.inUse[c]
+	return inUse
+}
+
 func (p *Pooler) remove(c Conn) {
 	delete(p.inUse, c)
 	delete(p.probing, c)
--- a/tarragonshed/engine/conn.go
+++ b/tarragonshed/engine/conn.go
@@ -30,12 +30,12 @@
 }
 
 // acquire waits for a slot and a connection.
-func (t *target) acquire(ctx context.Context, p limiter.Priority, deadline time.Time) (*pooledConn, *result.Error) {
+func (t *target) acquire(ctx context.Context, r LeaseRequest) (*pooledConn, *result.Error) {
 	pc := &pooledConn{target: t}
-	if err := pc.acquireSlot(ctx, p, deadline); err != nil {
+	if err := pc.acquireSlot(ctx, r); err != nil {
 		return nil, err
 	}
-	if err := pc.acquireConn(ctx, deadline); err != nil {
+	if err := pc.acquireConn(ctx, r); err != nil {
 		pc.releaseSlot()
 		t.EndTransaction()
 		return nil, err
@@ -46,19 +46,21 @@
 // acquireSlot waits for a slot. After overdueAfter, a statement of an open transaction no
 // longer waits behind the running statements, because they may be waiting for a lock that
 // its transaction holds.
-func (pc *pooledConn) acquireSlot(ctx context.Context, p limiter.Priority, deadline time.Time) *result.Error {
+func (pc *pooledConn) acquireSlot(ctx context.Context, r LeaseRequest) *result.Error {
 	t := pc.target
 	pc.startedAt = time.Now()
 	t.beginLoad()
-	if t.TryAdmit(p) {
+	if t.TryAdmit(r.Priority) {
 		pc.slot = true
 		return nil
 	}
-	id, answer := t.Admit(limiter.Request{Priority: p, Deadline: deadline})
-	if p == limiter.OpenTransaction {
+	id, answer := t.Admit(limiter.Request{
+		Caller: r.Caller, Priority: r.Priority, Rank: r.Rank, Deadline: r.Deadline, Target: r.Target,
+	})
+	if r.Priority == limiter.OpenTransaction {
 		defer time.AfterFunc(overdueAfter, func() { t.Overdue(id) }).Stop()
 	}
-	err, ok := await(ctx, deadline, answer)
+	err, ok := await(ctx, r.Deadline, answer)
 	switch {
 	case ok:
 	case t.Withdraw(id):
@@ -74,12 +76,12 @@
 }
 
 // acquireConn waits for a connection.
-func (pc *pooledConn) acquireConn(ctx context.Context, deadline time.Time) *result.Error {
+func (pc *pooledConn) acquireConn(ctx context.Context, r LeaseRequest) *result.Error {
 	t := pc.target
-	g, ok := t.TryAcquire()
+	g, ok := t.TryAcquire(r.Caller)
 	if !ok {
-		ticket, answer := t.Acquire()
-		g, ok = await(ctx, deadline, answer)
+		ticket, answer := t.Acquire(r.Caller)
+		g, ok = await(ctx, r.Deadline, answer)
 		if !ok && t.WithdrawAcquire(ticket) {
 			return result.New(result.DeadlinePassed, "no connection to instance %s became free in time", t.instance.Name)
 		}
@@ -267,10 +269,10 @@
 // outOfBandConn returns a connection without a slot: an idle one of the pool, or a new one
 // that is not part of the pool and is closed after use.
 func (t *target) outOfBandConn(ctx context.Context) (*pooledConn, *result.Error) {
-	if g, ok := t.TryAcquire(); ok {
+	if g, ok := t.TryAcquireAny(); ok {
 		return &pooledConn{target: t, link: g.Conn}, nil
 	}
-	conn, failure := t.connect(ctx)
+	conn, failure := t.connect(ctx, "")
 	if failure != nil {
 		return nil, failure
 	}
--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -29,7 +29,7 @@
 //
 //	e := engine.New(connector, authority, clock, engine.WithDomain("lautoka-shed"))
 //	e.Adopt(manifest)
-//	s, err := e.Open("pulp-ledger-1")
+//	s, err := e.Open("pulp-ledger-1", key)
 //	answer := s.Do("request-1", engine.Read{Text: "17"})
 //	...
 //	s.Close()
@@ -67,6 +67,8 @@
 	meters     *meters
 	domain     unit.DomainName
 	peers      Peers
+	rates      RateLimits
+	currentAt  func() (unit.Instant, bool)
 	refusalLog logLimiter // Limits the log lines about refused statements.
 	messageLog logLimiter // Limits the log lines about refused messages, which are no statements.
 	retryLog   logLimiter // Limits the log lines about retried statements.
@@ -89,6 +91,7 @@
 	routes   map[unit.DatabaseName]manifest.Route
 	groups   map[unit.GroupName]*group
 	regions  map[unit.DomainName]unit.RegionName
+	callers  map[manifest.Key]*manifest.Caller
 }
 
 // Option configures an Engine.
@@ -109,6 +112,16 @@
 // daemon has no direct path to it.
 func WithPeers(p Peers) Option { return func(e *Engine) { e.peers = p } }
 
+// WithRateLimits sets what admits the operations of callers. By default all are admitted.
+func WithRateLimits(r RateLimits) Option { return func(e *Engine) { e.rates = r } }
+
+// WithManifestTime sets the function that returns when the manifest in force was last known to
+// be the newest one, on the engine's clock, and whether that is known. By default the manifest
+// always counts as the newest one.
+func WithManifestTime(currentAt func() (unit.Instant, bool)) Option {
+	return func(e *Engine) { e.currentAt = currentAt }
+}
+
 // New returns an Engine without a manifest and starts its periodic checks. The function
 // now is the clock by which leases are measured. The caller must call Close.
 func New(connector Connector, authority Authority, now func() unit.Instant, options ...Option) *Engine {
@@ -117,6 +130,7 @@
 		logger: log.New(io.Discard), meters: newMeters(metrics.NewRegistry()),
 		groups:  make(map[unit.GroupName]*group),
 		started: time.Now(), adopted: make(chan struct{}),
+		rates: unlimited{}, currentAt: func() (unit.Instant, bool) { return now(), true },
 	}
 	e.daemons.Store(1)
 	for _, option := range options {
@@ -160,6 +174,7 @@
 	for _, r := range m.Routes {
 		next.routes[r.Database] = r
 	}
+	next.callers = indexKeys(m.Callers)
 	for _, g := range m.Groups {
 		if e.groups[g.Name] == nil {
 			e.groups[g.Name] = newGroup(e, g.Name)
@@ -195,17 +210,21 @@
 // Manifest returns the manifest in force, or nil if there is none yet.
 func (e *Engine) Manifest() *manifest.Manifest { return e.current.Load().manifest }
 
-// Open opens a session with the database. On a daemon that is starting it waits for the
-// first manifest, up to startupTimeout after the start. It fails with NoManifest or
-// UnknownDatabase.
-func (e *Engine) Open(database unit.DatabaseName) (*Session, *result.Error) {
+// Open opens a session with the database for the caller that has the key. On a daemon that is
+// starting it waits for the first manifest, up to startupTimeout after the start. It fails with
+// NoManifest, UnknownDatabase, AuthenticationFailed or CutOff.
+func (e *Engine) Open(database unit.DatabaseName, key manifest.Key) (*Session, *result.Error) {
 	e.awaitManifest()
-	if _, _, err := e.route(database); err != nil {
+	route, _, err := e.route(database)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := e.awaitCaller(route, key); err != nil {
 		return nil, err
 	}
 	e.meters.sessions.Inc(1)
 	return &Session{
-		engine: e, database: database, state: Idle,
+		engine: e, database: database, key: key, state: Idle,
 		values: make(map[string]string), prepared: make(map[string]Definition),
 	}, nil
 }
@@ -322,6 +341,9 @@
 // because the instance counts the connections of all daemons together.
 func (e *Engine) limits(i manifest.Instance) (limiter.Limits, pooler.Limits) {
 	pool := poolLimits(i.Connections, int(e.daemons.Load()), e.starting())
+	if e.Manifest().KeysRequired {
+		pool.Warm = 0 // A connection belongs to one caller, and the next caller isn't known.
+	}
 	return limiter.Limits{Slots: min(pool.Share, i.Slots+extraStatements), Connections: pool.Share, Queue: queueLimit}, pool
 }
 
--- a/tarragonshed/engine/engine_test.go
+++ b/tarragonshed/engine/engine_test.go
@@ -323,7 +323,7 @@
 func TestUnknownDatabase(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t)
-	_, err := h.Open("nowhere")
+	_, err := h.Open("nowhere", "")
 	is.Equal(err.Code, result.UnknownDatabase)
 	s := h.open("own")
 	h.Adopt(&manifest.Manifest{Version: 2}) // This manifest doesn't have the route.
@@ -334,7 +334,7 @@
 	t := &testing.T{}
 	h := newHarness(t)
 	defer h.Engine.Close()
-	s, err := h.Open("old")
+	s, err := h.Open("old", "")
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -401,7 +401,7 @@
 	defer e.Close()
 	opened := make(chan *result.Error, 1)
 	go func() {
-		_, err := e.Open("first")
+		_, err := e.Open("first", "")
 		opened <- err
 	}()
 	time.Sleep(primaryPollInterval)
--- a/tarragonshed/engine/fake_test.go
+++ b/tarragonshed/engine/fake_test.go
@@ -167,7 +167,7 @@
 var start = time.Now().Add(-time.Hour)
 
 // Connect implements [Connector].
-func (h *harness) Connect(ctx context.Context, _ unit.GroupName, i manifest.Instance, via string) (Conn, *result.Error) {
+func (h *harness) Connect(ctx context.Context, _ unit.GroupName, i manifest.Instance, _ unit.CallerName, via string) (Conn, *result.Error) {
 	if via == "hung" {
 		<-ctx.Done()
 		h.timedOut.Store(errors.Is(ctx.Err(), context.DeadlineExceeded))
@@ -249,7 +249,7 @@
 
 func (h *harness) open(database unit.DatabaseName) *Session {
 	h.t.Helper()
-	s, err := h.Open(database)
+	s, err := h.Open(database, "")
 	if err != nil {
 		h.t.Fatal(err)
 	}
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"tarragonshed.example/authorizer"
 	"tarragonshed.example/limiter"
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/result"
@@ -30,6 +29,7 @@
 	session  *Session
 	route    manifest.Route
 	group    *group
+	caller   *manifest.Caller
 	call     call
 	began    unit.Instant
 	deadline time.Time
@@ -147,40 +147,33 @@
 func (j *job) execute(t *target, p limiter.Priority, after unit.Position) (Reply, *result.Error) {
 	e := j.session.engine
 	j.shed = false
-	pc, err := t.acquire(e.ctx, p, latestSend(j.deadline))
-	if err != nil {
-		return Reply{}, err
-	}
-	if j.call.writes && !e.authority.Holds(pc.leadership(j)) {
-		pc.release()
-		return Reply{}, result.New(result.NotPrimary, "instance %s may no longer be the primary", t.name())
-	}
+	lease := t.lease(e.ctx, leaseRequest(t, j.route, j.caller, p, j.deadline))
+	defer lease.End()
+	c := j.call.Call
+	c.After = after
 	began := e.now()
-	reply, err := pc.roundTrip(j.deadline, pc.link.requests(j.call, after, false)...)
+	reply, err := lease.Run(c, j.deadline)
 	if err != nil {
-		pc.drainAndRelease(Idle)
 		return Reply{}, err
 	}
-	j.shed = pc.shed
-	if reply.State != Idle {
-		pc.drainAndRelease(reply.State)
-	} else {
-		pc.release()
-	}
+	j.shed = reply.Err != nil && reply.Err.Code == result.Overloaded
 	if reply.Err == nil && j.call.writes {
 		e.meters.recordStatement(true, true, e.now().Sub(began))
 	}
 	return reply, reply.Err
 }
 
-// leadership returns the leadership under which the target is the primary. It is the
-// zero value if the target is not the primary.
-func (pc *pooledConn) leadership(j *job) authorizer.Leadership {
-	l, _ := j.session.engine.authority.Primary(j.group.name)
-	if l.Primary != pc.target.name() {
-		return authorizer.Leadership{}
+// leaseRequest returns the request for a lease of the target for an operation that begins now.
+func leaseRequest(t *target, r manifest.Route, caller *manifest.Caller, p limiter.Priority, deadline time.Time) LeaseRequest {
+	request := LeaseRequest{
+		Group: t.group.name, Instance: t.name(), Incarnation: t.instance.Incarnation,
+		Caller: caller.Name, Priority: p, Rank: limiter.Rank{Route: r.Priority, Caller: caller.Priority},
+		Deadline: latestSend(deadline),
+	}
+	if r.TargetLatency > 0 {
+		request.Target = time.Now().Add(r.TargetLatency)
 	}
-	return l
+	return request
 }
 
 // prepareRetry reports whether the statement is to be run again. It excludes the target
@@ -197,7 +190,7 @@
 	}
 	j.excluded[t.name()] = true
 	e.meters.retries.Inc(1)
-	e.logRetry(j.call.id, t, err, len(j.excluded))
+	e.logRetry(j.call.ID, t, err, len(j.excluded))
 	switch err.Code {
 	case result.InstanceBehind:
 		return true // The instance did no work for the statement.
--- /dev/null
+++ b/tarragonshed/engine/lease.go
@@ -0,0 +1,161 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"tarragonshed.example/limiter"
+	"tarragonshed.example/result"
+	"tarragonshed.example/router"
+	"tarragonshed.example/unit"
+)
+
+// localLease is a lease over this daemon's own connections.
+type localLease struct {
+	ctx     context.Context
+	target  *target
+	request LeaseRequest
+	// forwarded is true if the statements come from another daemon. The slot of a BEGIN is then
+	// not kept for the statement that follows, because it would be unused meanwhile.
+	forwarded bool
+
+	conn *pooledConn // Nil before the first statement has been admitted.
+	// state is the state of the connection after the statements that were sent.
+	state TransactionState
+	wrote bool // Whether a write may have run in the transaction.
+}
+
+// newLease returns a lease of the target over this daemon's own connections.
+func (t *target) newLease(ctx context.Context, r LeaseRequest) *localLease {
+	return &localLease{ctx: ctx, target: t, request: r, state: Idle}
+}
+
+// Run implements [Lease].
+func (l *localLease) Run(c Call, deadline time.Time) (Reply, *result.Error) {
+	if err := l.admit(deadline); err != nil {
+		return Reply{}, err
+	}
+	if l.commits(c) && !l.target.mayWrite() {
+		return Reply{}, result.New(result.NotPrimary, "instance %s may no longer be the primary", l.target.name())
+	}
+	sentAt := l.target.engine.now()
+	requests := l.conn.link.requests(c, l.state != Idle)
+	l.beginStatement(c)
+	reply, err := l.conn.roundTrip(deadline, requests...)
+	if err != nil {
+		return Reply{}, err
+	}
+	l.state = reply.State
+	if _, begins := c.Statement.(Begin); !begins || l.forwarded || reply.Err != nil {
+		l.conn.releaseSlot()
+	}
+	if l.forwarded {
+		l.target.observe(reply.Position, sentAt)
+		reply.Load = l.target.report()
+	}
+	return reply, nil
+}
+
+// commits reports whether the call makes writes permanent.
+func (l *localLease) commits(c Call) bool {
+	if _, ok := c.Statement.(Commit); ok {
+		return l.wrote
+	}
+	return l.state == Idle && c.writes()
+}
+
+// beginStatement records what may have happened until the instance has replied.
+func (l *localLease) beginStatement(c Call) {
+	switch c.Statement.(type) {
+	case Begin, Commit:
+		l.state = Failed
+	}
+	l.wrote = l.wrote || c.writes()
+}
+
+// admit waits for a slot and, before the first statement, for a connection.
+func (l *localLease) admit(deadline time.Time) *result.Error {
+	if l.conn != nil && l.conn.slot {
+		return nil
+	}
+	if l.conn != nil {
+		open := l.request
+		open.Priority, open.Deadline = limiter.OpenTransaction, deadline
+		return l.conn.acquireSlot(l.ctx, open)
+	}
+	conn, err := l.target.acquire(l.ctx, l.request)
+	l.conn = conn
+	return err
+}
+
+// End implements [Lease].
+func (l *localLease) End() {
+	if l.conn == nil {
+		return
+	}
+	if l.state == Idle && l.conn.link.unread == 0 {
+		l.conn.release()
+		return
+	}
+	l.conn.drainAndRelease(l.state)
+}
+
+// writes reports whether the call may write outside of a transaction.
+func (c Call) writes() bool {
+	switch c.Statement.(type) {
+	case Write:
+		return true
+	case Execute:
+		return c.Definition.Writes
+	}
+	return false
+}
+
+// mayWrite reports whether the target is the primary and this daemon may use it.
+func (t *target) mayWrite() bool {
+	l, _ := t.engine.authority.Primary(t.group.name)
+	return l.Primary == t.name() && t.engine.authority.Holds(l)
+}
+
+// observe records the position in a reply to a request sent at sentAt if the target is the primary.
+func (t *target) observe(p unit.Position, sentAt unit.Instant) {
+	if t.mayWrite() {
+		t.group.observe(p, sentAt)
+	}
+}
+
+// report returns the load of the instance as this daemon sees it.
+func (t *target) report() *router.Report {
+	load := t.Load()
+	return &router.Report{Slots: t.instance.Slots, Running: load.Running, Queued: load.Queued, Mean: load.Mean}
+}
+
+// lease returns a lease of the target.
+func (t *target) lease(ctx context.Context, r LeaseRequest) Lease { return t.newLease(ctx, r) }
+
+// Lease implements [Local].
+func (e *Engine) Lease(ctx context.Context, r LeaseRequest) (Lease, *result.Error) {
+	t, err := e.findTarget(r.Group, r.Instance)
+	if err != nil {
+		return nil, err
+	}
+	if t.instance.Incarnation != r.Incarnation {
+		return nil, result.New(result.InstanceUnreachable, "this daemon knows another incarnation of instance %s", r.Instance)
+	}
+	l := t.newLease(ctx, r)
+	l.forwarded = true
+	return l, nil
+}
+
+// findTarget returns the target of the instance.
+func (e *Engine) findTarget(group unit.GroupName, name unit.InstanceName) (*target, *result.Error) {
+	g, ok := e.current.Load().groups[group]
+	if !ok {
+		return nil, result.New(result.InstanceUnreachable, "no group %s is known", group)
+	}
+	t, ok := g.find(name)
+	if !ok {
+		return nil, result.New(result.InstanceUnreachable, "group %s has no instance %s", group, name)
+	}
+	return t, nil
+}
--- a/tarragonshed/engine/link.go
+++ b/tarragonshed/engine/link.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"tarragonshed.example/pooler"
-	"tarragonshed.example/unit"
 )
 
 // replyBuffer is the number of received replies that a link buffers until they are read.
@@ -102,19 +101,19 @@
 // requests returns the requests to send for the call: the values and the prepared
 // statement that the connection lacks, followed by the statement. inTransaction is true if
 // a transaction is open on the connection.
-func (l *link) requests(c call, after unit.Position, inTransaction bool) []Request {
-	requests := l.valueRequests(c.values, inTransaction)
-	if st, ok := c.statement.(Execute); ok {
-		name, prepared := l.prepared[c.definition]
+func (l *link) requests(c Call, inTransaction bool) []Request {
+	requests := l.valueRequests(c.Values, inTransaction)
+	if st, ok := c.Statement.(Execute); ok {
+		name, prepared := l.prepared[c.Definition]
 		if !prepared {
 			name = "p" + strconv.Itoa(len(l.prepared)+1)
-			l.prepared[c.definition] = name
-			requests = append(requests, Request{Statement: Prepare{Name: name, Definition: c.definition}})
+			l.prepared[c.Definition] = name
+			requests = append(requests, Request{Statement: Prepare{Name: name, Definition: c.Definition}})
 		}
 		st.Name = name
-		return append(requests, Request{ID: c.id, Statement: st, After: after})
+		c.Statement = st
 	}
-	return append(requests, Request{ID: c.id, Statement: c.statement, After: after})
+	return append(requests, Request{ID: c.ID, Statement: c.Statement, After: c.After})
 }
 
 // valueRequests returns the requests that give the connection exactly the values. Values
@@ -147,14 +146,10 @@
 	return true
 }
 
-// call is one statement of a caller with the session state that it needs.
+// call is one statement of a caller.
 type call struct {
-	id        unit.RequestID
-	statement Statement
-	// definition is set for prepared statements only.
-	definition Definition
-	writes     bool
-	values     map[string]string
+	Call
+	writes bool
 	// withoutPosition is true for a read that is too long to be sent with the position that an
 	// instance must have reached. The primary has reached any.
 	withoutPosition bool
--- a/tarragonshed/engine/monitor.go
+++ b/tarragonshed/engine/monitor.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"tarragonshed.example/manifest"
-	"tarragonshed.example/result"
 	"tarragonshed.example/unit"
 )
 
@@ -65,7 +64,7 @@
 // StatusAt requests the status of an instance that may be missing from the manifest in force, over
 // a connection of its own.
 func (e *Engine) StatusAt(ctx context.Context, group unit.GroupName, i manifest.Instance) (InstanceStatus, error) {
-	conn, failure := e.connector.Connect(ctx, group, i, "")
+	conn, failure := e.connector.Connect(ctx, group, i, "", "")
 	if failure != nil {
 		return InstanceStatus{}, failure
 	}
@@ -90,13 +89,9 @@
 }
 
 func (e *Engine) requestStatus(ctx context.Context, group unit.GroupName, name unit.InstanceName, st Statement) (InstanceStatus, error) {
-	g, ok := e.current.Load().groups[group]
-	if !ok {
-		return InstanceStatus{}, result.New(result.InstanceUnreachable, "no group %s is known", group)
-	}
-	t, ok := g.find(name)
-	if !ok {
-		return InstanceStatus{}, result.New(result.InstanceUnreachable, "group %s has no instance %s", group, name)
+	t, err := e.findTarget(group, name)
+	if err != nil {
+		return InstanceStatus{}, err
 	}
 	return t.status(ctx, st)
 }
--- a/tarragonshed/engine/ports.go
+++ b/tarragonshed/engine/ports.go
@@ -25,10 +25,11 @@
 
 // Connector opens connections to instances.
 type Connector interface {
-	// Connect opens a connection. If via isn't empty, the connection goes through the
-	// daemon at that address. The error has code ConnectionsExhausted if the instance is
+	// Connect opens a connection on behalf of the caller, which is empty if no caller is
+	// known. If via isn't empty, the connection goes through the daemon at that address.
+	// The error has code ConnectionsExhausted if the instance is
 	// reachable but has too many connections.
-	Connect(ctx context.Context, group unit.GroupName, i manifest.Instance, via string) (Conn, *result.Error)
+	Connect(ctx context.Context, group unit.GroupName, i manifest.Instance, caller unit.CallerName, via string) (Conn, *result.Error)
 	// Fits reports whether a request is within the size limit of the protocol.
 	Fits(Request) bool
 	// Status decodes the reply to [Status] or [StepDown].
--- a/tarragonshed/engine/probe.go
+++ b/tarragonshed/engine/probe.go
@@ -44,7 +44,7 @@
 	for {
 		ctx, stop := context.WithTimeout(t.engine.ctx, probeTimeout)
 		startedAt := time.Now()
-		conn, err := t.engine.connector.Connect(ctx, t.group.name, t.instance, "")
+		conn, err := t.engine.connector.Connect(ctx, t.group.name, t.instance, "", "")
 		stop()
 		if conn != nil {
 			conn.Close()
@@ -104,7 +104,7 @@
 	var attempts sync.WaitGroup
 	for _, via := range t.engine.peers.Reaching(ctx, t.group.name, t.instance.Name) {
 		attempts.Go(func() {
-			conn, err := t.engine.connector.Connect(ctx, t.group.name, t.instance, via)
+			conn, err := t.engine.connector.Connect(ctx, t.group.name, t.instance, "", via)
 			if conn != nil {
 				conn.Close()
 			}
--- a/tarragonshed/engine/session.go
+++ b/tarragonshed/engine/session.go
@@ -24,6 +24,7 @@
 type Session struct {
 	engine   *Engine
 	database unit.DatabaseName
+	key      manifest.Key
 
 	mu       sync.Mutex // Guards the state against the idle timer and concurrent calls.
 	state    TransactionState
@@ -175,7 +176,7 @@
 
 // run runs a statement that needs an instance.
 func (s *Session) run(id unit.RequestID, st Statement) Answer {
-	c := call{id: id, statement: st, values: s.values}
+	c := call{Call: Call{ID: id, Statement: st, Values: s.values}}
 	switch st := st.(type) {
 	case Write:
 		c.writes = true
@@ -184,7 +185,7 @@
 		if !ok {
 			return Answer{Err: result.New(result.UnknownStatement, "no statement is prepared as %q", st.Name)}
 		}
-		c.definition, c.writes = definition, definition.Writes
+		c.Definition, c.writes = definition, definition.Writes
 	}
 	if err := s.checkSize(&c); err != nil {
 		return Answer{Err: err}
@@ -192,12 +193,12 @@
 	if s.tx != nil {
 		return s.tx.run(c)
 	}
-	route, g, err := s.engine.route(s.database)
+	route, g, caller, err := s.admit()
 	if err != nil {
 		return Answer{Err: err}
 	}
 	g.countRequest()
-	job := &job{session: s, route: route, group: g, call: c, began: s.engine.now(), deadline: deadline(route)}
+	job := &job{session: s, route: route, group: g, caller: caller, call: c, began: s.engine.now(), deadline: deadline(route)}
 	began := time.Now()
 	answer := job.run()
 	g.recordOutcome(began, answer.Err)
--- a/tarragonshed/engine/size.go
+++ b/tarragonshed/engine/size.go
@@ -22,8 +22,8 @@
 // checkSize refuses a call that no instance can be sent, and marks a read that can't be sent with a
 // position.
 func (s *Session) checkSize(c *call) *result.Error {
-	r := Request{ID: c.id, Statement: c.statement}
-	if st, ok := c.statement.(Execute); ok {
+	r := Request{ID: c.ID, Statement: c.Statement}
+	if st, ok := c.Statement.(Execute); ok {
 		st.Name = longestName
 		r.Statement = st
 	}
--- a/tarragonshed/engine/target.go
+++ b/tarragonshed/engine/target.go
@@ -64,9 +64,9 @@
 	return t
 }
 
-func (t *target) open(ctx context.Context, id pooler.Conn, gone func()) (*link, bool, *result.Error) {
+func (t *target) open(ctx context.Context, caller unit.CallerName, id pooler.Conn, gone func()) (*link, bool, *result.Error) {
 	t.engine.meters.connectionsOpened.Inc(1)
-	conn, err := t.connect(ctx)
+	conn, err := t.connect(ctx, caller)
 	if err != nil {
 		return nil, err.Code == result.ConnectionsExhausted, err
 	}
@@ -83,13 +83,13 @@
 	}
 }
 
-// connect opens a connection, through another daemon if there is no direct path to the
+// connect opens a connection of the caller, through another daemon if there is no direct path to the
 // instance.
-func (t *target) connect(ctx context.Context) (Conn, *result.Error) {
+func (t *target) connect(ctx context.Context, caller unit.CallerName) (Conn, *result.Error) {
 	t.mu.Lock()
 	via := t.via
 	t.mu.Unlock()
-	conn, err := t.engine.connector.Connect(ctx, t.group.name, t.instance, via)
+	conn, err := t.engine.connector.Connect(ctx, t.group.name, t.instance, caller, via)
 	if err == nil || err.Code == result.ConnectionsExhausted {
 		return conn, err
 	}
--- a/tarragonshed/engine/transaction.go
+++ b/tarragonshed/engine/transaction.go
@@ -23,10 +23,14 @@
 	session  *Session
 	route    manifest.Route
 	group    *group
+	caller   *manifest.Caller
 	readOnly bool
 	began    unit.Instant
 
-	conn *pooledConn // The pinned connection. It is nil before the first statement.
+	// target is the instance on which the transaction runs, and lease its use. Both are nil
+	// before the first statement.
+	target *target
+	lease  Lease
 	// atPrimary is true if the transaction runs on the primary and depends on leadership.
 	atPrimary  bool
 	leadership authorizer.Leadership
@@ -42,20 +46,20 @@
 	if s.state != Idle {
 		return protocolError("BEGIN", "a transaction is open already")
 	}
-	route, g, err := s.engine.route(s.database)
+	route, g, caller, err := s.admit()
 	if err != nil {
 		return Answer{Err: err}
 	}
 	g.countRequest()
 	s.state = Open
-	s.tx = &transaction{session: s, route: route, group: g, readOnly: st.ReadOnly, began: s.engine.now()}
+	s.tx = &transaction{session: s, route: route, group: g, caller: caller, readOnly: st.ReadOnly, began: s.engine.now()}
 	return Answer{}
 }
 
 // startIdleTimer bounds the time until the next statement.
 func (t *transaction) startIdleTimer() {
 	limit := t.session.engine.transactionIdleTimeout()
-	if limit <= 0 || t.conn == nil {
+	if limit <= 0 || t.lease == nil {
 		return
 	}
 	t.idleSince = time.Now()
@@ -82,9 +86,12 @@
 // run runs a statement in the transaction.
 func (t *transaction) run(c call) Answer {
 	t.stopIdleTimer()
+	if err := t.checkKey(); err != nil {
+		return t.fail(err)
+	}
 	until := deadline(t.route)
-	if t.conn == nil {
-		if err := t.start(c.values, until); err != nil {
+	if t.lease == nil {
+		if err := t.start(c.Values, until); err != nil {
 			return t.fail(err)
 		}
 	}
@@ -107,16 +114,12 @@
 func (t *transaction) sendStatement(c call, until time.Time) (Reply, *result.Error) {
 	e := t.session.engine
 	for attempt := 0; ; attempt++ {
-		if err := t.ensureSlot(until); err != nil {
-			return Reply{}, err
-		}
-		reply, err := t.conn.roundTrip(until, t.conn.link.requests(c, unit.Position{}, true)...)
+		reply, err := t.lease.Run(c.Call, until)
 		if err != nil {
 			return Reply{}, err
 		}
-		t.conn.releaseSlot()
 		if t.atPrimary && !e.authority.Holds(t.leadership) {
-			return Reply{}, result.New(result.AuthorityLost, "instance %s may no longer be the primary", t.conn.target.name())
+			return Reply{}, result.New(result.AuthorityLost, "instance %s may no longer be the primary", t.target.name())
 		}
 		if reply.Err == nil {
 			return reply, nil
@@ -128,15 +131,6 @@
 	}
 }
 
-// ensureSlot acquires a slot for the next statement, unless the connection still holds the
-// one from the start of the transaction.
-func (t *transaction) ensureSlot(until time.Time) *result.Error {
-	if t.conn.slot {
-		return nil
-	}
-	return t.conn.acquireSlot(t.session.engine.ctx, limiter.OpenTransaction, until)
-}
-
 // start chooses an instance and begins the transaction there.
 func (t *transaction) start(values map[string]string, until time.Time) *result.Error {
 	sendBy := latestSend(until)
@@ -211,24 +205,19 @@
 	if t.atPrimary {
 		priority = limiter.Write
 	}
-	pc, err := chosen.acquire(e.ctx, priority, latestSend(until))
-	if err != nil {
-		return err
-	}
-	requests := append(pc.link.valueRequests(values, false), Request{Statement: Begin{ReadOnly: t.readOnly}, After: after})
-	reply, err := pc.roundTrip(until, requests...)
+	lease := chosen.lease(e.ctx, leaseRequest(chosen, t.route, t.caller, priority, until))
+	reply, err := lease.Run(Call{Statement: Begin{ReadOnly: t.readOnly}, Values: values, After: after}, until)
 	if err == nil {
 		err = reply.Err
 	}
+	if err == nil && t.atPrimary && !e.authority.Holds(t.leadership) {
+		err = result.New(result.NotPrimary, "instance %s may no longer be the primary", chosen.name())
+	}
 	if err != nil {
-		pc.drainAndRelease(Failed)
+		lease.End()
 		return err
 	}
-	if t.atPrimary && !e.authority.Holds(t.leadership) {
-		pc.drainAndRelease(Open)
-		return result.New(result.NotPrimary, "instance %s may no longer be the primary", chosen.name())
-	}
-	t.conn = pc
+	t.target, t.lease = chosen, lease
 	return nil
 }
 
@@ -256,30 +245,23 @@
 	t.stopIdleTimer()
 	e := s.engine
 	until := deadline(t.route)
-	if t.conn == nil {
+	if t.lease == nil {
 		if err := t.start(s.values, until); err != nil {
 			s.endTransaction(Idle)
 			return Answer{Err: result.New(result.RolledBack, "%v", err)}
 		}
 	}
-	err := t.ensureSlot(until)
-	if err == nil && t.wrote && !e.authority.Holds(t.leadership) {
-		err = result.New(result.NotPrimary, "instance %s may no longer be the primary", t.conn.target.name())
-	}
-	if err != nil {
+	if t.wrote && !e.authority.Holds(t.leadership) {
 		s.endTransaction(Idle)
-		return Answer{Err: result.New(result.RolledBack, "%v", err)}
+		return Answer{Err: result.New(result.RolledBack, "instance %s may no longer be the primary", t.target.name())}
 	}
 	sentAt := e.now()
-	requests := append(t.conn.link.valueRequests(s.values, true), Request{ID: id, Statement: Commit{}})
-	reply, err := t.conn.roundTrip(until, requests...)
-	pc := t.conn
+	reply, err := t.lease.Run(Call{ID: id, Statement: Commit{}, Values: s.values}, until)
 	s.tx, s.state = nil, Idle
+	t.lease.End()
 	if err != nil {
-		pc.drainAndRelease(Failed)
 		return Answer{Err: t.commitError(err)}
 	}
-	pc.releaseOrDrain(reply.State)
 	if reply.Err != nil {
 		return Answer{Err: reply.Err}
 	}
@@ -287,7 +269,7 @@
 		t.group.acknowledge(reply.Position)
 	}
 	if t.wrote && !e.authority.Holds(t.leadership) {
-		return Answer{Err: result.New(result.AuthorityLost, "instance %s may no longer be the primary", pc.target.name())}
+		return Answer{Err: result.New(result.AuthorityLost, "instance %s may no longer be the primary", t.target.name())}
 	}
 	if t.atPrimary && e.authority.Holds(t.leadership) {
 		t.group.observe(reply.Position, sentAt)
@@ -300,10 +282,10 @@
 
 // commitError returns the error of a COMMIT whose reply did not arrive.
 func (t *transaction) commitError(err *result.Error) *result.Error {
-	if t.wrote {
+	if t.wrote && err.Code.Entry().Outcome != result.NotRun {
 		return err
 	}
-	return result.New(result.RolledBack, "the transaction wrote nothing: %v", err)
+	return result.New(result.RolledBack, "COMMIT was not sent or the transaction wrote nothing: %v", err)
 }
 
 // stopIdleTimer stops the idle timer while a statement runs.
@@ -316,18 +298,8 @@
 // rollBack rolls back at the instance in the background and releases the connection.
 func (t *transaction) rollBack() {
 	t.stopIdleTimer()
-	if pc := t.conn; pc != nil {
-		t.conn = nil
-		pc.drainAndRelease(Open)
-	}
-}
-
-// releaseOrDrain releases a connection after the last reply, and first rolls back what is
-// open.
-func (pc *pooledConn) releaseOrDrain(state TransactionState) {
-	if state == Idle && pc.link.unread == 0 {
-		pc.release()
-		return
+	if t.lease != nil {
+		t.lease.End()
+		t.lease = nil
 	}
-	pc.drainAndRelease(state)
 }
--- a/tarragonshed/home/target.go
+++ b/tarragonshed/home/target.go
@@ -104,7 +104,7 @@
 }
 
 // open opens one connection.
-func (t *target) open(ctx context.Context, id pooler.Conn, onClosed func()) (*conn, bool, *result.Error) {
+func (t *target) open(ctx context.Context, _ unit.CallerName, id pooler.Conn, onClosed func()) (*conn, bool, *result.Error) {
 	hijacked, err := t.endpoint.connect(ctx)
 	if err != nil {
 		failure, exhausted := connectError(t.name, err)
--- a/tarragonshed/lender/lender.go
+++ b/tarragonshed/lender/lender.go
@@ -15,7 +15,7 @@
 //		id, answer := l.Admit(limiter.Request{Caller: caller, Priority: limiter.Write, Deadline: deadline})
 //		...
 //	}
-//	ticket, results := l.Acquire()
+//	ticket, results := l.Acquire(caller)
 //	r := <-results
 //	...
 //	l.Release(r.ID)
@@ -31,6 +31,7 @@
 	"tarragonshed.example/limiter"
 	"tarragonshed.example/pooler"
 	"tarragonshed.example/result"
+	"tarragonshed.example/unit"
 )
 
 // DefaultOpenTimeout is the timeout for opening a connection.
@@ -39,10 +40,10 @@
 // Conn is a connection that can be lent.
 type Conn interface{ Close() }
 
-// Open opens a connection. The connection calls gone once, when it can no longer
-// be used. The result exhausted reports that the instance refused the connection
+// Open opens a connection of the caller, see package pooler. The connection calls gone once,
+// when it can no longer be used. The result exhausted reports that the instance refused the connection
 // because it has too many.
-type Open[C Conn] func(ctx context.Context, id pooler.Conn, gone func()) (c C, exhausted bool, err *result.Error)
+type Open[C Conn] func(ctx context.Context, caller unit.CallerName, id pooler.Conn, gone func()) (c C, exhausted bool, err *result.Error)
 
 // AcquireResult is the result of a request for a connection. If Err is set, there is no
 // connection.
--- a/tarragonshed/lender/lender_test.go
+++ b/tarragonshed/lender/lender_test.go
@@ -12,6 +12,7 @@
 	"tarragonshed.example/pooler"
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/lender"
+	"tarragonshed.example/unit"
 )
 
 // conn is a connection without a network. The lender closes it, and the test loses it
@@ -41,7 +42,7 @@
 	return f
 }
 
-func (f *fixture) open(_ context.Context, _ pooler.Conn, gone func()) (*conn, bool, *result.Error) {
+func (f *fixture) open(_ context.Context, _ unit.CallerName, _ pooler.Conn, gone func()) (*conn, bool, *result.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.exhausted {
@@ -59,7 +60,7 @@
 // acquire waits for a connection and advances the pool's time meanwhile.
 func (f *fixture) acquire(t *testing.T) lender.AcquireResult[*conn] {
 	t.Helper()
-	_, results := f.Acquire()
+	_, results := f.Acquire("")
 	for now := time.Now(); ; now = now.Add(10 * time.Millisecond) {
 		f.Tick(now, false)
 		select {
@@ -75,7 +76,7 @@
 	f := newFixture(2, 1)
 	first := f.acquire(t)
 	is.NoErr(errOf(first))
-	_, second := f.Acquire()
+	_, second := f.Acquire("")
 	select {
 	case <-second:
 		t.Fatal("the connection was lent twice")
--- a/tarragonshed/lender/pool.go
+++ b/tarragonshed/lender/pool.go
@@ -5,23 +5,35 @@
 	"time"
 
 	"tarragonshed.example/pooler"
+	"tarragonshed.example/unit"
 )
 
-// TryAcquire takes an idle connection without waiting. It returns false if there is none.
-func (l *Lender[C]) TryAcquire() (AcquireResult[C], bool) {
+// TryAcquire takes an idle connection of the caller without waiting. It returns false if there
+// is none.
+func (l *Lender[C]) TryAcquire(caller unit.CallerName) (AcquireResult[C], bool) {
+	return l.tryAcquire(func() (pooler.Assign, bool) { return l.pool.TryAcquire(caller, time.Now()) })
+}
+
+// TryAcquireAny takes an idle connection of any caller without waiting, for a request that is
+// not made on behalf of a caller. It returns false if there is none.
+func (l *Lender[C]) TryAcquireAny() (AcquireResult[C], bool) {
+	return l.tryAcquire(func() (pooler.Assign, bool) { return l.pool.TryAcquireAny(time.Now()) })
+}
+
+func (l *Lender[C]) tryAcquire(assign func() (pooler.Assign, bool)) (AcquireResult[C], bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.stopped {
 		return AcquireResult[C]{}, false
 	}
-	assigned, ok := l.pool.TryAcquire(time.Now())
+	assigned, ok := assign()
 	return AcquireResult[C]{ID: assigned.Conn, Conn: l.conns[assigned.Conn], Check: assigned.Check}, ok
 }
 
-// Acquire requests a connection. The channel receives one value. The connection must be
+// Acquire requests a connection of the caller. The channel receives one value. The connection must be
 // given back with [Lender.Release]; the ticket cancels the request with
 // [Lender.WithdrawAcquire].
-func (l *Lender[C]) Acquire() (pooler.Ticket, <-chan AcquireResult[C]) {
+func (l *Lender[C]) Acquire(caller unit.CallerName) (pooler.Ticket, <-chan AcquireResult[C]) {
 	answer := make(chan AcquireResult[C], 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -32,7 +44,7 @@
 		return ticket, answer
 	}
 	l.acquireWaiters[ticket] = answer
-	l.applyPooler(l.pool.Step(pooler.Acquire{Ticket: ticket, Now: time.Now()}))
+	l.applyPooler(l.pool.Step(pooler.Acquire{Ticket: ticket, Caller: caller, Now: time.Now()}))
 	return ticket, answer
 }
 
@@ -69,7 +81,7 @@
 			l.acquireWaiters[effect.Ticket] <- AcquireResult[C]{Err: effect.Err}
 			delete(l.acquireWaiters, effect.Ticket)
 		case pooler.Open:
-			go l.open()
+			go l.open(effect.Caller)
 		case pooler.Close:
 			l.conns[effect.Conn].Close()
 			delete(l.conns, effect.Conn)
@@ -88,8 +100,8 @@
 	return AcquireResult[C]{ID: g.Conn, Conn: l.conns[g.Conn], Check: g.Check}
 }
 
-// open opens one connection and adds it to the pool.
-func (l *Lender[C]) open() {
+// open opens one connection of the caller and adds it to the pool.
+func (l *Lender[C]) open(caller unit.CallerName) {
 	ctx, stop := context.WithTimeout(l.ctx, l.openTimeout)
 	defer stop()
 	l.mu.Lock()
@@ -97,13 +109,13 @@
 	id := pooler.Conn(l.lastID)
 	l.opening[id] = true
 	l.mu.Unlock()
-	c, exhausted, err := l.openConn(ctx, id, func() { l.handleGone(id) })
+	c, exhausted, err := l.openConn(ctx, caller, id, func() { l.handleGone(id) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	alive := l.opening[id]
 	delete(l.opening, id)
 	if err != nil {
-		l.applyPooler(l.pool.Step(pooler.OpenFailed{Now: time.Now(), Exhausted: exhausted, Err: err}))
+		l.applyPooler(l.pool.Step(pooler.OpenFailed{Caller: caller, Now: time.Now(), Exhausted: exhausted, Err: err}))
 		return
 	}
 	l.conns[id] = c
@@ -111,7 +123,7 @@
 	if l.stopped {
 		c.Close()
 	}
-	l.applyPooler(l.pool.Step(pooler.Opened{Conn: id, Now: time.Now()}))
+	l.applyPooler(l.pool.Step(pooler.Opened{Conn: id, Caller: caller, Now: time.Now()}))
 	if !alive {
 		l.remove(id)
 	}
