--- a/placer/example_test.go
+++ b/placer/example_test.go
@@ -23,3 +23,18 @@
 	// Output:
 	// lautoka-shed-1
 }
+
+// A fast VM becomes the home of more instances than a slow one.
+func ExampleAssign() {
+	daemons := []placer.Candidate{
+		{ID: "fast", Domain: "lautoka-shed", Weight: 0.8},
+		{ID: "slow", Domain: "lautoka-shed", Weight: 0.2},
+	}
+	instances := []manifest.Instance{{Name: "a", Domain: "lautoka-shed"}, {Name: "b", Domain: "lautoka-shed"}}
+	for name, homes := range placer.Assign(daemons, instances, nil, 1) {
+		fmt.Println(name, homes[0])
+	}
+	// Unordered output:
+	// a fast
+	// b fast
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -3,17 +3,20 @@
 //
 // # Rendezvous hashing
 //
-// Each (daemon, key) pair has a weight, the xxhash of both names. The daemons
-// with the highest weights do the work. When a daemon joins or leaves, only the
-// work that it does moves. Daemons with equal views select the same daemons
-// without exchanging messages. Daemons with different views may select different
-// ones, so no safety property may depend on the selection.
+// Each (daemon, key) pair has a score, the xxhash of both names, scaled by the weight
+// of the daemon where daemons have different speeds. The daemons with the highest
+// scores do the work. When a daemon joins or leaves, only the work that it does moves.
+// Daemons with equal views select the same daemons without exchanging messages. Daemons
+// with different views may select different ones, so no safety property may depend on
+// the selection.
 //
 // # Homes and watchers
 //
 // The homes of an instance are the daemons that own the connections to it. They
 // are daemons of the instance's failure domain; only when that domain has no
-// usable daemon are they taken from other domains. The watchers of a group are
+// usable daemon are they taken from other domains. [Homes] chooses among the members of
+// a [member.View], [Assign] among daemons of different speeds on any list. [UseHomes]
+// reports whether daemons need homes at all. The watchers of a group are
 // the daemons that monitor it. They are spread over as many failure domains as
 // possible.
 //
@@ -26,6 +29,7 @@
 package placer
 
 import (
+	"math"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,13 +54,13 @@
 	return max(1, min(group.Homes, instance.Slots))
 }
 
-// Homes returns up to n homes of the instance, by descending weight.
+// Homes returns up to n homes of the instance, by descending score.
 func Homes(view member.View, instance manifest.Instance, n int) []member.Daemon {
 	candidates := view.In(instance.Domain)
 	if len(candidates) == 0 {
 		candidates = usable(view)
 	}
-	return first(rank(candidates, homeKind, string(instance.Name)), n)
+	return first(rankEqually(candidates, homeKind, string(instance.Name)), n)
 }
 
 // Standby returns the daemon that is the next to become a home of the instance
@@ -75,7 +79,7 @@
 	if len(others) == 0 {
 		return member.Daemon{}, false
 	}
-	return rank(others, homeKind, string(instance.Name))[0], true
+	return rankEqually(others, homeKind, string(instance.Name))[0], true
 }
 
 // IsHome reports whether the view's own daemon is one of the first n homes of
@@ -85,9 +89,9 @@
 }
 
 // Watchers returns up to n watchers of the group. Daemons of distinct failure
-// domains come first, and otherwise they are ordered by descending weight.
+// domains come first, and otherwise they are ordered by descending score.
 func Watchers(view member.View, group unit.GroupName, n int) []member.Daemon {
-	return first(spreadDomains(rank(usable(view), watcherKind, string(group))), n)
+	return first(spreadDomains(rankEqually(usable(view), watcherKind, string(group))), n)
 }
 
 // IsWatcher reports whether the view's own daemon is one of the first n watchers
@@ -96,20 +100,20 @@
 	return contains(Watchers(view, group, n), view.Self)
 }
 
-// Relays returns up to n relays of the failure domain, by descending weight. A relay
+// Relays returns up to n relays of the failure domain, by descending score. A relay
 // is a daemon that reads from the platform on behalf of the others.
 func Relays(view member.View, domain unit.DomainName, n int) []member.Daemon {
-	return first(rank(view.In(domain), relayKind, string(domain)), n)
+	return first(rankEqually(view.In(domain), relayKind, string(domain)), n)
 }
 
 // RegionRelays returns up to n relays of a region that consists of the given
-// failure domains, by descending weight.
+// failure domains, by descending score.
 func RegionRelays(view member.View, region unit.RegionName, domains []unit.DomainName, n int) []member.Daemon {
 	var candidates []member.Daemon
 	for _, d := range domains {
 		candidates = append(candidates, view.In(d)...)
 	}
-	return first(rank(candidates, relayKind, string(region)), n)
+	return first(rankEqually(candidates, relayKind, string(region)), n)
 }
 
 // IsRelay reports whether the view's own daemon is one of the first n relays of
@@ -119,32 +123,44 @@
 	return ok && contains(Relays(view, self.Domain, n), view.Self)
 }
 
-// rank orders the daemons by descending weight, and by id if weights are equal.
-func rank(daemons []member.Daemon, kind, key string) []member.Daemon {
-	type weighted struct {
-		member.Daemon
-		weight uint64
+// rank orders the daemons by descending score.
+func rank[T any](daemons []T, kind, key string, weight func(T) float64, id func(T) unit.DaemonID) []T {
+	type scored struct {
+		daemon T
+		id     unit.DaemonID
+		hash   uint64
+		score  float64
 	}
-	order := make([]weighted, len(daemons))
+	order := make([]scored, len(daemons))
 	for i, d := range daemons {
-		order[i] = weighted{Daemon: d, weight: weight(kind, key, d.ID)}
+		h := hash(kind, key, id(d))
+		order[i] = scored{daemon: d, id: id(d), hash: h, score: score(h, weight(d))}
 	}
 	sort.Slice(order, func(i, j int) bool {
-		if order[i].weight != order[j].weight {
-			return order[i].weight > order[j].weight
+		a, b := order[i], order[j]
+		switch {
+		case a.score != b.score:
+			return a.score > b.score
+		case a.hash != b.hash: // The score has fewer digits than the hash.
+			return a.hash > b.hash
 		}
-		return order[i].ID < order[j].ID
+		return a.id < b.id
 	})
-	ranked := make([]member.Daemon, len(order))
-	for i, w := range order {
-		ranked[i] = w.Daemon
+	ranked := make([]T, len(order))
+	for i, s := range order {
+		ranked[i] = s.daemon
 	}
 	return ranked
 }
 
-// weight hashes its arguments. They are separated by a zero byte, which no name
+// rankEqually ranks daemons of equal weight.
+func rankEqually(daemons []member.Daemon, kind, key string) []member.Daemon {
+	return rank(daemons, kind, key, func(member.Daemon) float64 { return 1 }, func(d member.Daemon) unit.DaemonID { return d.ID })
+}
+
+// hash hashes its arguments. They are separated by a zero byte, which no name
 // contains, so that different arguments give different hash inputs.
-func weight(kind, key string, id unit.DaemonID) uint64 {
+func hash(kind, key string, id unit.DaemonID) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
 	for _, part := range []string{kind, "\x00", key, "\x00", string(id)} {
@@ -153,6 +169,13 @@
 	return digest.Sum64()
 }
 
+// score increases with the hash. The probability that a daemon has the highest score is
+// proportional to its weight.
+func score(hash uint64, weight float64) float64 {
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53) // In (0, 1).
+	return -weight / math.Log(uniform)
+}
+
 // spreadDomains moves the first daemon of each failure domain to the front.
 func spreadDomains(ranked []member.Daemon) []member.Daemon {
 	seen := make(map[unit.DomainName]bool)
@@ -178,7 +201,7 @@
 	return found
 }
 
-func first(daemons []member.Daemon, n int) []member.Daemon {
+func first[T any](daemons []T, n int) []T {
 	return daemons[:max(0, min(n, len(daemons)))]
 }
 
