engine: use instances through their homes

Where an instance accepts fewer connections than the daemons need to own one each, for each client account, its home owns them, and the other daemons forward statements and whole transactions to it (placer.UseHomes). Authority, positions and outcomes stay with the daemon of the session. A home that can't be reached is passed over, the last resort is a direct connection.

--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -72,8 +72,9 @@
 	refusalLog logLimiter // Limits the log lines about refused statements.
 	messageLog logLimiter // Limits the log lines about refused messages, which are no statements.
 	retryLog   logLimiter // Limits the log lines about retried statements.
-	// daemons is the number of daemons that share the instances.
-	daemons atomic.Int64
+	self       unit.DaemonID
+	forwarder  Forwarder
+	fleet      atomic.Pointer[fleet]
 
 	started      time.Time
 	adopted      chan struct{} // Closed when the first manifest is in force.
@@ -112,6 +113,12 @@
 // daemon has no direct path to it.
 func WithPeers(p Peers) Option { return func(e *Engine) { e.peers = p } }
 
+// WithForwarder sets what forwards statements to other daemons, and the id of this one on the list
+// of [Engine.SetDaemons]. Without it, each daemon uses only connections of its own.
+func WithForwarder(f Forwarder, self unit.DaemonID) Option {
+	return func(e *Engine) { e.forwarder, e.self = f, self }
+}
+
 // WithRateLimits sets what admits the operations of callers. By default all are admitted.
 func WithRateLimits(r RateLimits) Option { return func(e *Engine) { e.rates = r } }
 
@@ -132,7 +139,7 @@
 		started: time.Now(), adopted: make(chan struct{}),
 		rates: unlimited{}, currentAt: func() (unit.Instant, bool) { return now(), true },
 	}
-	e.daemons.Store(1)
+	e.fleet.Store(&fleet{daemons: make([]Daemon, 1)}) // This daemon alone.
 	for _, option := range options {
 		option(e)
 	}
@@ -184,15 +191,7 @@
 	if e.current.Swap(next).manifest == nil {
 		close(e.adopted)
 	}
-	next.update()
-}
-
-// SetDaemonCount sets the number of daemons that share the instances. Each daemon's share
-// of the connections follows from it.
-func (e *Engine) SetDaemonCount(daemons int) {
-	if e.daemons.Swap(int64(max(1, daemons))) != int64(max(1, daemons)) {
-		e.resize()
-	}
+	e.update(next)
 }
 
 // Close closes all connections to instances.
@@ -335,32 +334,51 @@
 // run. It is below the two seconds that callers wait for a session.
 const startupTimeout = 1200 * time.Millisecond
 
+// assumedDaemons is the number of daemons that a daemon assumes until it knows the list of
+// daemons. With it, its share is one connection to each instance.
+const assumedDaemons = 10_000
+
 // limits returns this daemon's limits for an instance. Slots are shared by demand, because
 // most daemons have no work for most instances most of the time: the instance refuses a
 // statement that exceeds its slots before running it. Connections are shared evenly,
 // because the instance counts the connections of all daemons together.
 func (e *Engine) limits(i manifest.Instance) (limiter.Limits, pooler.Limits) {
-	pool := poolLimits(i.Connections, int(e.daemons.Load()), e.starting())
-	if e.Manifest().KeysRequired {
-		pool.Warm = 0 // A connection belongs to one caller, and the next caller isn't known.
+	pool := poolLimits(i.Connections, e.daemonCount(), e.starting())
+	if e.separatesCallers() {
+		pool.Warm = 0 // The next caller isn't known.
 	}
 	return limiter.Limits{Slots: min(pool.Share, i.Slots+extraStatements), Connections: pool.Share, Queue: queueLimit}, pool
 }
 
+// separatesCallers reports whether a connection to an instance belongs to one caller.
+func (e *Engine) separatesCallers() bool {
+	m := e.Manifest()
+	return m != nil && m.KeysRequired
+}
+
+// daemonCount returns the number of daemons that share the instances.
+func (e *Engine) daemonCount() int {
+	if n := len(e.fleet.Load().daemons); n > 0 {
+		return n
+	}
+	return assumedDaemons
+}
+
 // resize applies the current limits to all targets.
 func (e *Engine) resize() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.current.Load().update()
+	e.update(e.current.Load())
 }
 
 // update applies the manifest's instances and the current limits to the groups.
-func (s *snapshot) update() {
+func (e *Engine) update(s *snapshot) {
 	if s.manifest == nil {
 		return
 	}
+	homes := e.homes(s.manifest, s.regions)
 	for _, g := range s.manifest.Groups {
-		s.groups[g.Name].adopt(g.Instances)
+		s.groups[g.Name].adopt(g.Instances, homes)
 	}
 }
 
--- a/tarragonshed/engine/fake_test.go
+++ b/tarragonshed/engine/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -282,3 +283,12 @@
 	defer h.mu.Unlock()
 	h.holds = true
 }
+
+// someDaemons returns a list of n daemons.
+func someDaemons(n int) []Daemon {
+	daemons := make([]Daemon, n)
+	for i := range daemons {
+		daemons[i].ID = unit.DaemonID(fmt.Sprintf("daemon-%d", i))
+	}
+	return daemons
+}
--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -33,13 +33,15 @@
 	engine *Engine
 	name   unit.GroupName
 
-	mu            sync.Mutex
-	targets       map[unit.InstanceName]*target
-	floors        tracker.Floors
-	acknowledged  unit.Position // Highest position of an acknowledged write.
-	strain        strain
-	retryBudget   retrier.Budget
-	positionQuery chan struct{} // Closed when the position request in flight has ended. Nil if there is none.
+	mu           sync.Mutex
+	targets      map[unit.InstanceName]*target
+	floors       tracker.Floors
+	acknowledged unit.Position // Highest position of an acknowledged write.
+	strain       strain
+	retryBudget  retrier.Budget
+	// positionQueries are closed when the position request in flight has ended. They are nil if
+	// there is none. The second one is for other daemons, and is not forwarded.
+	positionQueries [2]chan struct{}
 }
 
 func newGroup(e *Engine, name unit.GroupName) *group {
@@ -48,7 +50,7 @@
 
 // adopt replaces the targets by those of the instances in a newer manifest. The target of
 // an unchanged incarnation and address is kept.
-func (g *group) adopt(instances []manifest.Instance) {
+func (g *group) adopt(instances []manifest.Instance, homes map[unit.InstanceName][]unit.DaemonID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	kept := make(map[unit.InstanceName]bool, len(instances))
@@ -56,13 +58,13 @@
 		kept[i.Name] = true
 		old := g.targets[i.Name]
 		if old != nil && old.instance.Incarnation == i.Incarnation && old.instance.Address == i.Address {
-			old.update(i)
+			old.update(i, homes[i.Name])
 			continue
 		}
 		if old != nil {
 			go old.retire()
 		}
-		g.targets[i.Name] = newTarget(g.engine, g, i)
+		g.targets[i.Name] = newTarget(g.engine, g, i, homes[i.Name])
 	}
 	for name, t := range g.targets {
 		if !kept[name] {
@@ -73,8 +75,9 @@
 }
 
 // update applies the settings that may change during an incarnation of the instance.
-func (t *target) update(i manifest.Instance) {
-	limits, pool := t.engine.limits(i)
+func (t *target) update(i manifest.Instance, homes []unit.DaemonID) {
+	t.setHomes(homes)
+	limits, pool := t.limits()
 	t.Resize(limits, pool)
 	t.setLeaving(i.Leaving)
 }
@@ -195,7 +198,7 @@
 			return unit.Position{}, result.New(result.NoReplica, "group %s: no recent enough position of the primary is known", g.name)
 		}
 		select {
-		case <-g.queryPosition():
+		case <-g.queryPosition(false, g.engine.now().Sub(since)/2):
 		case <-time.After(time.Until(deadline)):
 		case <-ctx.Done():
 			return unit.Position{}, result.New(result.ShuttingDown, "the daemon is shutting down")
@@ -203,28 +206,41 @@
 	}
 }
 
-// queryPosition requests the primary's position. All waiting reads share one request. The
+// newestFloor returns the newest position that the primary has reported, and when the request
+// for it was sent.
+func (g *group) newestFloor() (unit.Position, unit.Instant, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.floors.Newest()
+}
+
+// queryPosition requests a position of the primary that is no older than maxAge. All waiting
+// reads share one request. It is not forwarded to the primary's home if direct is set. The
 // channel is closed when the request has ended.
-func (g *group) queryPosition() <-chan struct{} {
+func (g *group) queryPosition(direct bool, maxAge time.Duration) <-chan struct{} {
+	query := &g.positionQueries[0]
+	if direct {
+		query = &g.positionQueries[1]
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.positionQuery == nil {
+	if *query == nil {
 		ended := make(chan struct{})
-		g.positionQuery = ended
+		*query = ended
 		go func() {
-			g.fetchPosition()
+			g.fetchPosition(direct, maxAge)
 			g.mu.Lock()
-			g.positionQuery = nil
+			*query = nil
 			g.mu.Unlock()
 			close(ended)
 		}()
 	}
-	return g.positionQuery
+	return *query
 }
 
 // fetchPosition sends one position request. It sleeps for primaryPollInterval if there is
 // no primary or the request fails, so that callers don't loop without delay.
-func (g *group) fetchPosition() {
+func (g *group) fetchPosition(direct bool, maxAge time.Duration) {
 	t, l, ok := g.primary()
 	if !ok {
 		time.Sleep(primaryPollInterval)
@@ -232,14 +248,16 @@
 	}
 	ctx, stop := context.WithTimeout(g.engine.ctx, positionTimeout)
 	defer stop()
-	sentAt := g.engine.now()
-	reply, err := t.requestOutOfBand(ctx, Status{})
-	// An instance that refuses the request for lack of a slot still reports its position.
-	if err != nil || reply.Position.IsZero() || !g.engine.authority.Holds(l) {
+	request := func(ctx context.Context) (unit.Position, unit.Instant, bool) { return t.position(ctx, maxAge) }
+	if direct {
+		request = t.positionDirectly
+	}
+	p, at, ok := request(ctx)
+	if !ok || !g.engine.authority.Holds(l) {
 		time.Sleep(primaryPollInterval)
 		return
 	}
-	g.observe(reply.Position, sentAt)
+	g.observe(p, at)
 }
 
 // readCandidates returns the instances that may serve a read with the given staleness
--- a/tarragonshed/engine/idle_timeout_test.go
+++ b/tarragonshed/engine/idle_timeout_test.go
@@ -20,7 +20,7 @@
 		e := New(nil, nil, func() unit.Instant { return 0 })
 		defer e.Close()
 		e.started = time.Now().Add(-startingDuration)
-		e.SetDaemonCount(daemons)
+		e.SetDaemons(someDaemons(daemons))
 		_, pool := e.limits(manifest.Instance{Slots: 5, Connections: connections})
 		is.New(t).Equal(pool.IdleTimeout.String(), want)
 		is.New(t).Equal(pool.Warm, 1) // There is room for this one after a restart.
@@ -39,7 +39,7 @@
 		t.Helper()
 		e := New(nil, nil, func() unit.Instant { return 0 })
 		defer e.Close()
-		e.SetDaemonCount(daemons)
+		e.SetDaemons(someDaemons(daemons))
 		_, pool := e.limits(manifest.Instance{Slots: 4, Connections: connections})
 		is := is.New(t)
 		is.Equal(pool.Warm, warm)
--- a/tarragonshed/engine/lease.go
+++ b/tarragonshed/engine/lease.go
@@ -130,9 +130,6 @@
 	return &router.Report{Slots: t.instance.Slots, Running: load.Running, Queued: load.Queued, Mean: load.Mean}
 }
 
-// lease returns a lease of the target.
-func (t *target) lease(ctx context.Context, r LeaseRequest) Lease { return t.newLease(ctx, r) }
-
 // Lease implements [Local].
 func (e *Engine) Lease(ctx context.Context, r LeaseRequest) (Lease, *result.Error) {
 	t, err := e.findTarget(r.Group, r.Instance)
--- a/tarragonshed/engine/meters.go
+++ b/tarragonshed/engine/meters.go
@@ -19,6 +19,8 @@
 	retries             metrics.Counter
 	connectionsOpened   metrics.Counter
 	transactionsExpired metrics.Counter
+	forwarded           metrics.Counter
+	homesUnreachable    metrics.Counter
 	latency             metrics.Timer
 }
 
@@ -35,6 +37,8 @@
 		retries:             counter("retries"),
 		connectionsOpened:   counter("connections.opened"),
 		transactionsExpired: counter("transactions.expired"),
+		forwarded:           counter("statements.forwarded"),
+		homesUnreachable:    counter("homes.unreachable"),
 		latency:             metrics.GetOrRegisterTimer("engine.latency", registry),
 	}
 }
--- a/tarragonshed/engine/ports.go
+++ b/tarragonshed/engine/ports.go
@@ -50,6 +50,8 @@
 	// sent before the first call of Run. A lost connection to the daemon gives the error
 	// HomeUnreachable if the daemon can't have received the statement, else HomeLost.
 	Lease(ctx context.Context, address string, r LeaseRequest) Lease
+	// Available reports whether the daemon at the address has not failed recently.
+	Available(address string) bool
 	// Position requests the position of the group's primary from the daemon at the address.
 	// It is a position of a primary that had been confirmed when it replied, and it includes
 	// every write acknowledged before the returned age, counted back from the response.
--- a/tarragonshed/engine/resize_test.go
+++ b/tarragonshed/engine/resize_test.go
@@ -25,7 +25,7 @@
 			case <-adopted:
 				return
 			default:
-				e.SetDaemonCount(1 + n%2)
+				e.SetDaemons(someDaemons(1 + n%2))
 			}
 		}
 	})
--- a/tarragonshed/engine/target.go
+++ b/tarragonshed/engine/target.go
@@ -51,15 +51,19 @@
 	// It is empty if none is known.
 	via string
 	lag router.Lag
+	// homes are the daemons through which the instance is reached, the first one first. It is
+	// empty if each daemon uses its own connections.
+	homes []unit.DaemonID
 
 	lastReply atomic.Int64 // When the last reply arrived, in nanoseconds since the Unix epoch.
 }
 
-func newTarget(e *Engine, g *group, i manifest.Instance) *target {
+func newTarget(e *Engine, g *group, i manifest.Instance, homes []unit.DaemonID) *target {
 	ctx, stop := context.WithCancel(e.ctx)
 	t := &target{engine: e, group: g, instance: i, stop: stop, distance: e.distance(i.Domain)}
 	t.setLeaving(i.Leaving)
-	limits, pool := e.limits(i)
+	t.setHomes(homes)
+	limits, pool := t.limits()
 	t.Lender = lender.New(ctx, t.open, limits, pool, lender.WithOpenTimeout[*link](openTimeout))
 	return t
 }
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -337,11 +337,11 @@
 	return o.changed
 }
 
-// Daemons returns the number of daemons on the member list.
-func (o *Overseer) Daemons() int {
+// Listed returns the daemons on the member list. It is empty if the list is not known yet.
+func (o *Overseer) Listed() []authorizer.Member {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.auth.View().Listed())
+	return o.auth.View().Listed()
 }
 
 // notifyChanged wakes the callers that wait for a primary. The caller holds mu.
--- a/tracker/floors.go
+++ b/tracker/floors.go
@@ -85,6 +85,16 @@
 	return unit.Position{}, false
 }
 
+// Newest returns the position whose request was sent last, and when that was. It returns
+// false if no position is known.
+func (f *Floors) Newest() (unit.Position, unit.Instant, bool) {
+	if len(f.entries) == f.start {
+		return unit.Position{}, 0, false
+	}
+	last := f.entries[len(f.entries)-1]
+	return last.position, last.requestedAt, true
+}
+
 // RequiredPosition returns the position that the reads of a session whose last write is
 // at p must have reached. A write of a term earlier than the current one is either
 // below the first position of the current term, or it was rolled back.
