overseer: list the speed of each daemon's VM

The first home of an instance should not be a slow VM. The speed comes from the settings and is part of the daemon's row; a row without one, or with one that no VM has, counts as unknown.

--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -135,6 +135,8 @@
 	Domain      unit.DomainName  `json:"domain"`
 	// Address is where other daemons reach the daemon, as host:port.
 	Address string `json:"address"`
+	// Speed is the speed of the daemon's VM in processor cores, or zero if it is unknown.
+	Speed float64 `json:"speed,omitempty"`
 	// Listed is the store's clock when the daemon was added to the list. A restart of the
 	// daemon does not change it.
 	Listed time.Duration `json:"listed"`
--- a/tarragonshed/overseer/decoder.go
+++ b/tarragonshed/overseer/decoder.go
@@ -100,5 +100,14 @@
 	if json.Unmarshal(value, &m) != nil || m.Daemon != d || m.Listed < 0 || m.Removed < 0 {
 		return authorizer.Member{Daemon: d}, false
 	}
+	if !isSpeed(m.Speed) {
+		m.Speed = 0
+	}
 	return m, true
 }
+
+// maxSpeed bounds the speed of a VM in processor cores. No VM has so many.
+const maxSpeed = 4096
+
+// isSpeed reports whether a VM may have the speed.
+func isSpeed(cores float64) bool { return cores >= 0 && cores <= maxSpeed }
--- a/tarragonshed/overseer/enlist.go
+++ b/tarragonshed/overseer/enlist.go
@@ -16,6 +16,7 @@
 func (o *Overseer) enlist(ctx context.Context) error {
 	return o.enlistMember(ctx, authorizer.Member{
 		Daemon: o.self.Daemon, Incarnation: o.self.Incarnation, Domain: o.self.Domain, Address: o.self.Address,
+		Speed: o.self.Speed,
 	})
 }
 
@@ -60,7 +61,7 @@
 	defer stop()
 	_, err := o.peer(address).Enlist(ctx, connect.NewRequest(&peer.EnlistRequest{
 		Daemon: string(o.self.Daemon), Incarnation: uint64(o.self.Incarnation),
-		Domain: string(o.self.Domain), Address: o.self.Address,
+		Domain: string(o.self.Domain), Address: o.self.Address, Speed: o.self.Speed,
 	}))
 	o.logger.Info("enlistment through another daemon", "through", address, "cause", err)
 	if err != nil {
@@ -78,7 +79,10 @@
 	o := s.overseer
 	m := authorizer.Member{
 		Daemon: unit.DaemonID(r.Msg.Daemon), Incarnation: unit.Incarnation(r.Msg.Incarnation),
-		Domain: unit.DomainName(r.Msg.Domain), Address: r.Msg.Address,
+		Domain: unit.DomainName(r.Msg.Domain), Address: r.Msg.Address, Speed: r.Msg.Speed,
+	}
+	if !isSpeed(m.Speed) {
+		m.Speed = 0
 	}
 	if m.Daemon == "" || m.Incarnation == 0 || m.Address == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errIncomplete)
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -98,6 +98,8 @@
 	Domain      unit.DomainName
 	// Address is where other daemons connect to it, as host:port.
 	Address string
+	// Speed is the speed of its VM in processor cores, or zero if it is unknown.
+	Speed float64
 }
 
 // Instances is the part of the engine that the overseer uses.
