--- a/tarragonshed/engine/fake_test.go
+++ b/tarragonshed/engine/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,6 +21,8 @@
 	mu    sync.Mutex
 	sent  []Request
 	conns int
+	// callers are the callers of the connections opened on their behalf.
+	callers []unit.CallerName
 	// answer replies to a request. A nil reply closes the connection, and no reply is sent
 	// if the second result is false.
 	answer  func(c *fakeConn, r Request) (*Reply, bool)
@@ -108,6 +111,13 @@
 	return requests
 }
 
+// callersConnected returns the callers of the connections opened on their behalf.
+func (i *fakeInstance) callersConnected() []unit.CallerName {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Clone(i.callers)
+}
+
 // statements returns all statements sent to the instance.
 func (i *fakeInstance) statements() []Statement {
 	i.mu.Lock()
@@ -138,7 +148,7 @@
 	changed chan struct{}
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t *testing.T, options ...Option) *harness {
 	h := &harness{
 		peers: []string{"peer"},
 		t:     t, instances: make(map[unit.InstanceName]*fakeInstance), holds: true, changed: make(chan struct{}),
@@ -159,7 +169,8 @@
 			Database: name, Group: "g", Consistency: consistency, Timeout: time.Minute, MaxStaleness: time.Hour,
 		})
 	}
-	h.Engine = New(h, h, func() unit.Instant { return unit.Instant(time.Since(start)) }, WithDomain("domain-b"), WithPeers(h))
+	options = append([]Option{WithDomain("domain-b"), WithPeers(h)}, options...)
+	h.Engine = New(h, h, func() unit.Instant { return unit.Instant(time.Since(start)) }, options...)
 	t.Cleanup(h.Close)
 	h.Adopt(h.manifest)
 	return h
@@ -168,7 +179,7 @@
 var start = time.Now().Add(-time.Hour)
 
 // Connect implements [Connector].
-func (h *harness) Connect(ctx context.Context, _ unit.GroupName, i manifest.Instance, _ unit.CallerName, via string) (Conn, *result.Error) {
+func (h *harness) Connect(ctx context.Context, _ unit.GroupName, i manifest.Instance, caller unit.CallerName, via string) (Conn, *result.Error) {
 	if via == "hung" {
 		<-ctx.Done()
 		h.timedOut.Store(errors.Is(ctx.Err(), context.DeadlineExceeded))
@@ -181,6 +192,9 @@
 		return nil, f.connect
 	}
 	f.conns++
+	if caller != "" {
+		f.callers = append(f.callers, caller)
+	}
 	return &fakeConn{instance: f, replies: make(chan Reply, 64), closed: make(chan struct{}), state: Idle}, nil
 }
 
--- a/tarragonshed/engine/transaction.go
+++ b/tarragonshed/engine/transaction.go
@@ -244,6 +244,10 @@
 	t := s.tx
 	t.stopIdleTimer()
 	e := s.engine
+	if err := t.checkKey(); err != nil {
+		s.endTransaction(Idle)
+		return Answer{Err: err}
+	}
 	until := deadline(t.route)
 	if t.lease == nil {
 		if err := t.start(s.values, until); err != nil {
