multiplexer: move the HTTP/2 settings of streams between daemons out of carrier

Statements will be forwarded between daemons of the users' platform, which do not have package carrier. The settings of both are the same: one connection for all streams, and pings that notice a silent peer. No change of behaviour.

--- a/tarragonshed/carrier/streams.go
+++ b/tarragonshed/carrier/streams.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -18,6 +17,7 @@
 	"tarragonshed.example/tarragonshed/dialer"
 	"tarragonshed.example/tarragonshed/holder"
 	"tarragonshed.example/tarragonshed/home"
+	"tarragonshed.example/tarragonshed/multiplexer"
 	"tarragonshed.example/unit"
 	"tarragonshed.example/wire/peer/peerconnect"
 )
@@ -26,20 +26,9 @@
 const (
 	// maxIdle is the number of idle streams cached for each daemon.
 	maxIdle = 256
-	// maxStreams is the number of concurrent streams on one connection.
-	maxStreams = 4096
 	// failureBackoff is how long a daemon that could not be reached is tried
 	// after all others.
 	failureBackoff = 500 * time.Millisecond
-	dialTimeout    = time.Second
-	// A connection without data for pingAfter is sent a ping, and closed when no
-	// answer comes within pingTimeout.
-	pingAfter   = 500 * time.Millisecond
-	pingTimeout = 500 * time.Millisecond
-	// A window is the number of bytes that may be sent before the receiver has
-	// read them.
-	streamWindow     = 256 << 10
-	connectionWindow = 8 << 20
 )
 
 // Streams implements [Carrier] for a daemon. It is safe for concurrent use.
@@ -78,7 +67,7 @@
 		option(&s)
 	}
 	streams := &Streams{
-		holder: current, home: local, client: newClient(s), scheme: "http://",
+		holder: current, home: local, client: &http.Client{Transport: multiplexer.NewTransport(s.dial, s.tls)}, scheme: "http://",
 		idle:   make(map[unit.DaemonID][]Stream),
 		peers:  make(map[string]peerconnect.CarrierClient),
 		failed: make(map[unit.DaemonID]time.Time),
@@ -90,38 +79,9 @@
 	return streams
 }
 
-func newClient(s settings) *http.Client {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP2(s.tls != nil)
-	protocols.SetUnencryptedHTTP2(s.tls == nil)
-	return &http.Client{Transport: &http.Transport{
-		Protocols:       protocols,
-		TLSClientConfig: s.tls,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, stop := context.WithTimeout(ctx, dialTimeout)
-			defer stop()
-			return s.dial(ctx, network, address)
-		},
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: pingAfter, PingTimeout: pingTimeout,
-			MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connectionWindow,
-		},
-	}}
-}
-
 // Configure sets the protocols and the HTTP/2 limits that [Streams] requires on a
 // server of the peer endpoint.
-func Configure(server *http.Server) {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
-	server.Protocols = protocols
-	server.HTTP2 = &http.HTTP2Config{
-		MaxConcurrentStreams: maxStreams, SendPingTimeout: pingAfter, PingTimeout: pingTimeout,
-		MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connectionWindow,
-	}
-}
+func Configure(server *http.Server) { multiplexer.Configure(server) }
 
 // Open returns a stream to a home of the instance. If a home can't be reached, it
 // tries the next one.
