forwarder: send pings only while a reply is owed

The transport's pings pass on every connection at rest, and bytes between failure domains are dear. A Forwarder now sends a ping on a stream with leases on which nothing passes for 0.4 s, and takes a daemon for lost if no data arrives within 0.5 s more. Data counts from its first bytes, so a long reply over a slow link doesn't look like silence. A home ends a stream with leases on which no message arrives for 2 s. A silent connection is closed, so that the transport doesn't use it again.

Also: a lease can't be used after an error, a stream that is drained or closed is not cut while leases of it end, and nothing is sent on a stream whose handler has returned (found by the race detector).

--- a/tarragonshed/carrier/streams.go
+++ b/tarragonshed/carrier/streams.go
@@ -29,6 +29,8 @@
 	// failureBackoff is how long a daemon that could not be reached is tried
 	// after all others.
 	failureBackoff = 500 * time.Millisecond
+	// pingAfter is how long a connection is without data before it is sent a ping.
+	pingAfter = 500 * time.Millisecond
 )
 
 // Streams implements [Carrier] for a daemon. It is safe for concurrent use.
@@ -67,7 +69,7 @@
 		option(&s)
 	}
 	streams := &Streams{
-		holder: current, home: local, client: &http.Client{Transport: multiplexer.NewTransport(s.dial, s.tls)}, scheme: "http://",
+		holder: current, home: local, client: &http.Client{Transport: multiplexer.NewTransport(s.dial, s.tls, pingAfter)}, scheme: "http://",
 		idle:   make(map[unit.DaemonID][]Stream),
 		peers:  make(map[string]peerconnect.CarrierClient),
 		failed: make(map[unit.DaemonID]time.Time),
@@ -81,7 +83,7 @@
 
 // Configure sets the protocols and the HTTP/2 limits that [Streams] requires on a
 // server of the peer endpoint.
-func Configure(server *http.Server) { multiplexer.Configure(server) }
+func Configure(server *http.Server) { multiplexer.Configure(server, pingAfter) }
 
 // Open returns a stream to a home of the instance. If a home can't be reached, it
 // tries the next one.
--- a/tarragonshed/forwarder/forwarder.go
+++ b/tarragonshed/forwarder/forwarder.go
@@ -39,12 +39,14 @@
 //
 //	server := forwarder.NewServer(engine)
 //	routes.Handle(server.Handler())
-//	multiplexer.Configure(httpServer)
+//	forwarder.Configure(httpServer)
 package forwarder
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -68,14 +70,15 @@
 	// failureBackoff is how long a daemon that failed is not tried again.
 	failureBackoff = 500 * time.Millisecond
 	// idleTimeout is how long a stream without a lease is kept.
-	idleTimeout = 15 * time.Second
-	// checkInterval is the interval at which unused streams are closed.
-	checkInterval = 5 * time.Second
+	idleTimeout = 30 * time.Second
 	// connectionIdleTimeout is how long a connection without a stream is kept.
 	connectionIdleTimeout = time.Second
-	// forgetAfter is how long a failure of a daemon is remembered, so that it isn't logged
-	// again for each attempt.
+	// forgetAfter is how long a daemon without a stream is remembered, so that its failure
+	// isn't logged again for each attempt.
 	forgetAfter = time.Minute
+	// connectionPingAfter is how long a connection is without data before the transport
+	// sends a ping. Streams with leases send their own ones, see [traffic].
+	connectionPingAfter = 15 * time.Second
 	// maxMessageBytes bounds the size of a message.
 	maxMessageBytes = 32 << 20
 )
@@ -96,6 +99,7 @@
 // guards it.
 type remoteHome struct {
 	client peerconnect.ForwarderClient
+	link   *link
 	// stream accepts leases. It is nil if there is none.
 	stream *stream
 	// opening is the attempt to open a stream that is in progress, or nil.
@@ -104,6 +108,8 @@
 	// stream was opened.
 	failedAt time.Time
 	failure  *result.Error
+	// usedAt is when the daemon was last found to have a stream or to be opening one.
+	usedAt time.Time
 }
 
 // opening is an attempt to open a stream. The results are set when done is closed.
@@ -142,20 +148,23 @@
 // New returns a Forwarder without a stream. The caller must call Close.
 func New(options ...Option) *Forwarder {
 	s := newSettings(options)
-	transport := multiplexer.NewTransport(s.dial, nil)
+	f := &Forwarder{logger: s.logger, meters: newMeters(s.registry), homes: make(map[string]*remoteHome)}
+	transport := multiplexer.NewTransport(f.dial(s.dial), nil, connectionPingAfter)
 	transport.IdleConnTimeout = connectionIdleTimeout
-	f := &Forwarder{
-		client: &http.Client{Transport: transport},
-		logger: s.logger, meters: newMeters(s.registry), homes: make(map[string]*remoteHome),
-	}
+	f.client = &http.Client{Transport: transport}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	go func() {
 		ticker := time.NewTicker(checkInterval)
 		defer ticker.Stop()
+		last := time.Now()
 		for {
 			select {
 			case now := <-ticker.C:
 				f.closeUnused(now)
+				if now.Sub(last) < lateCheck {
+					f.checkSilence(now)
+				}
+				last = now
 			case <-f.ctx.Done():
 				return
 			}
@@ -164,20 +173,39 @@
 	return f
 }
 
+// dial returns a function that opens connections with dial and records when data arrives.
+func (f *Forwarder) dial(dial dialer.Func) dialer.Func {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		f.mu.Lock()
+		l := f.home(address).link
+		f.mu.Unlock()
+		return l.join(c), nil
+	}
+}
+
 // Close closes all streams. Statements in flight fail.
 func (f *Forwarder) Close() {
 	defer f.stop()
+	for _, s := range f.streams() {
+		s.close()
+	}
+}
+
+// streams returns the streams that accept leases.
+func (f *Forwarder) streams() []*stream {
 	f.mu.Lock()
-	var open []*stream
+	defer f.mu.Unlock()
+	var streams []*stream
 	for _, h := range f.homes {
 		if h.stream != nil {
-			open = append(open, h.stream)
+			streams = append(streams, h.stream)
 		}
 	}
-	f.mu.Unlock()
-	for _, s := range open {
-		s.close()
-	}
+	return streams
 }
 
 // Available reports whether statements can be forwarded to the daemon at the address. It
@@ -285,8 +313,11 @@
 func (f *Forwarder) home(address string) *remoteHome {
 	h, ok := f.homes[address]
 	if !ok {
-		h = &remoteHome{client: peerconnect.NewForwarderClient(f.client, "http://"+address,
-			connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessageBytes))}
+		h = &remoteHome{
+			client: peerconnect.NewForwarderClient(f.client, "http://"+address,
+				connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessageBytes)),
+			link: &link{base: time.Now()}, usedAt: time.Now(),
+		}
 		f.homes[address] = h
 	}
 	return h
@@ -294,10 +325,13 @@
 
 // runOpening opens a stream and records the result.
 func (f *Forwarder) runOpening(address string, h *remoteHome, o *opening) {
-	s, err := openStream(f, address, h.client)
+	s, err := openStream(f, address, h)
 	if err != nil {
 		o.err = result.New(result.HomeUnreachable, "daemon %s: %v", address, err)
 	}
+	if errors.Is(err, errOpenTimeout) {
+		h.link.cut()
+	}
 	o.stream = s
 	f.mu.Lock()
 	h.opening = nil
@@ -338,16 +372,18 @@
 }
 
 // closeUnused closes streams that haven't had a lease for idleTimeout, and forgets daemons
-// without a stream.
+// that haven't had a stream for forgetAfter.
 func (f *Forwarder) closeUnused(now time.Time) {
-	f.mu.Lock()
 	var unused []*stream
+	f.mu.Lock()
 	for address, h := range f.homes {
-		switch {
-		case h.stream != nil && h.stream.unusedSince(now) >= idleTimeout:
+		if h.stream != nil && h.stream.unusedFor(now) >= idleTimeout {
 			unused = append(unused, h.stream)
 			h.stream = nil
-		case h.stream == nil && h.opening == nil && now.Sub(h.failedAt) >= forgetAfter:
+		}
+		if h.stream != nil || h.opening != nil {
+			h.usedAt = now
+		} else if now.Sub(h.usedAt) >= forgetAfter {
 			delete(f.homes, address)
 		}
 	}
@@ -356,3 +392,10 @@
 		s.retire()
 	}
 }
+
+// checkSilence sends pings that are due and ends the streams of silent daemons.
+func (f *Forwarder) checkSilence(now time.Time) {
+	for _, s := range f.streams() {
+		s.check(now)
+	}
+}
--- a/tarragonshed/forwarder/forwarder_test.go
+++ b/tarragonshed/forwarder/forwarder_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,7 +19,6 @@
 	"tarragonshed.example/router"
 	"tarragonshed.example/tarragonshed/engine"
 	"tarragonshed.example/tarragonshed/forwarder"
-	"tarragonshed.example/tarragonshed/multiplexer"
 	"tarragonshed.example/unit"
 )
 
@@ -99,7 +99,7 @@
 			r.conns <- c
 		}
 	}}
-	multiplexer.Configure(r.http)
+	forwarder.Configure(r.http)
 	go func() { _ = r.http.Serve(l) }()
 	r.forwarder = forwarder.New(append(options, forwarder.WithMetrics(r.registry))...)
 	t.Cleanup(func() {
@@ -266,6 +266,8 @@
 		l := r.lease("a")
 		_, err := l.Run(read, soon())
 		is.Equal(err, failure)
+		_, err = l.Run(read, soon())
+		is.Equal(err.Code, result.HomeUnreachable) // It would run outside of its transaction.
 		l.End()
 		is.Equal(<-r.local.ended, unit.InstanceName("a"))
 	})
@@ -277,8 +279,10 @@
 		is := is.New(t)
 		r := newRig(t)
 		large := engine.Call{Statement: engine.Read{Text: string(make([]byte, 33<<20))}}
-		_, err := r.lease("a").Run(large, soon())
+		l := r.lease("a")
+		_, err := l.Run(large, soon())
 		is.Equal(err.Code, result.StatementTooLarge)
+		l.End()
 		_, err = r.lease("a").Run(read, soon())
 		is.True(err == nil)
 	})
@@ -449,6 +453,26 @@
 	}
 }
 
+func TestUnusedStream(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	l := r.lease("a")
+	r.local.run = reply(engine.Reply{State: engine.Open})
+	_, err := l.Run(read, soon())
+	is.True(err == nil)
+	later := time.Now().Add(forwarder.IdleTimeout + time.Hour)
+	r.forwarder.CloseUnused(later)
+	_, err = l.Run(read, soon()) // The lease keeps the stream open.
+	is.True(err == nil)
+	l.End()
+	r.forwarder.CloseUnused(later)
+	is.Equal(r.count("forwarder.streams.opened"), int64(1))
+	_, err = r.lease("a").Run(read, soon())
+	is.True(err == nil)
+	is.Equal(r.count("forwarder.streams.opened"), int64(2))
+	is.Equal(r.count("forwarder.streams.lost"), int64(0))
+}
+
 func TestPosition(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
@@ -504,8 +528,30 @@
 	})
 }
 
+// countingConn counts the bytes in both directions.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	c.bytes.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+// BenchmarkStatement measures both daemons together.
 func BenchmarkStatement(b *testing.B) {
-	r := newRig(b)
+	var bytes atomic.Int64
+	r := newRig(b, forwarder.WithDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, address)
+		return countingConn{c, &bytes}, err
+	}))
 	r.local.run = reply(engine.Reply{Rows: [][]byte{[]byte("a row")}, Receipt: "1", State: engine.Idle, Load: &router.Report{Slots: 4, Mean: 1e7}})
 	r.local.ended = make(chan unit.InstanceName, b.N+1)
 	request := engine.LeaseRequest{
@@ -519,7 +565,9 @@
 	run()
 	b.ReportAllocs()
 	b.ResetTimer()
+	bytes.Store(0)
 	for range b.N {
 		run()
 	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-bytes/op")
 }
--- a/tarragonshed/forwarder/lease.go
+++ b/tarragonshed/forwarder/lease.go
@@ -25,16 +25,23 @@
 	replies <-chan *peer.ForwardResponse
 	// opened is true if the first statement has been queued.
 	opened bool
+	// failed is true after an error of Run. A later statement must not run outside of its
+	// transaction.
+	failed bool
 	// values are those that the home knows.
 	values map[string]string
 }
 
 // Run implements [engine.Lease].
 func (l *lease) Run(c engine.Call, deadline time.Time) (engine.Reply, *result.Error) {
+	if l.failed {
+		return engine.Reply{}, result.New(result.HomeUnreachable, "the lease at daemon %s has ended", l.address)
+	}
 	w, stop := newWait(l.ctx, deadline)
 	defer stop()
 	reply, err := l.run(c, w)
 	if err != nil {
+		l.failed = true
 		l.forwarder.meters.recordError(err.Code)
 	}
 	return reply, err
--- a/tarragonshed/forwarder/served.go
+++ b/tarragonshed/forwarder/served.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -29,6 +30,10 @@
 	mu sync.Mutex
 	// leases holds the leases by their number, and nil for a request for a position.
 	leases map[uint64]*servedLease
+	// heardAt is when the last message arrived.
+	heardAt time.Time
+	// closed is true if the stream must not be used any more.
+	closed bool
 }
 
 // servedLease is a lease of another daemon. Its context ends when the stream is lost or
@@ -51,7 +56,7 @@
 }
 
 func newServedStream(ctx context.Context, s *Server, send func(*peer.ForwardResponse) error) *servedStream {
-	st := &servedStream{server: s, forward: send, leases: make(map[uint64]*servedLease)}
+	st := &servedStream{server: s, forward: send, leases: make(map[uint64]*servedLease), heardAt: time.Now()}
 	st.ctx, st.stop = context.WithCancel(ctx)
 	return st
 }
@@ -74,10 +79,56 @@
 	st.send(&peer.ForwardResponse{Id: id, Kind: &peer.ForwardResponse_Refused{Refused: encodeError(err)}})
 }
 
-// close ends all leases and waits until their statements have returned.
+// abort ends the stream without waiting. Its reader fails.
+func (st *servedStream) abort() {
+	st.stop()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	c, ok := st.ctx.Value(controllerKey{}).(*http.ResponseController)
+	if !ok || st.closed {
+		return
+	}
+	past := time.Unix(1, 0)
+	_ = c.SetReadDeadline(past) // They fail if the stream has ended.
+	_ = c.SetWriteDeadline(past)
+}
+
+// watch ends the stream when the other daemon is silent although it has leases.
+func (st *servedStream) watch() {
+	ticker := time.NewTicker(silenceCheckInterval)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case now := <-ticker.C:
+			late := now.Sub(last) >= silenceCheckInterval+lateCheck
+			last = now
+			if !late && st.silent(now) {
+				st.abort()
+				return
+			}
+		case <-st.ctx.Done():
+			return
+		}
+	}
+}
+
+func (st *servedStream) silent(now time.Time) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return len(st.leases) > 0 && now.Sub(st.heardAt) >= maxSilence
+}
+
+// close ends all leases and waits until their statements have returned. After it, nothing
+// uses the transport.
 func (st *servedStream) close() {
 	st.stop()
 	st.tasks.Wait()
+	st.mu.Lock()
+	st.closed = true
+	st.mu.Unlock()
+	st.sendMu.Lock() // Waits for a send in progress. Later ones do nothing.
+	defer st.sendMu.Unlock()
 }
 
 func (st *servedStream) count() int {
@@ -88,11 +139,16 @@
 
 // handle processes one message. Messages of an unknown kind are ignored.
 func (st *servedStream) handle(r *peer.ForwardRequest) {
+	st.mu.Lock()
+	st.heardAt = time.Now()
+	st.mu.Unlock()
 	switch kind := r.GetKind().(type) {
 	case *peer.ForwardRequest_Run:
 		if err := st.run(r.GetId(), kind.Run); err != nil {
 			st.refuse(r.GetId(), err)
 		}
+	case *peer.ForwardRequest_Ping:
+		st.send(&peer.ForwardResponse{Kind: &peer.ForwardResponse_Ping{Ping: &peer.ForwardPing{}}})
 	case *peer.ForwardRequest_End:
 		st.end(r.GetId())
 	case *peer.ForwardRequest_Position:
--- a/tarragonshed/forwarder/server.go
+++ b/tarragonshed/forwarder/server.go
@@ -12,6 +12,7 @@
 
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/engine"
+	"tarragonshed.example/tarragonshed/multiplexer"
 	"tarragonshed.example/wire/peer"
 	"tarragonshed.example/wire/peer/peerconnect"
 )
@@ -38,14 +39,25 @@
 	}
 }
 
+// Configure sets the protocols and the HTTP/2 limits that [Forwarder] requires on a server
+// of the peer endpoint.
+func Configure(server *http.Server) { multiplexer.Configure(server, connectionPingAfter) }
+
+// controllerKey is the key of the [http.ResponseController] in the context of a stream.
+type controllerKey struct{}
+
 // Handler returns the path and the handler for the server of the peer endpoint. That
-// server must be configured by [multiplexer.Configure].
+// server must be configured by [Configure].
 func (s *Server) Handler() (path string, handler http.Handler) {
-	return peerconnect.NewForwarderHandler(service{s}, connect.WithReadMaxBytes(maxMessageBytes))
+	path, inner := peerconnect.NewForwarderHandler(service{s}, connect.WithReadMaxBytes(maxMessageBytes))
+	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w))
+		inner.ServeHTTP(w, r.WithContext(ctx))
+	})
 }
 
 // Drain refuses new leases and returns when all leases and streams have ended. If ctx ends
-// before, it ends the remaining leases and returns an error.
+// before, it ends those that remain and returns an error.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	if !s.draining {
@@ -66,7 +78,7 @@
 	left := s.allStreams()
 	s.mu.Unlock()
 	for _, st := range left {
-		st.stop()
+		st.abort()
 	}
 	return result.New(result.ShuttingDown, "%d streams have not ended: %v", len(left), ctx.Err())
 }
@@ -139,6 +151,7 @@
 	}
 	defer s.server.close(st)
 	s.server.logger.Info("stream of daemon opened", "address", address)
+	go st.watch()
 	st.send(&peer.ForwardResponse{Kind: &peer.ForwardResponse_Ready{Ready: &peer.ForwardReady{}}})
 	for {
 		request, err := bidi.Receive()
--- /dev/null
+++ b/tarragonshed/forwarder/silence.go
@@ -0,0 +1,62 @@
+package forwarder
+
+import "time"
+
+const (
+	// checkInterval is the interval at which the streams are checked.
+	checkInterval = 100 * time.Millisecond
+	// pingAfter is how long nothing passes on a stream with leases before a ping is sent.
+	pingAfter = 400 * time.Millisecond
+	// pingTimeout is how long the answer to a ping may take.
+	pingTimeout = 500 * time.Millisecond
+	// maxSilence is how long a home with leases of a daemon waits for its next message.
+	maxSilence = 2 * time.Second
+	// silenceCheckInterval is the interval at which a home checks that.
+	silenceCheckInterval = 500 * time.Millisecond
+	// lateCheck is the time between two checks from which the second one is late: this
+	// process was suspended, and what arrived since may not have been read.
+	lateCheck = 3 * checkInterval
+)
+
+// traffic is what a daemon knows of the messages on a stream.
+type traffic struct {
+	// sinceLeases is when the stream last began to have leases. It is zero if it has none.
+	sinceLeases time.Time
+	// readAt and sentAt are when data arrived and a message was written last.
+	readAt, sentAt time.Time
+	// pingedAt is when a ping without an answer was sent. It is zero if there is none.
+	pingedAt time.Time
+}
+
+// verdict is the outcome of a check of a stream.
+type verdict int
+
+const (
+	verdictNone verdict = iota
+	// verdictPing means that a ping is due.
+	verdictPing
+	// verdictSilent means that the daemon no longer answers.
+	verdictSilent
+)
+
+// check decides what is due on a stream. The home needs messages, too, to notice that the
+// sender is lost, so a ping is due if either direction is quiet.
+func (t traffic) check(now time.Time) verdict {
+	if t.sinceLeases.IsZero() {
+		return verdictNone
+	}
+	if !t.pingedAt.IsZero() && !t.readAt.After(t.pingedAt) {
+		if now.Sub(t.pingedAt) >= pingTimeout {
+			return verdictSilent
+		}
+		return verdictNone
+	}
+	quietSince := t.readAt
+	if t.sentAt.Before(quietSince) {
+		quietSince = t.sentAt
+	}
+	if now.Sub(quietSince) >= pingAfter && now.Sub(t.sinceLeases) >= pingAfter {
+		return verdictPing
+	}
+	return verdictNone
+}
--- /dev/null
+++ b/tarragonshed/forwarder/silence_test.go
@@ -0,0 +1,53 @@
+package forwarder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestTraffic(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	const long = time.Hour
+	for name, c := range map[string]struct {
+		traffic traffic
+		now     time.Duration
+		want    verdict
+	}{
+		"no leases":              {traffic{readAt: at(0), sentAt: at(0)}, long, verdictNone},
+		"leases since just now":  {traffic{sinceLeases: at(long), readAt: at(0), sentAt: at(0)}, long + pingAfter - 1, verdictNone},
+		"quiet":                  {traffic{sinceLeases: at(long), readAt: at(0), sentAt: at(long)}, long + pingAfter, verdictPing},
+		"nothing sent":           {traffic{sinceLeases: at(0), readAt: at(long), sentAt: at(0)}, long, verdictPing},
+		"busy":                   {traffic{sinceLeases: at(0), readAt: at(long), sentAt: at(long)}, long + 1, verdictNone},
+		"answer may still come":  {traffic{sinceLeases: at(0), pingedAt: at(1)}, pingTimeout, verdictNone},
+		"no answer":              {traffic{sinceLeases: at(0), pingedAt: at(1)}, pingTimeout + 1, verdictSilent},
+		"answered":               {traffic{sinceLeases: at(0), pingedAt: at(1), readAt: at(2), sentAt: at(2)}, 3, verdictNone},
+		"lease ended since ping": {traffic{pingedAt: at(1)}, long, verdictNone},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(c.traffic.check(at(c.now)), c.want) })
+	}
+}
+
+func TestSilentSender(t *testing.T) {
+	is := is.New(t)
+	s := NewServer(&countingLocal{})
+	st := s.open(t.Context(), nil)
+	is.True(!st.silent(time.Now().Add(maxSilence))) // It has no leases.
+	is.True(st.add(1, nil))
+	is.True(!st.silent(time.Now()))
+	is.True(st.silent(time.Now().Add(maxSilence)))
+	st.remove(1)
+	s.close(st)
+}
+
+func TestRemaining(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	is.Equal(remaining(now.Add(time.Second), now, 10*time.Millisecond), int64(990*time.Millisecond))
+	is.Equal(remaining(now.Add(time.Second), now, time.Minute), int64(750*time.Millisecond)) // At most a quarter.
+	is.Equal(remaining(now.Add(-time.Second), now, 10*time.Millisecond), int64(1))
+	is.Equal(after(now, 1<<63-1), now.Add(maxRemaining))
+	is.Equal(after(now, -1<<63), now.Add(-maxRemaining))
+}
--- a/tarragonshed/forwarder/stream.go
+++ b/tarragonshed/forwarder/stream.go
@@ -11,7 +11,6 @@
 
 	"tarragonshed.example/result"
 	"tarragonshed.example/wire/peer"
-	"tarragonshed.example/wire/peer/peerconnect"
 )
 
 const (
@@ -25,13 +24,19 @@
 	hopDivisor = 8
 )
 
-// errClosed is the cause of a stream that isn't needed any more.
-var errClosed = errors.New("the stream was closed")
+// The causes of streams that end or are not opened.
+var (
+	errClosed = errors.New("the stream was closed")
+	errSilent = errors.New("the daemon is silent")
+
+	errOpenTimeout = errors.New("the daemon didn't accept the stream in time")
+)
 
 // stream is the stream to one daemon. One goroutine writes and another one reads it.
 type stream struct {
 	forwarder *Forwarder
 	address   string
+	link      *link
 	bidi      *connect.BidiStreamForClient[peer.ForwardRequest, peer.ForwardResponse]
 	stop      context.CancelFunc
 	queue     chan *message
@@ -47,7 +52,8 @@
 	// cause is why the stream has ended.
 	cause error
 	// usedAt is when the last lease was detached.
-	usedAt time.Time
+	usedAt  time.Time
+	traffic traffic
 }
 
 // message is a message that is written once to a stream or not at all.
@@ -82,10 +88,10 @@
 }
 
 // openStream opens a stream. It returns when the daemon has accepted it.
-func openStream(f *Forwarder, address string, client peerconnect.ForwarderClient) (*stream, error) {
+func openStream(f *Forwarder, address string, h *remoteHome) (*stream, error) {
 	ctx, stop := context.WithCancel(f.ctx)
 	timeout := time.AfterFunc(openTimeout, stop)
-	bidi := client.Forward(ctx)
+	bidi := h.client.Forward(ctx)
 	err := bidi.Send(nil) // Sends the header.
 	var first *peer.ForwardResponse
 	if err == nil {
@@ -95,7 +101,7 @@
 		err = errors.New("the daemon doesn't accept the stream")
 	}
 	if !timeout.Stop() {
-		err = errors.New("the daemon didn't accept the stream in time")
+		err = errOpenTimeout
 	}
 	if err != nil {
 		stop()
@@ -103,7 +109,7 @@
 		return nil, err
 	}
 	return &stream{
-		forwarder: f, address: address, bidi: bidi, stop: stop, usedAt: time.Now(),
+		forwarder: f, address: address, link: h.link, bidi: bidi, stop: stop, usedAt: time.Now(),
 		queue: make(chan *message, queueLength), ended: make(chan struct{}),
 		waiting: make(map[uint64]chan *peer.ForwardResponse),
 	}, nil
@@ -128,6 +134,7 @@
 				s.end(err)
 				return
 			}
+			s.recordSent(time.Now())
 		case <-s.ended:
 			return
 		}
@@ -171,6 +178,9 @@
 	s.lastID++
 	replies := make(chan *peer.ForwardResponse, 1)
 	s.waiting[s.lastID] = replies
+	if len(s.waiting) == 1 {
+		s.traffic.sinceLeases = time.Now()
+	}
 	return s.lastID, replies, true
 }
 
@@ -179,6 +189,9 @@
 	s.mu.Lock()
 	delete(s.waiting, id)
 	s.usedAt = time.Now()
+	if len(s.waiting) == 0 {
+		s.traffic.sinceLeases = time.Time{}
+	}
 	last := s.retired && len(s.waiting) == 0
 	s.mu.Unlock()
 	if last {
@@ -186,8 +199,41 @@
 	}
 }
 
-// unusedSince returns for how long the stream has had no lease.
-func (s *stream) unusedSince(now time.Time) time.Duration {
+func (s *stream) recordSent(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.traffic.sentAt = now
+}
+
+// check sends a ping if one is due, and ends the stream if the daemon is silent.
+func (s *stream) check(now time.Time) {
+	s.mu.Lock()
+	s.traffic.readAt = s.link.lastRead()
+	verdict := s.traffic.check(now)
+	if verdict == verdictPing {
+		s.traffic.pingedAt = now
+	}
+	s.mu.Unlock()
+	switch verdict {
+	case verdictPing:
+		s.sendPing()
+	case verdictSilent:
+		s.end(errSilent)
+		s.link.cut()
+	}
+}
+
+// sendPing queues a ping. If the queue is full, the stream is stuck, and the missing answer
+// shows that.
+func (s *stream) sendPing() {
+	select {
+	case s.queue <- &message{request: &peer.ForwardRequest{Kind: &peer.ForwardRequest_Ping{Ping: &peer.ForwardPing{}}}}:
+	default:
+	}
+}
+
+// unusedFor returns for how long the stream has had no lease.
+func (s *stream) unusedFor(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.waiting) > 0 {
--- a/tarragonshed/multiplexer/multiplexer.go
+++ b/tarragonshed/multiplexer/multiplexer.go
@@ -3,16 +3,16 @@
 //
 // # Silent peers
 //
-// A VM that is suspended or cut off doesn't close its connections. Both sides send pings
-// on a connection that delivers no data, and close it when no answer comes. All streams of
-// the connection then fail.
+// A VM that is suspended or cut off doesn't close its connections. Both sides send a ping
+// on a connection that has delivered no data for some time, and close it when no answer
+// comes. All streams of the connection then fail.
 //
 // # Usage
 //
-//	client := &http.Client{Transport: multiplexer.NewTransport(dialer.Default, nil)}
+//	client := &http.Client{Transport: multiplexer.NewTransport(dialer.Default, nil, time.Second)}
 //	...
 //	server := &http.Server{Handler: handler}
-//	multiplexer.Configure(server)
+//	multiplexer.Configure(server, time.Second)
 package multiplexer
 
 import (
@@ -29,9 +29,7 @@
 	// maxStreams is the number of concurrent streams on one connection.
 	maxStreams  = 4096
 	dialTimeout = time.Second
-	// A connection without data for pingAfter is sent a ping, and closed when no
-	// answer comes within pingTimeout.
-	pingAfter   = 500 * time.Millisecond
+	// pingTimeout is how long the answer to a ping may take.
 	pingTimeout = 500 * time.Millisecond
 	// A window is the number of bytes that may be sent before the receiver has
 	// read them.
@@ -39,9 +37,9 @@
 	connectionWindow = 8 << 20
 )
 
-// NewTransport returns a transport that opens one connection to each daemon with dial. It
-// uses TLS if config isn't nil.
-func NewTransport(dial dialer.Func, config *tls.Config) *http.Transport {
+// NewTransport returns a transport that opens one connection to each daemon with dial, and
+// sends a ping on a connection without data for pingAfter. It uses TLS if config isn't nil.
+func NewTransport(dial dialer.Func, config *tls.Config, pingAfter time.Duration) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(config != nil)
 	protocols.SetUnencryptedHTTP2(config == nil)
@@ -53,22 +51,23 @@
 			defer stop()
 			return dial(ctx, network, address)
 		},
-		HTTP2: newConfig(),
+		HTTP2: newConfig(pingAfter),
 	}
 }
 
-// Configure sets the protocols and the HTTP/2 limits of a server for other daemons.
-func Configure(server *http.Server) {
+// Configure sets the protocols and the HTTP/2 limits of a server for other daemons, and how
+// long a connection is without data before it is sent a ping.
+func Configure(server *http.Server, pingAfter time.Duration) {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	server.Protocols = protocols
-	server.HTTP2 = newConfig()
+	server.HTTP2 = newConfig(pingAfter)
 	server.HTTP2.MaxConcurrentStreams = maxStreams
 }
 
-func newConfig() *http.HTTP2Config {
+func newConfig(pingAfter time.Duration) *http.HTTP2Config {
 	return &http.HTTP2Config{
 		SendPingTimeout: pingAfter, PingTimeout: pingTimeout,
 		MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connectionWindow,
