forwarder: answer pings while a large reply is sent

The goroutine that reads a stream waited until the answer to a ping, or a refusal, could be sent, behind a large reply. Over a slow link the home then heard nothing for 2 s and ended the stream. Pings are answered in the background, and a home that is itself handling a message doesn't judge the sender. Found by reading.

--- a/tarragonshed/forwarder/forwarder_test.go
+++ b/tarragonshed/forwarder/forwarder_test.go
@@ -510,6 +510,7 @@
 		cancel()
 		is.Equal(result.CodeOf(r.server.Drain(ctx)), result.ShuttingDown)
 		is.Equal(<-r.local.ended, unit.InstanceName("a"))
+		is.NoErr(r.server.Drain(t.Context())) // The stream has ended, too.
 	})
 }
 
--- a/tarragonshed/forwarder/fuzz_test.go
+++ b/tarragonshed/forwarder/fuzz_test.go
@@ -55,6 +55,7 @@
 		{run(7, nil, read), end, {Id: 3}},
 		{run(1, lease, 99), run(1, &peer.ForwardLease{Priority: 1 << 31}, read)},
 		{run(1, &peer.ForwardLease{Remaining: 1<<63 - 1, Target: -1 << 63}, read)},
+		{{Kind: &peer.ForwardRequest_Ping{}}, {Kind: &peer.ForwardRequest_Ping{}}, run(1, lease, read)},
 		{position, position, run(1, lease, read), end},
 	} {
 		var encoded bytes.Buffer
--- a/tarragonshed/forwarder/served.go
+++ b/tarragonshed/forwarder/served.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -24,6 +25,9 @@
 	stop   context.CancelFunc
 	tasks  sync.WaitGroup
 
+	// answering is true while the answer to a ping is being sent.
+	answering atomic.Bool
+
 	sendMu  sync.Mutex
 	forward func(*peer.ForwardResponse) error
 
@@ -32,6 +36,9 @@
 	leases map[uint64]*servedLease
 	// heardAt is when the last message arrived.
 	heardAt time.Time
+	// handling is true while a message is handled. Its response may wait for a large reply
+	// to be sent.
+	handling bool
 	// closed is true if the stream must not be used any more.
 	closed bool
 }
@@ -114,7 +121,7 @@
 func (st *servedStream) silent(now time.Time) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return len(st.leases) > 0 && now.Sub(st.heardAt) >= maxSilence
+	return len(st.leases) > 0 && !st.handling && now.Sub(st.heardAt) >= maxSilence
 }
 
 // close ends all leases and waits until their statements have returned. After it, nothing
@@ -137,16 +144,15 @@
 
 // handle processes one message. Messages of an unknown kind are ignored.
 func (st *servedStream) handle(r *peer.ForwardRequest) {
-	st.mu.Lock()
-	st.heardAt = time.Now()
-	st.mu.Unlock()
+	st.recordHeard(true)
+	defer st.recordHeard(false)
 	switch kind := r.GetKind().(type) {
 	case *peer.ForwardRequest_Run:
 		if err := st.run(r.GetId(), kind.Run); err != nil {
 			st.refuse(r.GetId(), err)
 		}
 	case *peer.ForwardRequest_Ping:
-		st.send(&peer.ForwardResponse{Kind: &peer.ForwardResponse_Ping{Ping: &peer.ForwardPing{}}})
+		st.answerPing()
 	case *peer.ForwardRequest_End:
 		st.end(r.GetId())
 	case *peer.ForwardRequest_Position:
@@ -156,6 +162,24 @@
 	}
 }
 
+func (st *servedStream) recordHeard(handling bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.heardAt, st.handling = time.Now(), handling
+}
+
+// answerPing sends the answer to a ping in the background, because it may wait for a large
+// reply. One answer serves all pings that arrive until it is sent.
+func (st *servedStream) answerPing() {
+	if !st.answering.CompareAndSwap(false, true) {
+		return
+	}
+	st.tasks.Go(func() {
+		st.send(&peer.ForwardResponse{Kind: &peer.ForwardResponse_Ping{Ping: &peer.ForwardPing{}}})
+		st.answering.Store(false)
+	})
+}
+
 // run passes a statement to its lease, which it opens if it is the first one.
 func (st *servedStream) run(id uint64, run *peer.ForwardRun) *result.Error {
 	now := time.Now()
