limiter: order a full queue by rank, caller and target

An instance at its limit served statements in the order of what they need: a burst of reads on one route delayed the others of that kind, one large caller could fill the queue, and late statements took the slots of those that could still be in time.

Limits.Ranked switches on another order: open transactions, the priority of the route, that of the caller, callers by turns, then the requests that can meet their target before the others. A full queue makes room for what goes before its last request; a caller with more than half of it gives way. Requests are refused as soon as they are expected to miss their deadline, also when others pass them while they wait. Refuse states a typed reason and a time to try again.

lender: TryAdmit takes the request. WithRefusals reports reasons.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -17,15 +17,37 @@
 // # Queue
 //
 // A statement that can't be admitted waits in a bounded queue. It is refused at once
-// when the queue is full or when it is expected to end after its deadline: the expected
-// wait is the number of statements ahead of it, times the mean duration of a statement,
-// divided by the number of slots. A queued statement is refused when a slot becomes free
-// too late for its deadline.
+// when it is expected to end after its deadline, and when the queue is full and holds
+// nothing that should give way. The expected wait is the number of statements that go
+// before it, times the mean duration of a statement, divided by the number of slots.
+// [Refuse] states the reason and when to try again. These times differ between requests,
+// so that callers that were refused together don't return together.
 //
 // Statements of open transactions go first, because they hold connections and locks.
 // They are followed by writes, reads that need the primary, and reads that accept stale
 // data. Within a priority, callers are served round-robin.
 //
+// # Ranked order
+//
+// With [Limits.Ranked] the queue is made for load that exceeds the slots for seconds: a
+// burst on one route, one caller with many times its usual load, callers that retry what
+// was refused. After the open transactions come
+//
+//  1. the [Rank]: first the priority of the route, then that of the caller;
+//  2. the callers of a rank, round-robin, so that a large one doesn't delay small ones;
+//  3. of one caller, the requests that can still meet their target, earliest target
+//     first. The others are late: they wait behind and are served until their deadline.
+//
+// The order by [Priority] decides only between requests with the same target.
+//
+// One of [guaranteedTurn] admissions goes to the ranks that were passed over, so that none
+// is starved. A request that is passed over so often that it is expected to miss its
+// deadline is refused then, not at the deadline.
+//
+// A full queue refuses the last request of the lowest rank in favor of one that goes
+// before it. A caller that has more than half of the queue, or more requests of that rank
+// than the new request's caller, gives way too.
+//
 // # Locks
 //
 // Running statements may be blocked on a lock of an open transaction, and release their
@@ -73,11 +95,9 @@
 	PrimaryRead
 	// StaleRead is a read that any instance may serve.
 	StaleRead
-
-	numPriorities
 )
 
-// Rank orders waiting requests of the same [Priority]. Lower values go first.
+// Rank orders waiting requests if [Limits.Ranked] is set. Lower values go first.
 type Rank struct {
 	// Route is the priority of the route that the request uses.
 	Route int
@@ -97,7 +117,7 @@
 // as a multiple of the average. It bounds the effect of outliers.
 const maxSampleRatio = 16
 
-// Limits are the limits of one home of an instance.
+// Limits are the limits of one home of an instance, and the order of its queue.
 type Limits struct {
 	// Slots is the maximum number of concurrent statements.
 	Slots int
@@ -105,6 +125,8 @@
 	Connections int
 	// Queue is the maximum number of waiting requests.
 	Queue int
+	// Ranked orders the queue by [Rank], caller and target instead of by [Priority].
+	Ranked bool
 }
 
 // Share returns the share of n slots for the home with the given zero-based rank among
@@ -186,8 +208,12 @@
 
 // Refuse rejects a request, which has not run.
 type Refuse struct {
-	ID  ID
-	Err *result.Error
+	ID     ID
+	Reason Reason
+	// RetryAfter is how long the caller should wait before it tries again. The detail of
+	// Err states it too.
+	RetryAfter time.Duration
+	Err        *result.Error
 }
 
 func (Admit) effect()  {}
@@ -201,12 +227,13 @@
 	running int
 	open    int
 	mean    time.Duration
-	queued  int
-	queues  [numPriorities]queue
+	queue   *queue
 }
 
 // New returns a Limiter with the given limits.
-func New(limits Limits) *Limiter { return &Limiter{limits: limits} }
+func New(limits Limits) *Limiter {
+	return &Limiter{limits: limits, queue: newQueue(limits.Ranked)}
+}
 
 // Running returns the number of slots in use.
 func (l *Limiter) Running() int { return l.running }
@@ -215,18 +242,38 @@
 func (l *Limiter) Open() int { return l.open }
 
 // Queued returns the number of waiting requests.
-func (l *Limiter) Queued() int { return l.queued }
+func (l *Limiter) Queued() int { return l.queue.size() }
 
 // Mean returns the moving average of statement durations, or zero before the first
 // statement has ended.
 func (l *Limiter) Mean() time.Duration { return l.mean }
 
-// Wait returns the expected time that a new request of the given priority waits.
-func (l *Limiter) Wait(p Priority) time.Duration {
-	if l.admissible(p) && l.queuedAhead(p) == 0 {
+// Wait returns the expected time that a new request waits.
+func (l *Limiter) Wait(r Request) time.Duration {
+	if l.admissible(r.Priority) {
 		return 0
 	}
-	return l.mean * time.Duration(l.queuedAhead(p)+1) / time.Duration(max(1, l.slots()))
+	return l.arrange(l.queue.newWaiting(r))
+}
+
+// arrange decides whether a new request is late, and returns its expected wait.
+func (l *Limiter) arrange(w *waiting) time.Duration {
+	wait := l.wait(w, w.Now)
+	w.late = w.missesTarget(w.Now.Add(wait + l.mean))
+	if w.late {
+		wait = l.wait(w, w.Now)
+	}
+	return wait
+}
+
+// wait returns the expected time that a queued or new request waits.
+func (l *Limiter) wait(w *waiting, now time.Time) time.Duration {
+	return max(l.drainTime(l.queue.ahead(w)+1), l.queue.pacedWait(w, now))
+}
+
+// drainTime returns the expected time until n waiting requests have been admitted.
+func (l *Limiter) drainTime(n int) time.Duration {
+	return l.mean * time.Duration(n) / time.Duration(max(1, l.slots()))
 }
 
 // slots returns the current limit of concurrent statements.
@@ -270,7 +317,7 @@
 	case Overdue:
 		return l.admitOverdue(event.ID)
 	case Resize:
-		l.limits = event.Limits
+		l.resize(event.Limits)
 		return l.admit(event.Now)
 	case Expire:
 		return l.expire(event.Now)
@@ -278,58 +325,69 @@
 	return nil
 }
 
-// TryAdmit admits a request of the given priority if it does not have to wait, with the
-// same result as [Request], and reports whether it did.
-func (l *Limiter) TryAdmit(p Priority) bool {
-	if !l.admissible(p) || l.queuedAhead(p) > 0 {
+// TryAdmit admits a request if it does not have to wait, with the same result as the event
+// [Request], and reports whether it did.
+func (l *Limiter) TryAdmit(r Request) bool {
+	if !l.admissible(r.Priority) {
 		return false
 	}
-	l.acquire(p)
+	l.acquire(r.Priority)
 	return true
 }
 
 func (l *Limiter) request(r Request) []Effect {
-	if l.TryAdmit(r.Priority) {
+	if l.TryAdmit(r) {
 		return []Effect{Admit{ID: r.ID}}
 	}
-	if l.queued >= l.limits.Queue {
-		return []Effect{Refuse{ID: r.ID, Err: result.New(result.Overloaded, "the queue is full: %d statements are waiting", l.queued)}}
+	effects := l.refuseMissed(r.Now)
+	w := l.queue.newWaiting(r)
+	full := l.queue.size() >= l.limits.Queue
+	if full && !l.limits.Ranked {
+		return append(effects, l.refuse(w, QueueFull, r.Now))
 	}
-	if wait := l.Wait(r.Priority); r.Now.Add(wait + l.mean).After(r.Deadline) {
-		return []Effect{Refuse{ID: r.ID, Err: result.New(result.Overloaded, "the expected wait of %v is too long for the deadline", wait)}}
+	if wait := l.arrange(w); r.Now.Add(wait + l.mean).After(r.Deadline) {
+		return append(effects, l.refuse(w, Deadline, r.Now))
 	}
-	l.queued++
-	l.queues[r.Priority].push(r)
-	return nil
+	if full {
+		loser, reason := l.queue.loser(w, l.limits.Queue)
+		effects = append(effects, l.refuse(loser, reason, r.Now))
+		if loser == w {
+			return effects
+		}
+		l.queue.remove(loser)
+	}
+	l.queue.push(w, r.Now)
+	return append(effects, l.refuseOvertaken(w, r.Now)...)
 }
 
 // admit admits waiting requests while slots and connections are free. It refuses those
 // that can't end before their deadline.
 func (l *Limiter) admit(now time.Time) []Effect {
 	var effects []Effect
-	for p := range numPriorities {
-		for l.admissible(p) && l.queues[p].size > 0 {
-			r := l.queues[p].pop()
-			l.queued--
-			if !r.Deadline.After(now.Add(l.mean)) {
-				effects = append(effects, refuseLate(r))
-				continue
-			}
-			l.acquire(r.Priority)
-			effects = append(effects, Admit{ID: r.ID})
+	for l.running < l.slots() {
+		w := l.queue.pop(now, l.mean, l.open < l.limits.Connections)
+		if w == nil {
+			break
+		}
+		if !w.Deadline.After(now.Add(l.mean)) {
+			effects = append(effects, l.refuseLate(w))
+			continue
 		}
+		l.acquire(w.Priority)
+		effects = append(effects, Admit{ID: w.ID})
 	}
-	return effects
+	return append(effects, l.refuseMissed(now)...)
 }
 
 // admitOverdue admits a waiting request of an open transaction regardless of the slots.
 func (l *Limiter) admitOverdue(id ID) []Effect {
-	for _, r := range l.queues[OpenTransaction].remove(func(r Request) bool { return r.ID == id }) {
-		l.queued--
-		l.acquire(r.Priority)
-		return []Effect{Admit{ID: r.ID}}
+	w := l.queue.byID[id]
+	if w == nil || w.Priority != OpenTransaction {
+		return nil
 	}
-	return nil
+	l.queue.remove(w)
+	l.acquire(w.Priority)
+	return []Effect{Admit{ID: id}}
 }
 
 func (l *Limiter) acquire(p Priority) {
@@ -339,6 +397,8 @@
 	}
 }
 
+// admissible reports whether a slot and, if needed, a connection are free. Then no request
+// that needs the same waits, because each step admits all that it can.
 func (l *Limiter) admissible(p Priority) bool {
 	if l.running >= l.slots() {
 		return false
@@ -346,16 +406,6 @@
 	return p == OpenTransaction || l.open < l.limits.Connections
 }
 
-// queuedAhead returns the number of queued requests that go before a new request of the
-// given priority.
-func (l *Limiter) queuedAhead(p Priority) int {
-	n := 0
-	for q := Priority(0); q <= p; q++ {
-		n += l.queues[q].size
-	}
-	return n
-}
-
 func (l *Limiter) updateMean(took time.Duration) {
 	if l.mean <= 0 {
 		l.mean = took
@@ -365,25 +415,14 @@
 }
 
 func (l *Limiter) withdraw(id ID) {
-	for p := range numPriorities {
-		if l.queues[p].remove(func(r Request) bool { return r.ID == id }) != nil {
-			l.queued--
-			return
-		}
+	if w := l.queue.byID[id]; w != nil {
+		l.queue.remove(w)
 	}
 }
 
-func (l *Limiter) expire(now time.Time) []Effect {
-	var effects []Effect
-	for p := range numPriorities {
-		for _, r := range l.queues[p].remove(func(r Request) bool { return !r.Deadline.After(now) }) {
-			l.queued--
-			effects = append(effects, refuseLate(r))
-		}
+func (l *Limiter) resize(limits Limits) {
+	if limits.Ranked != l.limits.Ranked {
+		l.queue = l.queue.reordered(limits.Ranked)
 	}
-	return effects
-}
-
-func refuseLate(r Request) Refuse {
-	return Refuse{ID: r.ID, Err: result.New(result.DeadlinePassed, "no slot became free before the deadline")}
+	l.limits = limits
 }
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -86,16 +86,16 @@
 	expect(t, l, limiter.Shed{Now: start}, "admit 11") // The window is at least one.
 	expect(t, l, limiter.Shed{Now: start})
 	is := is.New(t)
-	is.True(l.TryAdmit(limiter.StaleRead))
-	is.True(!l.TryAdmit(limiter.StaleRead))
+	is.True(l.TryAdmit(request(0, "x", limiter.StaleRead)))
+	is.True(!l.TryAdmit(request(0, "x", limiter.StaleRead)))
 	for range 200 {
 		l.Step(finished(time.Millisecond))
-		is.True(l.TryAdmit(limiter.StaleRead))
+		is.True(l.TryAdmit(request(0, "x", limiter.StaleRead)))
 	}
-	is.True(l.TryAdmit(limiter.StaleRead)) // All four slots are available again.
-	is.True(l.TryAdmit(limiter.StaleRead))
-	is.True(l.TryAdmit(limiter.StaleRead))
-	is.True(!l.TryAdmit(limiter.StaleRead))
+	is.True(l.TryAdmit(request(0, "x", limiter.StaleRead))) // All four slots are available again.
+	is.True(l.TryAdmit(request(0, "x", limiter.StaleRead)))
+	is.True(l.TryAdmit(request(0, "x", limiter.StaleRead)))
+	is.True(!l.TryAdmit(request(0, "x", limiter.StaleRead)))
 }
 
 func TestOverdue(t *testing.T) {
--- a/tarragonshed/engine/conn.go
+++ b/tarragonshed/engine/conn.go
@@ -50,7 +50,7 @@
 	t := pc.target
 	pc.startedAt = time.Now()
 	t.beginLoad()
-	if t.TryAdmit(p) {
+	if t.TryAdmit(limiter.Request{Priority: p, Deadline: deadline}) {
 		pc.slot = true
 		return nil
 	}
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -182,11 +182,12 @@
 // admit waits for a slot.
 func (t *transaction) admit(ctx context.Context, p limiter.Priority) *result.Error {
 	requestedAt := time.Now()
-	if t.target.TryAdmit(p) {
+	request := limiter.Request{Caller: unit.CallerName(t.request.Caller), Priority: p, Deadline: t.deadline}
+	if t.target.TryAdmit(request) {
 		t.beginSlot(requestedAt)
 		return nil
 	}
-	id, answer := t.target.Admit(limiter.Request{Caller: unit.CallerName(t.request.Caller), Priority: p, Deadline: t.deadline})
+	id, answer := t.target.Admit(request)
 	if p == limiter.OpenTransaction {
 		defer time.AfterFunc(lockTimeout, func() { t.target.Overdue(id) }).Stop()
 	}
--- a/tarragonshed/lender/lender.go
+++ b/tarragonshed/lender/lender.go
@@ -11,8 +11,9 @@
 // # Usage
 //
 //	l := lender.New(ctx, open, limits, poolLimits)
-//	if !l.TryAdmit(limiter.Write) {
-//		id, answer := l.Admit(limiter.Request{Caller: caller, Priority: limiter.Write, Deadline: deadline})
+//	request := limiter.Request{Caller: caller, Priority: limiter.Write, Deadline: deadline}
+//	if !l.TryAdmit(request) {
+//		id, answer := l.Admit(request)
 //		...
 //	}
 //	ticket, results := l.Acquire()
@@ -75,6 +76,7 @@
 	onOpen      func()
 	onClose     func()
 	onProbe     func(pooler.Probe)
+	onRefuse    func(limiter.Reason)
 
 	mu             sync.Mutex
 	limiter        *limiter.Limiter
@@ -118,12 +120,18 @@
 	return func(l *Lender[C]) { l.onProbe = probe }
 }
 
+// WithRefusals sets a function that is called with the reason of each request for a slot
+// that the limiter refuses. It is called with the lock held and must not call the [Lender].
+func WithRefusals[C Conn](refused func(limiter.Reason)) Option[C] {
+	return func(l *Lender[C]) { l.onRefuse = refused }
+}
+
 // New returns a Lender that opens connections until ctx is done.
 func New[C Conn](ctx context.Context, open Open[C], limits limiter.Limits, pool pooler.Limits, options ...Option[C]) *Lender[C] {
 	l := &Lender[C]{
 		ctx: ctx, openConn: open, openTimeout: DefaultOpenTimeout,
 		stopErr: func() *result.Error { return result.New(result.InstanceUnreachable, "the connection pool is closed") },
-		onOpen:  func() {}, onClose: func() {}, onProbe: func(pooler.Probe) {},
+		onOpen:  func() {}, onClose: func() {}, onProbe: func(pooler.Probe) {}, onRefuse: func(limiter.Reason) {},
 		limiter: limiter.New(limits), pool: pooler.New(pool),
 		conns:          make(map[pooler.Conn]C),
 		admitWaiters:   make(map[limiter.ID]chan *result.Error),
--- a/tarragonshed/lender/lender_test.go
+++ b/tarragonshed/lender/lender_test.go
@@ -132,7 +132,7 @@
 	f.Close()
 	<-first.Conn.closed
 	is.True(f.acquire(t).Err != nil)
-	is.True(!f.TryAdmit(limiter.Write))
+	is.True(!f.TryAdmit(limiter.Request{Priority: limiter.Write}))
 	_, answer := f.Admit(limiter.Request{Priority: limiter.Write, Deadline: time.Now().Add(time.Hour)})
 	is.True(<-answer != nil)
 }
@@ -140,8 +140,8 @@
 func TestSlots(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1, 2)
-	is.True(f.TryAdmit(limiter.Write))
-	is.True(!f.TryAdmit(limiter.Write))
+	is.True(f.TryAdmit(limiter.Request{Priority: limiter.Write}))
+	is.True(!f.TryAdmit(limiter.Request{Priority: limiter.Write}))
 	id, answer := f.Admit(limiter.Request{Priority: limiter.Write, Deadline: time.Now().Add(time.Hour)})
 	is.Equal(f.Load().Queued, 1)
 	f.Finish(time.Millisecond)
@@ -149,3 +149,15 @@
 	is.True(!f.Withdraw(id)) // It is already admitted.
 	f.EndTransaction()
 }
+
+func TestRefusalsAreReported(t *testing.T) {
+	is := is.New(t)
+	var reasons []limiter.Reason
+	l := lender.New(context.Background(), (&fixture{}).open, limiter.Limits{Slots: 1, Connections: 1}, pooler.Limits{},
+		lender.WithRefusals[*conn](func(r limiter.Reason) { reasons = append(reasons, r) }))
+	request := limiter.Request{Priority: limiter.Write, Deadline: time.Now().Add(time.Hour)}
+	is.True(l.TryAdmit(request))
+	_, answer := l.Admit(request)
+	is.Equal((<-answer).Code, result.Overloaded)
+	is.Equal(reasons, []limiter.Reason{limiter.QueueFull})
+}
--- a/tarragonshed/lender/slot.go
+++ b/tarragonshed/lender/slot.go
@@ -27,11 +27,11 @@
 
 // TryAdmit is like [Lender.Admit] but does not wait. It reports whether the request was
 // admitted.
-func (l *Lender[C]) TryAdmit(p limiter.Priority) bool {
+func (l *Lender[C]) TryAdmit(r limiter.Request) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastRequest = time.Now()
-	return !l.stopped && l.limiter.TryAdmit(p)
+	return !l.stopped && l.limiter.TryAdmit(r)
 }
 
 // Withdraw cancels a request for a slot. It reports whether the request was still
@@ -88,6 +88,7 @@
 			l.admitWaiters[effect.ID] <- nil
 			delete(l.admitWaiters, effect.ID)
 		case limiter.Refuse:
+			l.onRefuse(effect.Reason)
 			l.admitWaiters[effect.ID] <- effect.Err
 			delete(l.admitWaiters, effect.ID)
 		}
