--- a/limiter/ranked_test.go
+++ b/limiter/ranked_test.go
@@ -283,6 +283,55 @@
 	})
 }
 
+// TestEachRequestIsAnsweredOnce applies random events, also such as change the limits and the
+// order. In the end everything is admitted, refused or withdrawn.
+func TestEachRequestIsAnsweredOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := limiter.Limits{Slots: 2, Connections: 3, Queue: 6, Ranked: true}
+		l := limiter.New(limits)
+		waiting, now := make(map[limiter.ID]bool), start
+		step := func(event limiter.Event) {
+			for _, effect := range l.Step(event) {
+				id := limiter.ID(0)
+				switch effect := effect.(type) {
+				case limiter.Admit:
+					id = effect.ID
+				case limiter.Refuse:
+					id = effect.ID
+				}
+				if !waiting[id] {
+					t.Fatalf("%d was answered twice", id)
+				}
+				delete(waiting, id)
+			}
+		}
+		for id := range limiter.ID(150) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "elapsed")) * time.Millisecond)
+			switch e := drawEvent(t, id, now, l).(type) {
+			case nil:
+				limits.Slots, limits.Ranked = rapid.IntRange(1, 4).Draw(t, "slots"), rapid.Bool().Draw(t, "ranked")
+				step(limiter.Resize{Limits: limits, Now: now})
+				step(limiter.Expire{Now: now})
+			case limiter.Request:
+				e.Caller = rapid.SampledFrom([]unit.CallerName{"x", "y"}).Draw(t, "caller")
+				e.Rank.Route = rapid.IntRange(0, 2).Draw(t, "route")
+				e.Deadline, e.Target = now.Add(200*time.Millisecond), now.Add(50*time.Millisecond)
+				waiting[id] = true
+				step(e)
+			case limiter.Withdraw:
+				step(e)
+				delete(waiting, e.ID)
+			default:
+				step(e)
+			}
+		}
+		step(limiter.Expire{Now: now.Add(time.Hour)})
+		if len(waiting) != 0 || l.Queued() != 0 {
+			t.Fatalf("%d requests were not answered, %d are queued", len(waiting), l.Queued())
+		}
+	})
+}
+
 // TestNoCallerWaitsForEver checks that between two turns of a caller each other caller of its
 // rank has at most one.
 func TestNoCallerWaitsForEver(t *testing.T) {
