--- a/tarragonshed/engine/conn.go
+++ b/tarragonshed/engine/conn.go
@@ -50,13 +50,14 @@
 	t := pc.target
 	pc.startedAt = time.Now()
 	t.beginLoad()
-	if t.TryAdmit(r.Priority) {
+	request := limiter.Request{
+		Caller: r.Caller, Priority: r.Priority, Rank: r.Rank, Deadline: r.Deadline, Target: r.Target,
+	}
+	if t.TryAdmit(request) {
 		pc.slot = true
 		return nil
 	}
-	id, answer := t.Admit(limiter.Request{
-		Caller: r.Caller, Priority: r.Priority, Rank: r.Rank, Deadline: r.Deadline, Target: r.Target,
-	})
+	id, answer := t.Admit(request)
 	if r.Priority == limiter.OpenTransaction {
 		defer time.AfterFunc(overdueAfter, func() { t.Overdue(id) }).Stop()
 	}
--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -347,7 +347,8 @@
 	if e.separatesCallers() {
 		pool.Warm = 0 // The next caller isn't known.
 	}
-	return limiter.Limits{Slots: min(pool.Share, i.Slots+extraStatements), Connections: pool.Share, Queue: queueLimit}, pool
+	slots := min(pool.Share, i.Slots+extraStatements)
+	return limiter.Limits{Slots: slots, Connections: pool.Share, Queue: queueLimit, Ranked: e.separatesCallers()}, pool
 }
 
 // separatesCallers reports whether a connection to an instance belongs to one caller.
--- a/tarragonshed/engine/home.go
+++ b/tarragonshed/engine/home.go
@@ -129,7 +129,7 @@
 		pool.Warm = 0 // The next caller isn't known.
 	}
 	slots := min(pool.Share, i.Slots+extraStatements)
-	return limiter.Limits{Slots: slots, Connections: pool.Share, Queue: queueLimit}, pool
+	return limiter.Limits{Slots: slots, Connections: pool.Share, Queue: queueLimit, Ranked: true}, pool
 }
 
 // lease returns a lease of the target, through its home if it has one.
