router: distribute reads over failure domains by reported load

LowestCost knows the load of an instance only from the daemon's own statements and sends each read to the instance of the lowest cost. Where homes report the load, Spreader moves a part of the reads: it changes the shares of instances slowly, by their demand and not by the length of the queue, sends reads elsewhere at once only where the cost is much higher, leaves slow and failing instances by share, and tries them again.

Without reports the decisions are those of LowestCost.

--- a/router/placement.go
+++ b/router/placement.go
@@ -58,7 +58,8 @@
 	return l.latency * time.Duration(l.outstanding+1)
 }
 
-// Report is the load of an instance as seen by a daemon that owns connections to it.
+// Report is the load of an instance as seen by a daemon that owns connections to it. It does
+// not include the statement whose reply carries the report.
 type Report struct {
 	// Slots is the number of statements that may run concurrently.
 	Slots   int
@@ -126,11 +127,15 @@
 	if c.Primary {
 		cost += primaryPenalty
 	}
+	return cost + c.lagCost()
+}
+
+func (c ReadCandidate) lagCost() time.Duration {
 	switch {
 	case c.Behind && c.FarBehind:
-		cost += farBehindPenalty
+		return farBehindPenalty
 	case c.Behind:
-		cost += lagPenalty
+		return lagPenalty
 	}
-	return cost
+	return 0
 }
--- a/router/router.go
+++ b/router/router.go
@@ -25,6 +25,13 @@
 // [LowestCost] is an alternative choice by expected latency. It uses the latencies that
 // a daemon observes ([Load]) and recently failed reads ([Lag]) instead of reports.
 //
+// # Leaving the failure domain
+//
+// [Spreader] decides which part of the reads leaves the failure domain of a daemon, where
+// the load of the instances is reported. Many daemons see the same reports, late, so each of
+// them changes slowly what it sends to an instance. Without reports it decides as LowestCost
+// does.
+//
 // # Usage
 //
 //	switch effect := router.Choose(request, candidates).(type) {
