--- a/router/example_test.go
+++ b/router/example_test.go
@@ -33,3 +33,19 @@
 	// read: b primary: false
 	// write: a primary: true
 }
+
+// The reads leave the failure domain while the instance there has a queue.
+func ExampleSpreader() {
+	s := router.NewSpreader(router.WithDistanceCosts(15*time.Millisecond, 90*time.Millisecond))
+	candidates := []router.ReadCandidate{{Instance: "near"}, {Instance: "far", Distance: router.SameRegion}}
+	random, now := 0.5, time.Unix(1, 0)
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		s.Observe("near", router.Report{Slots: 4, Running: 4, Queued: 20, Mean: 20 * time.Millisecond}, now)
+		s.Observe("far", router.Report{Slots: 4, Running: 1, Mean: 20 * time.Millisecond}, now)
+		chosen, _ := s.Choose(candidates, router.ReadRequest{Target: 500 * time.Millisecond}, now, random)
+		s.Record(chosen.Instance, router.Outcome{Sent: true}, now)
+	}
+	fmt.Println(s.Shares(500*time.Millisecond)["far"] > 0.8)
+	// Output: true
+}
