--- a/router/example_test.go
+++ b/router/example_test.go
@@ -46,6 +46,6 @@
 		chosen, _ := s.Choose(candidates, router.ReadRequest{Target: 500 * time.Millisecond}, now, random)
 		s.Record(chosen.Instance, router.Outcome{Sent: true}, now)
 	}
-	fmt.Println(s.Shares(500*time.Millisecond)["far"] > 0.8)
+	fmt.Println(s.Shares(500 * time.Millisecond)["far"] > 0.8)
 	// Output: true
 }
