--- a/tarragonshed/engine/ports.go
+++ b/tarragonshed/engine/ports.go
@@ -53,8 +53,8 @@
 	// Available reports whether the daemon at the address has not failed recently.
 	Available(address string) bool
 	// Position requests the position of the group's primary from the daemon at the address.
-	// It is a position of a primary that had been confirmed when it replied, and it includes
-	// every write acknowledged before the returned age, counted back from the response.
+	// It is a position of a primary that had been confirmed when it replied. It includes every
+	// write acknowledged before the returned age, counted back from the time of the call.
 	Position(ctx context.Context, address string, group unit.GroupName, maxAge time.Duration) (unit.Position, time.Duration, *result.Error)
 }
 
