--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -38,6 +39,7 @@
 	floors       tracker.Floors
 	acknowledged unit.Position // Highest position of an acknowledged write.
 	strain       strain
+	spreader     *router.Spreader // Chooses the instances of reads.
 	retryBudget  retrier.Budget
 	// positionQueries are closed when the position request in flight has ended. They are nil if
 	// there is none. The second one is for other daemons, and is not forwarded.
@@ -45,7 +47,7 @@
 }
 
 func newGroup(e *Engine, name unit.GroupName) *group {
-	return &group{engine: e, name: name, targets: make(map[unit.InstanceName]*target)}
+	return &group{engine: e, name: name, targets: make(map[unit.InstanceName]*target), spreader: router.NewSpreader()}
 }
 
 // adopt replaces the targets by those of the instances in a newer manifest. The target of
@@ -72,6 +74,7 @@
 			go t.retire()
 		}
 	}
+	g.spreader.Retain(kept)
 }
 
 // update applies the settings that may change during an incarnation of the instance.
@@ -291,6 +294,41 @@
 	return healthy
 }
 
+// chooseRead returns the instance for a read of the route. [group.recordRead] must be called once
+// for each instance that it returns.
+func (g *group) chooseRead(r manifest.Route, excluded map[unit.InstanceName]bool, bound time.Duration) (router.ReadCandidate, bool) {
+	candidates := g.readCandidates(excluded, bound)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.spreader.Choose(candidates, router.ReadRequest{Target: r.TargetLatency}, time.Now(), rand.Float64())
+}
+
+// recordRead records how a read ended that chooseRead chose the instance for.
+func (g *group) recordRead(name unit.InstanceName, err *result.Error) {
+	outcome := router.Outcome{Sent: err == nil}
+	if err != nil {
+		switch err.Code {
+		case result.StatementFailed, result.StatementTimeout, result.ConnectionLost, result.InstanceUnreachable, result.InstanceRefuses:
+			outcome = router.Outcome{Sent: true, Failed: true}
+		case result.InstanceBehind:
+			outcome.Sent = true
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.spreader.Record(name, outcome, time.Now())
+}
+
+// observeLoad records the load in a reply, if there is one.
+func (g *group) observeLoad(name unit.InstanceName, load *router.Report) {
+	if load == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.spreader.Observe(name, *load, time.Now())
+}
+
 // takeRetry takes one retry from the retry budget and reports whether there was one.
 func (g *group) takeRetry() bool {
 	g.mu.Lock()
--- a/tarragonshed/engine/home.go
+++ b/tarragonshed/engine/home.go
@@ -197,6 +197,7 @@
 		took += shedPenalty
 	}
 	t.endLoad(took)
+	t.group.observeLoad(t.name(), reply.Load)
 	t.engine.meters.forwarded.Inc(1)
 	if err != nil && (err.Code == result.InstanceUnreachable || err.Code == result.InstanceRefuses) {
 		t.suspect(err)
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -88,9 +88,11 @@
 		}
 		t, ok := j.group.find(candidate.Instance)
 		if !ok {
+			j.group.recordRead(candidate.Instance, errNotSent())
 			continue
 		}
 		reply, err := j.execute(t, limiter.StaleRead, after)
+		j.group.recordRead(candidate.Instance, err)
 		t.recordLag(j.session.stalenessBound(j.route, j.began), err)
 		if err == nil {
 			e.meters.recordStatement(false, candidate.Primary, e.now().Sub(j.began))
@@ -102,6 +104,11 @@
 	}
 }
 
+// errNotSent returns the error of a read for which an instance was chosen that has left.
+func errNotSent() *result.Error {
+	return result.New(result.InstanceLeaving, "the instance has left the group")
+}
+
 // chooseInstance returns the instance for a read and the position that it must have
 // reached.
 func (j *job) chooseInstance(until time.Time) (router.ReadCandidate, unit.Position, *result.Error) {
@@ -111,7 +118,7 @@
 		return router.ReadCandidate{}, after, err
 	}
 	for {
-		if candidate, ok := router.LowestCost(j.group.readCandidates(j.excluded, j.session.stalenessBound(j.route, j.began))); ok {
+		if candidate, ok := j.group.chooseRead(j.route, j.excluded, j.session.stalenessBound(j.route, j.began)); ok {
 			return candidate, after, nil
 		}
 		if len(j.excluded) == 0 && !time.Now().Before(until) {
--- a/tarragonshed/engine/lease.go
+++ b/tarragonshed/engine/lease.go
@@ -51,8 +51,9 @@
 	}
 	if l.forwarded {
 		l.target.observe(reply.Position, sentAt)
-		reply.Load = l.target.report()
 	}
+	reply.Load = l.target.report()
+	l.target.group.observeLoad(l.target.name(), reply.Load)
 	return reply, nil
 }
 
@@ -124,8 +125,15 @@
 	}
 }
 
-// report returns the load of the instance as this daemon sees it.
+// report returns the load of the instance, or nil unless this daemon is its home. Other daemons
+// see a part of it only.
 func (t *target) report() *router.Report {
+	t.mu.Lock()
+	isHome := len(t.homes) > 0 && t.homes[0] == t.engine.self
+	t.mu.Unlock()
+	if !isHome {
+		return nil
+	}
 	load := t.Load()
 	return &router.Report{Slots: t.instance.Slots, Running: load.Running, Queued: load.Queued, Mean: load.Mean}
 }
--- a/tarragonshed/engine/transaction.go
+++ b/tarragonshed/engine/transaction.go
@@ -9,7 +9,6 @@
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/result"
 	"tarragonshed.example/retrier"
-	"tarragonshed.example/router"
 	"tarragonshed.example/unit"
 )
 
@@ -141,6 +140,7 @@
 		if err == nil {
 			err = t.startAt(target, values, after, until)
 			if !t.atPrimary {
+				t.group.recordRead(target.name(), err)
 				target.recordLag(t.session.stalenessBound(t.route, t.began), err)
 			}
 		}
@@ -188,12 +188,13 @@
 	if err != nil {
 		return nil, after, err
 	}
-	candidate, ok := router.LowestCost(t.group.readCandidates(excluded, t.session.stalenessBound(t.route, t.began)))
+	candidate, ok := t.group.chooseRead(t.route, excluded, t.session.stalenessBound(t.route, t.began))
 	if !ok {
 		return nil, after, result.New(result.NoReplica, "group %s has no instance for the transaction", t.group.name)
 	}
 	chosen, _ := t.group.find(candidate.Instance)
 	if chosen == nil {
+		t.group.recordRead(candidate.Instance, errNotSent())
 		return nil, after, result.New(result.NoReplica, "instance %s has left group %s", candidate.Instance, t.group.name)
 	}
 	return chosen, after, nil
