throttler: decide which operations stay within limits over all daemons

A caller's rate limit counts on all daemons together, cut-off ones included, and nothing bounded that sum: each daemon knows only its own operations.

The limit is divided into up to three token buckets, each lent from by one daemon, and an eighth of floors that need nobody. Grants are valid for 250 ms from the request and never returned. The member row says whether a daemon left by itself, and the time of listing is the latest that the store's clock may show.

--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -141,6 +141,8 @@
 	// Removed is the store's clock when the daemon was removed from the list, or zero if
 	// it is on the list.
 	Removed time.Duration `json:"removed,omitempty"`
+	// Left reports whether the daemon removed itself, after it had stopped serving.
+	Left bool `json:"left,omitempty"`
 }
 
 // View is a snapshot of all rows.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -127,7 +127,7 @@
 	}
 	order := make([]weighted, len(daemons))
 	for i, d := range daemons {
-		order[i] = weighted{Daemon: d, weight: weight(kind, key, d.ID)}
+		order[i] = weighted{Daemon: d, weight: Weight(kind, key, d.ID)}
 	}
 	sort.Slice(order, func(i, j int) bool {
 		if order[i].weight != order[j].weight {
@@ -142,9 +142,10 @@
 	return ranked
 }
 
-// weight hashes its arguments. They are separated by a zero byte, which no name
-// contains, so that different arguments give different hash inputs.
-func weight(kind, key string, id unit.DaemonID) uint64 {
+// Weight returns the weight of a daemon for a key of a kind of work. The arguments of the
+// hash are separated by a zero byte, which no name contains, so that different arguments
+// give different hash inputs.
+func Weight(kind, key string, id unit.DaemonID) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
 	for _, part := range []string{kind, "\x00", key, "\x00", string(id)} {
--- a/tarragonshed/overseer/enlist.go
+++ b/tarragonshed/overseer/enlist.go
@@ -26,8 +26,11 @@
 	view := o.auth.View()
 	m, ok := view.Members[wanted.Daemon]
 	unchanged := o.table.expect(memberKey(wanted.Daemon))
+	confirmed, _ := o.auth.Confirmed()
 	o.mu.Unlock()
-	wanted.Listed = view.Now
+	// The store's clock may have got as far. An earlier time would count as that of a daemon
+	// that all others know by now.
+	wanted.Listed = view.Now + o.now().Sub(confirmed)
 	if ok && m.Removed == 0 {
 		wanted.Listed = m.Listed
 	}
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -344,6 +344,15 @@
 	return len(o.auth.View().Listed())
 }
 
+// Membership returns the rows of the last confirmation by the store, and when its request was
+// sent. It returns false if there has been none. The caller must not modify the rows.
+func (o *Overseer) Membership() (authorizer.View, unit.Instant, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	confirmed, ok := o.auth.Confirmed()
+	return o.auth.View(), confirmed, ok
+}
+
 // notifyChanged wakes the callers that wait for a primary. The caller holds mu.
 func (o *Overseer) notifyChanged() {
 	close(o.changed)
@@ -366,7 +375,8 @@
 }
 
 // Leave closes the overseer and removes the daemon from the member list. It does nothing if
-// the daemon is not on the list. The daemon must not use a primary afterwards.
+// the daemon is not on the list. The daemon must not use a primary or lend rate limits
+// afterwards.
 func (o *Overseer) Leave(ctx context.Context) error {
 	o.mu.Lock()
 	m, ok := o.auth.View().Members[o.self.Daemon]
@@ -376,7 +386,7 @@
 		return nil
 	}
 	o.Close()
-	m.Removed = max(1, o.storeNow())
+	m.Removed, m.Left = max(1, o.storeNow()), true
 	_, err := o.commit(ctx, Transaction{
 		Era:      era,
 		Expected: []Expectation{unchanged},
--- /dev/null
+++ b/throttler/budget.go
@@ -0,0 +1,185 @@
+package throttler
+
+import (
+	"math"
+	"time"
+
+	"tarragonshed.example/manifest"
+	"tarragonshed.example/unit"
+)
+
+const (
+	// Validity is how long a grant may be used, from when it was requested. It is longer
+	// than a round trip between regions together with a stalled process.
+	Validity = 250 * time.Millisecond
+	// MaxShares is the highest number of lenders of a caller.
+	MaxShares = 3
+	// manifestDelay is the longest time until a manifest reaches a daemon that the store
+	// confirms the member list to.
+	manifestDelay = 5 * time.Second
+	// floorFraction is the part of a limit that the floors of all daemons have together.
+	floorFraction = 1.0 / 8
+)
+
+// allotment is the part of a limit that one bucket holds.
+type allotment struct{ rate, burst float64 }
+
+func (a allotment) min(b allotment) allotment {
+	return allotment{rate: min(a.rate, b.rate), burst: min(a.burst, b.burst)}
+}
+
+func (a allotment) scale(f float64) allotment { return allotment{rate: a.rate * f, burst: a.burst * f} }
+
+// allotmentOf returns the whole limit. A burst below one operation would admit none.
+func allotmentOf(l manifest.RateLimit) allotment {
+	return allotment{rate: max(0, l.PerSecond), burst: max(1, l.Burst)}
+}
+
+// shares returns the number of lenders. Each has at least one operation of the burst, after
+// the reserve for grants that are used late.
+func (a allotment) shares() int {
+	spare := (1 - floorFraction) * (a.burst - a.rate*Validity.Seconds())
+	return int(min(max(1, spare), MaxShares))
+}
+
+// hasFloors reports whether the floor of a daemon can hold one operation if the members are
+// at least n.
+func (a allotment) hasFloors(n int) bool { return floorFraction*a.burst >= float64(max(1, n)) }
+
+// share returns the part of one lender.
+func (a allotment) share(s Share, floors bool) allotment {
+	n := a.shares()
+	if int(s) >= n {
+		return allotment{}
+	}
+	if floors {
+		a = a.scale(1 - floorFraction)
+	}
+	return a.scale(1 / float64(n))
+}
+
+// floor returns the floor of one of n members. A bucket that can't hold one operation stays
+// empty, because lenders rely on it, see [allotment.hasFloors].
+func (a allotment) floor(n int) allotment {
+	if n == 0 || !a.hasFloors(n) {
+		return allotment{}
+	}
+	return a.scale(floorFraction / float64(n))
+}
+
+// lendable returns the bucket to grant from, so that the operations stay within a although
+// each grant may be used up to [Validity] later. Grants of Validity+t seconds may be used
+// within t seconds, so the burst is lower by Validity*rate. If less than one operation
+// remained, the bucket holds one, and its rate is that at which the first number of
+// operations above the burst, n, takes (n-burst)/rate although n-1 intervals between grants
+// shrink by Validity.
+func (a allotment) lendable() allotment {
+	reserved := a.burst - a.rate*Validity.Seconds()
+	switch {
+	case reserved >= 1:
+		return allotment{rate: a.rate, burst: reserved}
+	case a.burst < 1:
+		return allotment{}
+	}
+	n := math.Floor(a.burst) + 1
+	interval := ((n-a.burst)/a.rate + Validity.Seconds()) / (n - 1)
+	return allotment{rate: min(a.rate, 1/interval), burst: 1}
+}
+
+// bucket is a token bucket that starts empty.
+type bucket struct {
+	tokens float64
+	at     unit.Instant // Until when tokens have been added.
+}
+
+// begin empties a bucket that was last filled before a time, because another daemon may have
+// used its part of the limit until then.
+func (b *bucket) begin(at unit.Instant) {
+	if b.at < at {
+		b.tokens, b.at = 0, at
+	}
+}
+
+// fill adds the tokens of the time until now. All of that time must have had the allotment.
+func (b *bucket) fill(a allotment, now unit.Instant) {
+	if now > b.at {
+		b.tokens += a.rate * now.Sub(b.at).Seconds()
+		b.at = now
+	}
+	b.tokens = min(b.tokens, a.burst)
+}
+
+// take removes up to n operations and returns their number.
+func (b *bucket) take(n int) int {
+	taken := min(n, int(b.tokens))
+	b.tokens -= float64(taken)
+	return taken
+}
+
+// wait returns how long it takes until the bucket holds one operation.
+func (b *bucket) wait(a allotment) time.Duration {
+	if a.rate <= 0 || a.burst < 1 {
+		return maxRetry
+	}
+	seconds := max(0, 1-b.tokens) / a.rate
+	return min(maxRetry, max(minRetry, time.Duration(seconds*float64(time.Second))))
+}
+
+// allowance is the limit of a caller with those that other daemons may still apply.
+type allowance struct {
+	current allotment
+	earlier []earlierLimit
+}
+
+// earlierLimit is a replaced limit.
+type earlierLimit struct {
+	allotment
+	until unit.Instant // Until when other daemons may apply it.
+}
+
+// replace replaces the limit.
+func (a *allowance) replace(current allotment, now unit.Instant) {
+	a.earlier = append(a.earlier, earlierLimit{allotment: a.current, until: now.Add(LendingLease + manifestDelay)})
+	a.current = current
+}
+
+// next returns when the parts of the limit change next, or false if they don't.
+func (a *allowance) next() (unit.Instant, bool) {
+	if len(a.earlier) == 0 {
+		return 0, false
+	}
+	return a.earlier[0].until, true
+}
+
+// expire forgets the earlier limits that no daemon applies any more.
+func (a *allowance) expire(now unit.Instant) {
+	for len(a.earlier) > 0 && a.earlier[0].until <= now {
+		a.earlier = a.earlier[1:]
+	}
+}
+
+// share returns the part of one lender. The lenders have the floors' part as well if no
+// daemon can have a floor: at least n daemons are members in every view in use. While other
+// daemons may divide the limit in another way, each part is the smallest one.
+func (a *allowance) share(s Share, n int) allotment {
+	floors := a.current.hasFloors(n)
+	for _, e := range a.earlier {
+		floors = floors || e.hasFloors(n)
+	}
+	part := a.current.share(s, floors)
+	for _, e := range a.earlier {
+		if e.shares() != a.current.shares() {
+			part = part.min(e.share(s, floors))
+		}
+	}
+	return part
+}
+
+// floor returns the floor of one of n members.
+func (a *allowance) floor(n int) allotment {
+	part := a.current.floor(n)
+	for _, e := range a.earlier {
+		part = part.min(e.floor(n))
+	}
+	return part
+}
