throttler: bound the validity of grants by the burst of a limit

The reserve for grants that are used late took all of a steep limit (50 a second, burst 10): a lone daemon got 15% of it. The validity is now the time in which half of the burst refills, between 50 and 250 ms, and the lender states it in the grant.

--- a/throttler/borrower.go
+++ b/throttler/borrower.go
@@ -13,9 +13,6 @@
 const (
 	// demandWindow is the time over which the demand of a caller is averaged.
 	demandWindow = time.Second
-	// prefetchTime is the time whose expected operations are requested in advance. They are
-	// used well before they lapse.
-	prefetchTime = Validity / 2
 	// borrowerKind is the kind of work in the weights of [placer].
 	borrowerKind = "rate-borrower"
 )
@@ -27,7 +24,8 @@
 	floor      bucket
 	lent       [MaxShares]bucket // What this daemon lends of each share.
 	emptyUntil [MaxShares]unit.Instant
-	first      int // The share that is asked first.
+	doublings  [MaxShares]int // Of the time until a share is asked again.
+	first      int            // The share that is asked first.
 	grants     []granted
 	waiting    []ID
 	demand     demand
@@ -85,9 +83,10 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(w ID) bool { return w == id })
 }
 
-// extra returns how many operations to request in advance.
+// extra returns how many operations to request in advance: those that are used well before
+// they lapse.
 func (a *account) extra(now unit.Instant) int {
-	expected, held := a.demand.expected(prefetchTime), a.held(now)
+	expected, held := a.demand.expected(a.limit.current.validity()/2), a.held(now)
 	if held > expected/2 {
 		return 0
 	}
@@ -188,7 +187,7 @@
 			unreachable = true
 			after = lenderRetry
 		}
-		retry = min(retry, max(minRetry, after))
+		retry = min(retry, after)
 	}
 	for _, id := range a.waiting {
 		t.emit(Refuse{ID: id, Caller: a.caller, RetryAfter: retry, Unreachable: unreachable})
@@ -248,7 +247,7 @@
 
 // receive admits waiting operations from a grant that was requested at asked.
 func (t *Throttler) receive(a *account, s Share, wanted int, g Grant, asked, now unit.Instant) {
-	until := asked.Add(Validity)
+	until := asked.Add(min(g.Validity, MaxValidity))
 	if g.Granted > 0 && now < until {
 		used := min(g.Granted, len(a.waiting))
 		for _, id := range a.waiting[:used] {
@@ -260,8 +259,14 @@
 	switch {
 	case g.NotLending:
 		a.emptyUntil[s] = now.Add(lenderRetry)
-	case g.Granted < wanted:
-		a.emptyUntil[s] = now.Add(max(minRetry, min(maxRetry, g.RetryAfter)))
+	case g.Granted > 0:
+		a.doublings[s] = 0
+	}
+	if g.Granted < wanted && !g.NotLending {
+		a.emptyUntil[s] = now.Add(min(maxRetry, g.RetryAfter<<a.doublings[s]))
+	}
+	if g.Granted == 0 {
+		a.doublings[s] = min(a.doublings[s]+1, maxDoublings)
 	}
 }
 
--- a/throttler/budget.go
+++ b/throttler/budget.go
@@ -9,14 +9,20 @@
 )
 
 const (
-	// Validity is how long a grant may be used, from when it was requested. It is longer
-	// than a round trip between regions together with a stalled process.
-	Validity = 250 * time.Millisecond
+	// MaxValidity is the longest time for which a grant may be used, from when it was
+	// requested. It is longer than a round trip between regions together with a stalled
+	// process.
+	MaxValidity = 250 * time.Millisecond
+	// minValidity is the shortest one. It is longer than a round trip between regions.
+	minValidity = 50 * time.Millisecond
 	// MaxShares is the highest number of lenders of a caller.
 	MaxShares = 3
 	// manifestDelay is the longest time until a manifest reaches a daemon that the store
 	// confirms the member list to.
 	manifestDelay = 5 * time.Second
+	// minShareBurst is the burst of each share if there are several. A smaller one would be
+	// used up although another share is not.
+	minShareBurst = 4
 	// floorFraction is the part of a limit that the floors of all daemons have together.
 	floorFraction = 1.0 / 8
 )
@@ -35,11 +41,20 @@
 	return allotment{rate: max(0, l.PerSecond), burst: max(1, l.Burst)}
 }
 
-// shares returns the number of lenders. Each has at least one operation of the burst, after
-// the reserve for grants that are used late.
+// validity returns how long a grant may be used. The reserve for grants that are used late
+// takes at most half of the burst, unless that time would be too short for a round trip.
+func (a allotment) validity() time.Duration {
+	seconds := a.burst / max(a.rate, 1e-9) / 2
+	return max(minValidity, time.Duration(min(seconds, MaxValidity.Seconds())*float64(time.Second)))
+}
+
+// reserve is the part of the burst for grants that are used late.
+func (a allotment) reserve() float64 { return a.rate * a.validity().Seconds() }
+
+// shares returns the number of lenders.
 func (a allotment) shares() int {
-	spare := (1 - floorFraction) * (a.burst - a.rate*Validity.Seconds())
-	return int(min(max(1, spare), MaxShares))
+	spare := (1 - floorFraction) * (a.burst - a.reserve())
+	return int(min(max(1, spare/minShareBurst), MaxShares))
 }
 
 // hasFloors reports whether the floor of a daemon can hold one operation if the members are
@@ -68,13 +83,12 @@
 }
 
 // lendable returns the bucket to grant from, so that the operations stay within a although
-// each grant may be used up to [Validity] later. Grants of Validity+t seconds may be used
-// within t seconds, so the burst is lower by Validity*rate. If less than one operation
-// remained, the bucket holds one, and its rate is that at which the first number of
-// operations above the burst, n, takes (n-burst)/rate although n-1 intervals between grants
-// shrink by Validity.
+// each grant may be used up to its validity v later. Grants of v+t seconds may be used within
+// t seconds, so the burst is lower by v*rate. If less than one operation remained, the bucket
+// holds one, and its rate is that at which the first number of operations above the burst,
+// n, takes (n-burst)/rate although the n-1 intervals between grants shrink by v together.
 func (a allotment) lendable() allotment {
-	reserved := a.burst - a.rate*Validity.Seconds()
+	reserved := a.burst - a.reserve()
 	switch {
 	case reserved >= 1:
 		return allotment{rate: a.rate, burst: reserved}
@@ -82,7 +96,7 @@
 		return allotment{}
 	}
 	n := math.Floor(a.burst) + 1
-	interval := ((n-a.burst)/a.rate + Validity.Seconds()) / (n - 1)
+	interval := ((n-a.burst)/a.rate + a.validity().Seconds()) / (n - 1)
 	return allotment{rate: min(a.rate, 1/interval), burst: 1}
 }
 
@@ -116,13 +130,17 @@
 	return taken
 }
 
-// wait returns how long it takes until the bucket holds one operation.
+// wait returns how long it takes until it is worth asking again: until the bucket holds one
+// operation, and not so often that each of many daemons asks for each operation, nor so late
+// that the bucket overflows.
 func (b *bucket) wait(a allotment) time.Duration {
 	if a.rate <= 0 || a.burst < 1 {
 		return maxRetry
 	}
-	seconds := max(0, 1-b.tokens) / a.rate
-	return min(maxRetry, max(minRetry, time.Duration(seconds*float64(time.Second))))
+	next := max(0, 1-b.tokens) / a.rate
+	half := a.burst / a.rate / 2
+	seconds := min(max(next, min(half, minRetry.Seconds())), maxRetry.Seconds())
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // allowance is the limit of a caller with those that other daemons may still apply.
--- a/throttler/lender.go
+++ b/throttler/lender.go
@@ -23,11 +23,12 @@
 	b := &a.lent[w.Share]
 	granted := b.take(max(0, w.Waiting))
 	granted += b.take(min(max(0, w.Extra), int(b.tokens)/2))
-	if granted >= w.Waiting {
-		return Grant{Granted: granted}
+	part := a.limit.share(w.Share, t.census.stable)
+	g := Grant{Granted: granted, Validity: part.validity()}
+	if granted < w.Waiting {
+		g.RetryAfter = b.wait(part.lendable())
 	}
-	part := a.limit.share(w.Share, t.census.stable).lendable()
-	return Grant{Granted: granted, RetryAfter: b.wait(part)}
+	return g
 }
 
 // account returns the state of a limited caller, with its buckets filled up to now.
--- a/throttler/model_test.go
+++ b/throttler/model_test.go
@@ -73,6 +73,7 @@
 	bounds    map[unit.CallerName]*bound // Of all admissions.
 	floors    map[unit.CallerName]*bound // Of those from floors.
 	admitted  map[unit.CallerName]int
+	requested int
 	asked     int // Requests to lenders.
 	violation string
 }
@@ -256,7 +257,7 @@
 		n.setOldest(version)
 	}
 	n.version = version
-	n.world.after(Validity, func() { n.setOldest(version) })
+	n.world.after(MaxValidity, func() { n.setOldest(version) })
 	n.step(Limits{Callers: n.world.callers(version), Now: n.clock()})
 }
 
@@ -297,9 +298,11 @@
 // load requests operations of a caller at random times.
 func (n *node) load(c unit.CallerName) {
 	interval := time.Duration(n.world.random.ExpFloat64() * float64(time.Second) / n.rates[c])
+	w := n.world
 	n.deliver(interval, func() {
 		if n.version >= 0 {
 			n.nextID++
+			w.requested++
 			n.callers[n.nextID] = c
 			n.step(Request{ID: n.nextID, Caller: c, Now: n.clock()})
 		}
@@ -389,11 +392,11 @@
 
 // disturb brings about a failure or an operator's request now and then.
 func (w *world) disturb() {
-	w.after(w.between(200*time.Millisecond, 3*time.Second), w.disturb)
+	w.after(w.between(100*time.Millisecond, 2*time.Second), w.disturb)
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	switch w.kinds[w.random.IntN(len(w.kinds))] {
 	case suspend:
-		n.frozenUntil = w.now + w.between(0, 14*time.Second)
+		n.frozenUntil = w.now + w.between(0, 14*time.Second)>>w.random.IntN(5)
 	case cut:
 		n.cutUntil = w.now + w.between(0, 30*time.Second)
 	case remove:
@@ -431,7 +434,7 @@
 
 func (n *node) stop() {
 	n.up = false
-	n.world.after(Validity, func() {
+	n.world.after(MaxValidity, func() {
 		if !n.up {
 			n.setOldest(math.MaxInt)
 		}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -15,8 +15,8 @@
 // A limit has up to [MaxShares] shares. Each is the token bucket of one daemon, its lender,
 // so the loss of a lender costs one share. The other daemons request what their waiting
 // operations need, and a little more for a caller with steady demand. A grant is spent for
-// the lender when it is made. The borrower may use it for [Validity], counted from when it
-// sent the request, and what is not used by then lapses. So a lost response costs tokens,
+// the lender when it is made. The borrower may use it for at most [MaxValidity], counted from
+// when it sent the request, and what is not used by then lapses. So a lost response costs tokens,
 // and no response gives them twice. See allotment.lendable for the burst that this takes.
 //
 // # Who lends
@@ -77,11 +77,14 @@
 )
 
 const (
-	// minRetry is the shortest time after which a refused operation is worth repeating. It
-	// bounds the requests to the lender of a caller that is over its limit.
+	// minRetry is the usual time until a lender that has nothing left is asked again. It
+	// bounds the requests for a caller that is over its limit.
 	minRetry = 100 * time.Millisecond
 	// maxRetry is the longest such time.
 	maxRetry = 10 * time.Second
+	// maxDoublings bounds how often the time is doubled while the lender grants nothing,
+	// because others use up what there is.
+	maxDoublings = 2
 	// lenderRetry is how long a lender is not asked after it has not responded, or has
 	// responded that it doesn't lend.
 	lenderRetry = 500 * time.Millisecond
@@ -204,6 +207,8 @@
 // Grant is the response to a [Want].
 type Grant struct {
 	Granted int
+	// Validity is how long the operations may be used, from when the request was sent.
+	Validity time.Duration
 	// NotLending means that the daemon does not lend this share now.
 	NotLending bool
 	// RetryAfter is when the share may have another operation. It is set if fewer were
--- /dev/null
+++ b/throttler/throttler_test.go
@@ -0,0 +1,232 @@
+package throttler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonshed.example/manifest"
+	"tarragonshed.example/unit"
+)
+
+// calmWorld returns a world without failures whose daemons have been listed for long.
+func calmWorld(nodes int, limits map[unit.CallerName]manifest.RateLimit) *world {
+	w := newWorld(1, nodes, limits)
+	w.calm = true
+	return w
+}
+
+// admittedIn returns how many operations of the caller are admitted within the time, after
+// 5 s in which the buckets fill.
+func (w *world) admittedIn(c unit.CallerName, d time.Duration) int {
+	w.startAll()
+	w.runUntil(w.now + 5*time.Second)
+	before := w.admitted[c]
+	w.runUntil(w.now + d)
+	return w.admitted[c] - before
+}
+
+func TestLoneBusyDaemonUsesMostOfTheLimit(t *testing.T) {
+	for c, limit := range modelLimits {
+		t.Run(string(c), func(t *testing.T) {
+			is := is.New(t)
+			w := calmWorld(24, modelLimits)
+			w.nodes[3].rates[c] = 3 * limit.PerSecond
+			admitted := w.admittedIn(c, 20*time.Second)
+			t.Log(admitted)
+			is.Equal(w.violation, "")
+			want := 0.8
+			if limit.Burst == 1 {
+				want = 0.5 // Nothing is saved up until the next operation arrives.
+			}
+			is.True(float64(admitted) >= want*20*limit.PerSecond)
+		})
+	}
+}
+
+// TestHotCaller checks that a caller far above its limit gets what the limit allows, through
+// many daemons, and that its refusals cost few requests.
+func TestHotCaller(t *testing.T) {
+	is := is.New(t)
+	limit := manifest.RateLimit{PerSecond: 40, Burst: 40}
+	w := calmWorld(24, map[unit.CallerName]manifest.RateLimit{"hot": limit})
+	for _, n := range w.nodes {
+		n.rates["hot"] = 7 * limit.PerSecond / 24
+	}
+	admitted := w.admittedIn("hot", 20*time.Second)
+	t.Log(admitted, w.asked)
+	is.Equal(w.violation, "")
+	is.True(admitted >= 640) // 80%
+	is.True(w.asked < 7*40*25)
+}
+
+func TestSmallCallersOverManyDaemons(t *testing.T) {
+	is := is.New(t)
+	limits := make(map[unit.CallerName]manifest.RateLimit)
+	for i := range 20 {
+		limits[unit.CallerName(fmt.Sprintf("c-%d", i))] = manifest.RateLimit{PerSecond: 2, Burst: 4}
+	}
+	w := calmWorld(24, limits)
+	for _, n := range w.nodes {
+		for c := range limits {
+			n.rates[c] = 1.2 / 24
+		}
+	}
+	w.startAll()
+	w.runUntil(w.now + 60*time.Second)
+	total := 0
+	for _, n := range w.admitted {
+		total += n
+	}
+	t.Log(total, w.requested)
+	is.Equal(w.violation, "")
+	is.True(float64(total) > 0.9*float64(w.requested))
+}
+
+func TestCutOffDaemonUsesItsFloor(t *testing.T) {
+	is := is.New(t)
+	limit := manifest.RateLimit{PerSecond: 100, Burst: 200}
+	w := calmWorld(8, map[unit.CallerName]manifest.RateLimit{"c": limit})
+	cutOff := w.nodes[0]
+	cutOff.rates["c"] = 50
+	w.startAll()
+	w.runUntil(w.now + 5*time.Second)
+	cutOff.cutUntil = w.now + time.Hour
+	w.runUntil(w.now + time.Second) // Grants lapse.
+	before := w.admitted["c"]
+	w.runUntil(w.now + 10*time.Second)
+	floor := limit.PerSecond * floorFraction / 8 * 10
+	is.True(float64(w.admitted["c"]-before) >= 0.9*floor)
+	w.runUntil(w.now + FloorLease)
+	before = w.admitted["c"]
+	w.runUntil(w.now + 10*time.Second)
+	is.Equal(w.admitted["c"], before) // Others may have taken over its floor.
+}
+
+// TestLenders checks for how long a caller is limited to a part while its lenders change. All
+// daemons but the lenders serve the caller.
+func TestLenders(t *testing.T) {
+	limit := manifest.RateLimit{PerSecond: 20, Burst: 20}
+	served := func(change func(w *world, lender *node)) float64 {
+		w := calmWorld(6, map[unit.CallerName]manifest.RateLimit{"c": limit})
+		w.startAll()
+		w.runUntil(w.now + 3*time.Second)
+		m, _ := w.nodes[0].throttler.roster.lender(partitionOf("c", 0), w.nodes[0].clock())
+		var lender *node
+		for _, n := range w.nodes {
+			if n.id == m.Daemon {
+				lender = n
+				continue
+			}
+			n.rates["c"] = 6
+			n.load("c")
+		}
+		w.runUntil(w.now + 3*time.Second)
+		change(w, lender)
+		before := w.admitted["c"]
+		w.runUntil(w.now + 10*time.Second)
+		if w.violation != "" {
+			t.Error(w.violation)
+		}
+		return float64(w.admitted["c"]-before) / (limit.PerSecond * 10)
+	}
+	check := func(name string, atLeast float64, change func(w *world, lender *node)) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			share := served(change)
+			t.Logf("%.2f of the limit", share)
+			is.True(share >= atLeast)
+		})
+	}
+	check("nothing happens", 0.8, func(*world, *node) {})
+	check("the store is away", 0.75, func(w *world, _ *node) {
+		for _, n := range w.nodes {
+			n.refusedUntil = w.now + 9*time.Second
+		}
+	})
+	check("a lender restarts", 0.7, func(w *world, lender *node) {
+		lender.up = false
+		w.after(time.Second, lender.start)
+	})
+	check("a lender leaves", 0.7, func(w *world, lender *node) {
+		lender.up = false
+		w.remove(lender, true)
+	})
+	check("a lender is lost", 0.5, func(w *world, lender *node) {
+		lender.up = false
+		w.after(6*time.Second, func() { w.remove(lender, false) })
+	})
+	check("a lender is suspended", 0.5, func(w *world, lender *node) {
+		lender.frozenUntil = w.now + 5*time.Second
+	})
+}
+
+// TestLendable checks the bucket of a lender against grants that are made as early, and used
+// as late, as possible.
+func TestLendable(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 500 {
+		limit := allotment{rate: random.Float64() * 100, burst: 1 + random.Float64()*30}
+		part := limit.lendable()
+		b := bound{tokens: limit.burst}
+		granting := bucket{tokens: part.burst}
+		last := time.Duration(0)
+		for now := time.Duration(0); now < 4*time.Second; now += time.Millisecond {
+			granting.fill(part, unit.Instant(now))
+			for range granting.take(1 + random.IntN(3)) {
+				used := max(last, now+time.Duration(random.Int64N(int64(limit.validity()))))
+				if now < 2*time.Second {
+					used = max(last, now+limit.validity()-1)
+				}
+				last = used
+				if !b.admit(limit, used) {
+					t.Fatalf("%+v is exceeded at %v with %+v", limit, used, part)
+				}
+			}
+		}
+	}
+}
+
+func TestChangedLimits(t *testing.T) {
+	now := unit.Instant(time.Hour)
+	few, many := allotment{rate: 4, burst: 4}, allotment{rate: 40, burst: 400}
+	t.Run("a lower limit applies at once", func(t *testing.T) {
+		is := is.New(t)
+		a := allowance{current: many}
+		a.replace(few, now)
+		is.True(a.share(0, 24).burst <= few.burst)
+		is.Equal(a.share(1, 24), allotment{})
+	})
+	t.Run("a higher limit that is divided differently applies once all know it", func(t *testing.T) {
+		is := is.New(t)
+		a := allowance{current: few}
+		a.replace(many, now)
+		is.True(a.share(0, 24).burst <= few.burst)
+		is.Equal(a.share(2, 24).burst, 0.0)
+		is.Equal(a.floor(10).burst, 0.0)
+		a.expire(now.Add(LendingLease + manifestDelay))
+		is.True(a.share(2, 24).burst > 100)
+		is.Equal(a.floor(10).burst, 5.0)
+	})
+}
+
+func TestRequestsOfUnlimitedCallersAreAdmitted(t *testing.T) {
+	is := is.New(t)
+	x := New("a", 1)
+	is.Equal(x.Step(Request{ID: 7, Caller: "c"}), []Effect{Admit{ID: 7, Source: Unlimited}})
+	x.Step(Limits{Callers: []manifest.Caller{{Name: "d"}}})
+	is.Equal(len(x.limits), 0)
+}
+
+// TestWithoutLender checks that a daemon that knows no lender refuses at once.
+func TestWithoutLender(t *testing.T) {
+	is := is.New(t)
+	x := New("a", 1)
+	x.Step(Limits{Callers: []manifest.Caller{{Name: "c", RateLimit: &manifest.RateLimit{PerSecond: 5, Burst: 5}}}})
+	is.Equal(x.Step(Request{ID: 1, Caller: "c", Now: 1}), []Effect{Refuse{ID: 1, Caller: "c", RetryAfter: lenderRetry, Unreachable: true}})
+	is.Equal(x.Lend([]Want{{Caller: "c", Waiting: 1}, {Caller: "unknown"}, {Caller: "c", Share: -1}}, 1),
+		[]Grant{{NotLending: true}, {NotLending: true}, {NotLending: true}})
+}
