--- a/throttler/borrower.go
+++ b/throttler/borrower.go
@@ -152,17 +152,21 @@
 	}
 }
 
-// choose returns the share to ask, and its lender. Shares that this daemon lends come first.
+// choose returns the share to ask, and its lender: this daemon if it lends one, otherwise a
+// near one. Of equally near ones, daemons prefer different ones.
 func (t *Throttler) choose(a *account, now unit.Instant) (share Share, m authorizer.Member, found bool) {
-	n := a.limit.current.shares()
+	n, best := a.limit.current.shares(), 0
 	for i := range n {
 		s := Share((a.first + i) % n)
 		candidate, ok := t.available(a, s, now)
-		if ok && candidate.Daemon == t.self {
+		switch {
+		case !ok:
+			continue
+		case candidate.Daemon == t.self:
 			return s, candidate, true
 		}
-		if ok && !found {
-			share, m, found = s, candidate, true
+		if distance := t.distance(candidate.Domain); !found || distance < best {
+			share, m, best, found = s, candidate, distance, true
 		}
 	}
 	return share, m, found
@@ -238,7 +242,9 @@
 	for i, w := range l.wants {
 		if a, ok := t.accounts[w.Caller]; ok && a.asking && a.asked == w.Share {
 			a.asking = false
-			t.receive(a, w.Share, w.Waiting, e.Grants[i], l.asked, e.Now)
+			g := e.Grants[i]
+			g.Granted = min(g.Granted, w.Waiting+w.Extra)
+			t.receive(a, w.Share, w.Waiting, g, l.asked, e.Now)
 			t.ask(a, e.Now)
 		}
 	}
@@ -263,7 +269,7 @@
 		a.doublings[s] = 0
 	}
 	if g.Granted < wanted && !g.NotLending {
-		a.emptyUntil[s] = now.Add(min(maxRetry, g.RetryAfter<<a.doublings[s]))
+		a.emptyUntil[s] = now.Add(max(shortestRetry, min(maxRetry, g.RetryAfter)<<a.doublings[s]))
 	}
 	if g.Granted == 0 {
 		a.doublings[s] = min(a.doublings[s]+1, maxDoublings)
--- a/throttler/budget.go
+++ b/throttler/budget.go
@@ -36,9 +36,20 @@
 
 func (a allotment) scale(f float64) allotment { return allotment{rate: a.rate * f, burst: a.burst * f} }
 
-// allotmentOf returns the whole limit. A burst below one operation would admit none.
+// maxQuantity bounds rates and bursts, so that their sums and products are finite.
+const maxQuantity = 1e9
+
+// allotmentOf returns the whole limit. A burst below one operation would admit none. What is
+// no number counts as the lowest value.
 func allotmentOf(l manifest.RateLimit) allotment {
-	return allotment{rate: max(0, l.PerSecond), burst: max(1, l.Burst)}
+	a := allotment{burst: 1}
+	if l.PerSecond > 0 {
+		a.rate = min(l.PerSecond, maxQuantity)
+	}
+	if l.Burst > 1 {
+		a.burst = min(l.Burst, maxQuantity)
+	}
+	return a
 }
 
 // validity returns how long a grant may be used. The reserve for grants that are used late
--- a/throttler/model_test.go
+++ b/throttler/model_test.go
@@ -75,6 +75,7 @@
 	admitted  map[unit.CallerName]int
 	requested int
 	asked     int // Requests to lenders.
+	wants     int // Of these requests.
 	violation string
 }
 
@@ -298,18 +299,21 @@
 // load requests operations of a caller at random times.
 func (n *node) load(c unit.CallerName) {
 	interval := time.Duration(n.world.random.ExpFloat64() * float64(time.Second) / n.rates[c])
-	w := n.world
 	n.deliver(interval, func() {
 		if n.version >= 0 {
-			n.nextID++
-			w.requested++
-			n.callers[n.nextID] = c
-			n.step(Request{ID: n.nextID, Caller: c, Now: n.clock()})
+			n.request(c)
 		}
 		n.load(c)
 	})
 }
 
+func (n *node) request(c unit.CallerName) {
+	n.nextID++
+	n.world.requested++
+	n.callers[n.nextID] = c
+	n.step(Request{ID: n.nextID, Caller: c, Now: n.clock()})
+}
+
 func (n *node) step(e Event) {
 	for _, effect := range n.throttler.Step(e) {
 		switch effect := effect.(type) {
@@ -339,6 +343,7 @@
 func (n *node) ask(e Ask) {
 	w := n.world
 	w.asked++
+	w.wants += len(e.Wants)
 	n.deliver(modelTimeout, func() { n.step(Failed{Lender: e.Lender, Number: e.Number, Now: n.clock()}) })
 	if n.isCut() || w.lost() {
 		return
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -80,8 +80,9 @@
 	// minRetry is the usual time until a lender that has nothing left is asked again. It
 	// bounds the requests for a caller that is over its limit.
 	minRetry = 100 * time.Millisecond
-	// maxRetry is the longest such time.
-	maxRetry = 10 * time.Second
+	// shortestRetry and maxRetry bound that time.
+	shortestRetry = 5 * time.Millisecond
+	maxRetry      = 10 * time.Second
 	// maxDoublings bounds how often the time is doubled while the lender grants nothing,
 	// because others use up what there is.
 	maxDoublings = 2
@@ -225,9 +226,17 @@
 	accounts map[unit.CallerName]*account
 	lenders  map[unit.DaemonID]*lender
 	lending  int // Partitions in which this daemon lends.
+	distance func(unit.DomainName) int
 	effects  []Effect
 }
 
+// Option configures a Throttler under construction.
+type Option func(*Throttler)
+
+// WithDistance sets the distance to the daemons of a failure domain. Of several lenders, near
+// ones are asked first.
+func WithDistance(d func(unit.DomainName) int) Option { return func(t *Throttler) { t.distance = d } }
+
 // limit is the limit of a caller.
 type limit struct {
 	allowance
@@ -235,13 +244,18 @@
 }
 
 // New returns a Throttler that knows no limits.
-func New(self unit.DaemonID, incarnation unit.Incarnation) *Throttler {
-	return &Throttler{
+func New(self unit.DaemonID, incarnation unit.Incarnation, options ...Option) *Throttler {
+	t := &Throttler{
 		self: self, roster: newRoster(self, incarnation),
 		limits:   make(map[unit.CallerName]*limit),
 		accounts: make(map[unit.CallerName]*account),
 		lenders:  make(map[unit.DaemonID]*lender),
+		distance: func(unit.DomainName) int { return 0 },
+	}
+	for _, option := range options {
+		option(t)
 	}
+	return t
 }
 
 // Step processes an event.
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"tarragonshed.example/authorizer"
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/unit"
 )
@@ -213,6 +215,21 @@
 	})
 }
 
+func TestOddLimits(t *testing.T) {
+	for _, l := range []manifest.RateLimit{
+		{}, {PerSecond: -1, Burst: -1}, {PerSecond: math.NaN(), Burst: math.NaN()}, {PerSecond: math.Inf(1), Burst: math.Inf(1)},
+	} {
+		t.Run(fmt.Sprint(l), func(t *testing.T) {
+			is := is.New(t)
+			w := calmWorld(2, map[unit.CallerName]manifest.RateLimit{"c": l})
+			w.nodes[0].rates["c"] = 10
+			w.admittedIn("c", 5*time.Second)
+			is.Equal(w.violation, "")
+			is.Equal(w.admitted["c"] > 1, l.PerSecond > 0)
+		})
+	}
+}
+
 func TestRequestsOfUnlimitedCallersAreAdmitted(t *testing.T) {
 	is := is.New(t)
 	x := New("a", 1)
@@ -230,3 +247,36 @@
 	is.Equal(x.Lend([]Want{{Caller: "c", Waiting: 1}, {Caller: "unknown"}, {Caller: "c", Share: -1}}, 1),
 		[]Grant{{NotLending: true}, {NotLending: true}, {NotLending: true}})
 }
+
+// TestNearLender checks that of several lenders a near one is asked first.
+func TestNearLender(t *testing.T) {
+	is := is.New(t)
+	limit := manifest.RateLimit{PerSecond: 40, Burst: 40}
+	w := calmWorld(6, map[unit.CallerName]manifest.RateLimit{"c": limit})
+	w.startAll()
+	w.runUntil(w.now + time.Second)
+	borrower := w.nodes[0].throttler
+	for s := range Share(MaxShares) {
+		near, _ := borrower.roster.lender(partitionOf("c", s), w.nodes[0].clock())
+		if near.Daemon == borrower.self {
+			continue
+		}
+		a, _ := borrower.account("c", w.nodes[0].clock())
+		for _, n := range w.nodes {
+			m := borrower.roster.view.Members[n.id]
+			m.Domain = unit.DomainName(n.id)
+			borrower.roster.view.Members[n.id] = m
+		}
+		borrower.roster.listed = borrower.roster.view.Listed()
+		borrower.roster.ranked = [partitions][]authorizer.Member{}
+		borrower.distance = func(d unit.DomainName) int {
+			if d == unit.DomainName(near.Daemon) {
+				return 0
+			}
+			return 1
+		}
+		_, m, ok := borrower.choose(a, w.nodes[0].clock())
+		is.True(ok)
+		is.True(m.Daemon == near.Daemon || m.Daemon == borrower.self)
+	}
+}
