--- /dev/null
+++ b/tarragonshed/overseer/membership_test.go
@@ -0,0 +1,47 @@
+package overseer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"tarragonshed.example/unit"
+)
+
+func TestMembership(t *testing.T) {
+	t.Run("there is none before a confirmation", func(t *testing.T) {
+		is := is.New(t)
+		_, _, ok := served(t, "a", &memoryStore{}).Membership()
+		is.True(!ok)
+	})
+	t.Run("a daemon that leaves says so", func(t *testing.T) {
+		is := is.New(t)
+		store := &memoryStore{}
+		a, b := served(t, "a", store), served(t, "b", store)
+		is.NoErr(a.read())
+		is.NoErr(b.read())
+		is.NoErr(b.Leave(t.Context()))
+		is.NoErr(a.read())
+		view, _, ok := a.Membership()
+		is.True(ok)
+		is.True(view.Members["b"].Removed > 0)
+		is.True(view.Members["b"].Left)
+		is.NoErr(served(t, "b", store).read())
+		is.NoErr(a.read())
+		view, _, _ = a.Membership()
+		is.True(!view.Members["b"].Left)
+	})
+	t.Run("the time of listing is not that of an old view", func(t *testing.T) {
+		is := is.New(t)
+		store := &memoryStore{}
+		a := served(t, "a", store)
+		is.NoErr(a.refresh(t.Context()))
+		confirmed, _ := a.auth.Confirmed()
+		suspended := 20 * time.Second
+		a.now = func() unit.Instant { return confirmed.Add(suspended) }
+		is.NoErr(a.enlist(t.Context()))
+		view, _, _ := a.Membership()
+		is.Equal(view.Members["a"].Listed, store.moment().Now+suspended)
+	})
+}
--- a/throttler/budget.go
+++ b/throttler/budget.go
@@ -22,7 +22,7 @@
 	manifestDelay = 5 * time.Second
 	// minShareBurst is the burst of each share if there are several. A smaller one would be
 	// used up although another share is not.
-	minShareBurst = 4
+	minShareBurst = 2
 	// floorFraction is the part of a limit that the floors of all daemons have together.
 	floorFraction = 1.0 / 8
 )
