throttler: keep the burst when a daemon that left is listed again

The row of a daemon that left and returned emptied the buckets of its successor, although that one goes on lending: only a removal that was not seen hides an earlier lender. A daemon that starts soon after a restore of the store trusts no row to be older than the time until which rows from before it may be acted on, in place of a separate delay.

--- a/throttler/roster.go
+++ b/throttler/roster.go
@@ -103,19 +103,21 @@
 	return true
 }
 
-// sight updates the sightings. In the first view a row is trusted to be as old as it says.
+// sight updates the sightings. In the first view a row is trusted to be as old as it says, but
+// not older than the time until which daemons may act on rows from before a restore of the store.
 func (r *roster) sight(trusted bool, now unit.Instant) {
 	for d, m := range r.view.Members {
 		s, known := r.seen[d]
 		if known && !s.gone && s.listed == m.Listed && s.removed == m.Removed {
 			continue
 		}
+		missed := known && s.onList() // It was removed and listed again since.
 		s = sighting{listed: m.Listed, removed: m.Removed, at: now}
 		if trusted && m.Removed == 0 {
-			s.at = now.Add(-max(0, r.view.Now-m.Listed-listingDelay))
+			s.at = now.Add(-max(0, r.view.Now-max(m.Listed, r.view.UnlistedUntil)-listingDelay))
 		}
 		r.seen[d] = s
-		if known || m.Removed != 0 {
+		if missed || m.Removed != 0 {
 			r.awaitEnd(m, now)
 		}
 	}
@@ -149,10 +151,6 @@
 	if gap { // Other daemons may have used this one's parts, or its earlier incarnation has.
 		start, floorStart = max(start, now), max(floorStart, now)
 	}
-	left := r.view.UnlistedUntil - r.view.Now
-	if r.view.UnlistedUntil > 0 && left > -FloorLease { // The store was restored.
-		start, floorStart = max(start, now.Add(left)), max(floorStart, now.Add(r.timing.floorWait))
-	}
 	r.floorStart = max(r.floorStart, floorStart)
 	for p := range r.starts {
 		r.starts[p] = max(r.starts[p], start)
