throttler: start with empty buckets when a limit comes back

A limit that was removed by one manifest and returned with the next one gave the caller its burst a second time.

--- a/tarragonshed/quoter/quoter_test.go
+++ b/tarragonshed/quoter/quoter_test.go
@@ -16,11 +16,15 @@
 	"tarragonshed.example/manifest"
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/engine"
+	"tarragonshed.example/tarragonshed/overseer"
 	"tarragonshed.example/throttler"
 	"tarragonshed.example/unit"
 )
 
-var _ engine.RateLimits = (*Quoter)(nil)
+var (
+	_ engine.RateLimits = (*Quoter)(nil)
+	_ Members           = (*overseer.Overseer)(nil)
+)
 
 // cluster is a member list, always just confirmed, and a clock that tests set.
 type cluster struct {
--- a/throttler/model_test.go
+++ b/throttler/model_test.go
@@ -52,7 +52,7 @@
 	{suspend, cut, remove, restart, change, refuse},
 	{suspend},
 	{cut, remove, refuse},
-	{restart, refuse},
+	{restart},
 }
 
 // world is a model of some daemons, their network and the store, in virtual time.
@@ -444,7 +444,7 @@
 			n.setOldest(math.MaxInt)
 		}
 	})
-	n.world.after(n.world.between(500*time.Millisecond, 15*time.Second), func() {
+	n.world.after(n.world.between(500*time.Millisecond, 15*time.Second)>>n.world.random.IntN(5), func() {
 		if !n.up {
 			n.start()
 		}
@@ -524,7 +524,7 @@
 		w.fault, w.kinds, w.slow = f, mixes[seed%len(mixes)], seed/len(mixes)%2 == 1
 		for _, n := range w.nodes {
 			for _, c := range slices.Sorted(maps.Keys(modelLimits)) {
-				n.rates[c] = modelLimits[c].PerSecond * []float64{0.1, 0.5, 2}[w.random.IntN(3)]
+				n.rates[c] = modelLimits[c].PerSecond * []float64{0.1, 1, 3}[w.random.IntN(3)]
 			}
 		}
 		for _, n := range w.nodes[3:] { // These are added later.
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -223,6 +223,7 @@
 	roster   *roster
 	census   census
 	limits   map[unit.CallerName]*limit
+	removed  map[unit.CallerName]bool // Callers that have had a limit.
 	accounts map[unit.CallerName]*account
 	lenders  map[unit.DaemonID]*lender
 	lending  int // Partitions in which this daemon lends.
@@ -240,7 +241,7 @@
 // limit is the limit of a caller.
 type limit struct {
 	allowance
-	since unit.Instant
+	since unit.Instant // Before which no operations are saved up.
 }
 
 // New returns a Throttler that knows no limits.
@@ -248,6 +249,7 @@
 	t := &Throttler{
 		self: self, roster: newRoster(self, incarnation),
 		limits:   make(map[unit.CallerName]*limit),
+		removed:  make(map[unit.CallerName]bool),
 		accounts: make(map[unit.CallerName]*account),
 		lenders:  make(map[unit.DaemonID]*lender),
 		distance: func(unit.DomainName) int { return 0 },
@@ -331,7 +333,11 @@
 	l, ok := t.limits[name]
 	switch {
 	case !ok:
-		t.limits[name] = &limit{allowance: allowance{current: a}}
+		l = &limit{allowance: allowance{current: a}}
+		if t.removed[name] {
+			l.since = now // What was used before is not known any more.
+		}
+		t.limits[name] = l
 	case l.current != a:
 		if account, ok := t.accounts[name]; ok {
 			t.fill(account, now)
@@ -351,4 +357,5 @@
 	}
 	delete(t.accounts, name)
 	delete(t.limits, name)
+	t.removed[name] = true
 }
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -271,6 +271,22 @@
 	}
 }
 
+// TestLimitThatComesBack checks that a caller does not get its burst once more when its limit
+// is removed and comes back.
+func TestLimitThatComesBack(t *testing.T) {
+	is := is.New(t)
+	limit := manifest.RateLimit{PerSecond: 1, Burst: 20}
+	w := calmWorld(1, map[unit.CallerName]manifest.RateLimit{"c": limit})
+	n := w.nodes[0]
+	n.rates["c"] = 100
+	is.True(w.admittedIn("c", time.Second) < 10)
+	before := w.admitted["c"]
+	n.step(Limits{Now: n.clock()})
+	n.step(Limits{Callers: w.callers(0), Now: n.clock()})
+	w.runUntil(w.now + 5*time.Second)
+	is.True(w.admitted["c"]-before <= 6)
+}
+
 func TestRequestsOfUnlimitedCallersAreAdmitted(t *testing.T) {
 	is := is.New(t)
 	x := New("a", 1)
