throttler: allow for an earlier limit that a started daemon does not know

A daemon now uses for 15 s after its start only what is certain whatever the limit was before. The number of shares follows from the burst alone, so that this is little: nothing is lost from a burst of 18 on, at most half below. Floors wait as long.

An operation no longer asks a lender again and again whose responses come after the grants have lapsed, and a refusal says so if a part of the limit has no lender.

--- a/tarragonshed/quoter/quoter.go
+++ b/tarragonshed/quoter/quoter.go
@@ -236,10 +236,10 @@
 	if !ok {
 		return nil
 	}
-	retryAfter := refused.RetryAfter.Round(time.Millisecond)
+	retryAfter := max(time.Millisecond, refused.RetryAfter.Round(time.Millisecond))
 	q.logRefusal(refused)
 	if refused.Unreachable {
-		return result.New(result.RateLimited, "no lender of the rate limit of caller %s responds; try again in %v", caller, retryAfter)
+		return result.New(result.RateLimited, "a part of the rate limit of caller %s has no lender, and the rest is used up; try again in %v", caller, retryAfter)
 	}
 	return result.New(result.RateLimited, "rate limit of caller %s used up; try again in %v", caller, retryAfter)
 }
--- a/throttler/borrower.go
+++ b/throttler/borrower.go
@@ -24,8 +24,9 @@
 	floor      bucket
 	lent       [MaxShares]bucket // What this daemon lends of each share.
 	emptyUntil [MaxShares]unit.Instant
-	doublings  [MaxShares]int // Of the time until a share is asked again.
-	first      int            // The share that is asked first.
+	doublings  [MaxShares]int  // Of the time until a share is asked again.
+	missing    [MaxShares]bool // Whether the last answer of a share's lender was of no use.
+	first      int             // The share that is asked first.
 	grants     []granted
 	waiting    []ID
 	demand     demand
@@ -187,10 +188,11 @@
 	retry, unreachable := maxRetry, false
 	for s := range Share(a.limit.current.shares()) {
 		after := a.emptyUntil[s].Sub(now)
-		if _, ok := t.available(a, s, now); !ok && after <= 0 {
-			unreachable = true
+		if after <= 0 { // Its lender is not known or has not responded.
 			after = lenderRetry
+			unreachable = true
 		}
+		unreachable = unreachable || a.missing[s]
 		retry = min(retry, after)
 	}
 	for _, id := range a.waiting {
@@ -258,26 +260,32 @@
 // receive admits waiting operations from a grant that was requested at asked.
 func (t *Throttler) receive(a *account, s Share, wanted int, g Grant, asked, now unit.Instant) {
 	until := asked.Add(min(g.Validity, MaxValidity))
-	if g.Granted > 0 && now < until {
-		used := min(g.Granted, len(a.waiting))
-		for _, id := range a.waiting[:used] {
-			t.emit(Admit{ID: id, Source: FromLender})
-		}
-		a.waiting = a.waiting[used:]
-		a.grants = append(a.grants, granted{count: g.Granted - used, until: until})
-	}
+	a.missing[s] = g.NotLending || now >= until
 	switch {
 	case g.NotLending:
 		a.emptyUntil[s] = now.Add(lenderRetry)
-	case g.Granted > 0:
-		a.doublings[s] = 0
-	}
-	if g.Granted < wanted && !g.NotLending {
+		return
+	case now >= until: // Asking once more would probably take as long.
+		a.emptyUntil[s] = now.Add(minRetry)
+		return
+	case g.Granted < wanted:
 		a.emptyUntil[s] = now.Add(max(shortestRetry, min(maxRetry, g.RetryAfter)<<a.doublings[s]))
 	}
-	if g.Granted == 0 {
-		a.doublings[s] = min(a.doublings[s]+1, maxDoublings)
+	a.doublings[s] = min(a.doublings[s]+1, maxDoublings)
+	if g.Granted > 0 {
+		a.doublings[s] = 0
+		t.admitWaiting(a, g.Granted, until)
+	}
+}
+
+// admitWaiting admits waiting operations from granted ones, and keeps the rest of these.
+func (t *Throttler) admitWaiting(a *account, count int, until unit.Instant) {
+	used := min(count, len(a.waiting))
+	for _, id := range a.waiting[:used] {
+		t.emit(Admit{ID: id, Source: FromLender})
 	}
+	a.waiting = a.waiting[used:]
+	a.grants = append(a.grants, granted{count: count - used, until: until})
 }
 
 // failed turns to other lenders after one has not responded.
--- a/throttler/budget.go
+++ b/throttler/budget.go
@@ -20,9 +20,9 @@
 	// manifestDelay is the longest time until a manifest reaches a daemon that the store
 	// confirms the member list to.
 	manifestDelay = 5 * time.Second
-	// minShareBurst is the burst of each share if there are several. A smaller one would be
-	// used up although another share is not.
-	minShareBurst = 2
+	// shareBurst is the burst of each share, at least, if there are several. Smaller ones would
+	// be used up although others are not.
+	shareBurst = 3
 	// floorFraction is the part of a limit that the floors of all daemons have together.
 	floorFraction = 1.0 / 8
 )
@@ -53,9 +53,9 @@
 }
 
 // validity returns how long a grant may be used. The reserve for grants that are used late
-// takes at most half of the burst, unless that time would be too short for a round trip.
+// takes at most a third of the burst, unless that time would be too short for a round trip.
 func (a allotment) validity() time.Duration {
-	seconds := a.burst / max(a.rate, 1e-9) / 2
+	seconds := a.burst / max(a.rate, 1e-9) / 3
 	return max(minValidity, time.Duration(min(seconds, MaxValidity.Seconds())*float64(time.Second)))
 }
 
@@ -63,27 +63,45 @@
 func (a allotment) reserve() float64 { return a.rate * a.validity().Seconds() }
 
 // shares returns the number of lenders.
-func (a allotment) shares() int {
-	spare := (1 - floorFraction) * (a.burst - a.reserve())
-	return int(min(max(1, spare/minShareBurst), MaxShares))
-}
+func (a allotment) shares() int { return int(min(max(1, a.burst/shareBurst), MaxShares)) }
 
 // hasFloors reports whether the floor of a daemon can hold one operation if the members are
 // at least n.
 func (a allotment) hasFloors(n int) bool { return floorFraction*a.burst >= float64(max(1, n)) }
 
 // share returns the part of one lender.
-func (a allotment) share(s Share, floors bool) allotment {
+func (a allotment) share(s Share) allotment {
 	n := a.shares()
 	if int(s) >= n {
 		return allotment{}
 	}
-	if floors {
-		a = a.scale(1 - floorFraction)
-	}
 	return a.scale(1 / float64(n))
 }
 
+// certain returns the part of one lender that it may lend whatever the limit was before, if
+// rate and burst were in the same proportion. Other daemons may still divide the earlier limit
+// among another number of lenders, and then the parts must not exceed the larger limit:
+//
+//   - One lender had less than 6 of the burst, two had less than 9 together, so shares 1 and 2
+//     have only what goes beyond that.
+//   - Two had at least 6 and three at least 9, of which the others keep all but 3.
+func (a allotment) certain(s Share) allotment {
+	part := a.share(s)
+	one, two := shareBurst*2.0, shareBurst*3.0 // Where there are two lenders, and three.
+	bound := part.burst
+	switch {
+	case s == 0 && a.burst < two:
+		bound = shareBurst
+	case s == 1 && a.burst < two:
+		bound = a.burst - one
+	case s == 1:
+		bound = (a.burst - one) / 2
+	case s == 2:
+		bound = min((a.burst-one)/2, a.burst-two)
+	}
+	return a.scale(max(0, min(part.burst, bound)) / a.burst)
+}
+
 // floor returns the floor of one of n members. A bucket that can't hold one operation stays
 // empty, because lenders rely on it, see [allotment.hasFloors].
 func (a allotment) floor(n int) allotment {
@@ -163,12 +181,16 @@
 // earlierLimit is a replaced limit.
 type earlierLimit struct {
 	allotment
-	until unit.Instant // Until when other daemons may apply it.
+	unknown bool         // Whether this daemon has started since, and does not know the limit.
+	until   unit.Instant // Until when other daemons may apply it.
 }
 
+// limitDelay is how long other daemons may apply an earlier limit.
+const limitDelay = LendingLease + manifestDelay
+
 // replace replaces the limit.
 func (a *allowance) replace(current allotment, now unit.Instant) {
-	a.earlier = append(a.earlier, earlierLimit{allotment: a.current, until: now.Add(LendingLease + manifestDelay)})
+	a.earlier = append(a.earlier, earlierLimit{allotment: a.current, until: now.Add(limitDelay)})
 	a.current = current
 }
 
@@ -187,28 +209,44 @@
 	}
 }
 
-// share returns the part of one lender. The lenders have the floors' part as well if no
-// daemon can have a floor: at least n daemons are members in every view in use. While other
-// daemons may divide the limit in another way, each part is the smallest one.
+// share returns the part of one lender. While other daemons may divide the limit among another
+// number of lenders, each part is the smallest one.
 func (a *allowance) share(s Share, n int) allotment {
-	floors := a.current.hasFloors(n)
+	part := a.current.share(s)
 	for _, e := range a.earlier {
-		floors = floors || e.hasFloors(n)
+		switch {
+		case e.unknown:
+			part = part.min(a.current.certain(s))
+		case e.shares() != a.current.shares():
+			part = part.min(e.share(s))
+		}
+	}
+	if a.hasFloors(n) {
+		part = part.scale(1 - floorFraction)
+	}
+	return part
+}
+
+// hasFloors reports whether a daemon may have a floor if at least n daemons are members in
+// every view in use. Otherwise the lenders have the floors' part as well. An unknown earlier
+// limit matters only if this part and its floors exceed it.
+func (a *allowance) hasFloors(n int) bool {
+	if a.current.hasFloors(n) {
+		return true
 	}
-	part := a.current.share(s, floors)
 	for _, e := range a.earlier {
-		if e.shares() != a.current.shares() {
-			part = part.min(e.share(s, floors))
+		if e.unknown && a.current.scale(1/(1-floorFraction)).hasFloors(n) || e.hasFloors(n) {
+			return true
 		}
 	}
-	return part
+	return false
 }
 
 // floor returns the floor of one of n members.
 func (a *allowance) floor(n int) allotment {
 	part := a.current.floor(n)
 	for _, e := range a.earlier {
-		part = part.min(e.floor(n))
+		part = part.min(e.floor(n)) // Nil if the limit is unknown.
 	}
 	return part
 }
--- a/throttler/model_test.go
+++ b/throttler/model_test.go
@@ -260,6 +260,11 @@
 	n.version = version
 	n.world.after(MaxValidity, func() { n.setOldest(version) })
 	n.step(Limits{Callers: n.world.callers(version), Now: n.clock()})
+	if n.world.fault == floorAtOnce {
+		for _, l := range n.throttler.limits {
+			l.earlier = nil
+		}
+	}
 }
 
 // setOldest changes the version whose grants may still be used. The bounds of the earlier
@@ -401,7 +406,11 @@
 	n := w.nodes[w.random.IntN(len(w.nodes))]
 	switch w.kinds[w.random.IntN(len(w.kinds))] {
 	case suspend:
-		n.frozenUntil = w.now + w.between(0, 14*time.Second)>>w.random.IntN(5)
+		for _, n := range w.nodes {
+			if w.random.IntN(3) == 0 {
+				n.frozenUntil = w.now + w.between(0, 14*time.Second)>>w.random.IntN(7)
+			}
+		}
 	case cut:
 		n.cutUntil = w.now + w.between(0, 30*time.Second)
 	case remove:
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -49,7 +49,9 @@
 // A lower limit applies as soon as a daemon knows it, and operations granted before lapse.
 // Daemons that know different limits stay within the larger one. If the limits are divided
 // differently, a daemon uses the smaller one of both parts until no daemon can use the
-// earlier limit: for one LendingLease and the time that a manifest takes.
+// earlier limit: for one LendingLease and the time that a manifest takes. A daemon that has
+// just started does not know the earlier limit, and uses what is certain whatever it was, see
+// allotment.certain. This assumes that rate and burst change in proportion.
 //
 // # Usage
 //
@@ -175,7 +177,8 @@
 	ID         ID
 	Caller     unit.CallerName
 	RetryAfter time.Duration
-	// Unreachable reports whether a lender of the caller is missing or does not respond.
+	// Unreachable reports whether a lender of the caller is missing or does not respond in
+	// time, so that the operation may be within the limit.
 	Unreachable bool
 }
 
@@ -222,6 +225,7 @@
 	self     unit.DaemonID
 	roster   *roster
 	census   census
+	adopted  bool // Whether limits have been adopted since the start.
 	limits   map[unit.CallerName]*limit
 	removed  map[unit.CallerName]bool // Callers that have had a limit.
 	accounts map[unit.CallerName]*account
@@ -327,6 +331,7 @@
 			t.removeLimit(name)
 		}
 	}
+	t.adopted = true
 }
 
 func (t *Throttler) setLimit(name unit.CallerName, a allotment, now unit.Instant) {
@@ -337,6 +342,9 @@
 		if t.removed[name] {
 			l.since = now // What was used before is not known any more.
 		}
+		if !t.adopted {
+			l.earlier = []earlierLimit{{unknown: true, until: now.Add(limitDelay)}}
+		}
 		t.limits[name] = l
 	case l.current != a:
 		if account, ok := t.accounts[name]; ok {
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -21,11 +21,11 @@
 	return w
 }
 
-// admittedIn returns how many operations of the caller are admitted within the time, after
-// 5 s in which the buckets fill.
+// admittedIn returns how many operations of the caller are admitted within the time, after the
+// daemons no longer have to allow for an earlier limit.
 func (w *world) admittedIn(c unit.CallerName, d time.Duration) int {
 	w.startAll()
-	w.runUntil(w.now + 5*time.Second)
+	w.runUntil(w.now + limitDelay + time.Second)
 	before := w.admitted[c]
 	w.runUntil(w.now + d)
 	return w.admitted[c] - before
@@ -62,7 +62,7 @@
 	t.Log(admitted, w.asked)
 	is.Equal(w.violation, "")
 	is.True(admitted >= 640) // 80%
-	is.True(w.asked < 7*40*25)
+	is.True(w.asked < w.requested)
 }
 
 func TestSmallCallersOverManyDaemons(t *testing.T) {
@@ -95,7 +95,7 @@
 	cutOff := w.nodes[0]
 	cutOff.rates["c"] = 50
 	w.startAll()
-	w.runUntil(w.now + 5*time.Second)
+	w.runUntil(w.now + limitDelay + time.Second)
 	cutOff.cutUntil = w.now + time.Hour
 	w.runUntil(w.now + time.Second) // Grants lapse.
 	before := w.admitted["c"]
@@ -115,7 +115,7 @@
 	served := func(change func(w *world, lender *node)) float64 {
 		w := calmWorld(6, map[unit.CallerName]manifest.RateLimit{"c": limit})
 		w.startAll()
-		w.runUntil(w.now + 3*time.Second)
+		w.runUntil(w.now + limitDelay)
 		m, _ := w.nodes[0].throttler.roster.lender(partitionOf("c", 0), w.nodes[0].clock())
 		var lender *node
 		for _, n := range w.nodes {
@@ -192,6 +192,31 @@
 	}
 }
 
+// TestPartsOfTwoLimits checks that daemons of which some apply an earlier limit, and some have
+// started since, stay within the larger limit.
+func TestPartsOfTwoLimits(t *testing.T) {
+	for earlier := 1.0; earlier < 40; earlier += 0.25 {
+		for later := 1.0; later < 40; later += 0.25 {
+			before, after := allotment{rate: earlier, burst: earlier}, allotment{rate: later, burst: later}
+			started := allowance{current: after, earlier: []earlierLimit{{unknown: true}}}
+			for choice := range 1 << MaxShares {
+				sum := allotment{}
+				for s := range Share(MaxShares) {
+					part := before.share(s)
+					if choice>>s&1 == 1 {
+						part = started.share(s, MaxShares*int(later+earlier))
+					}
+					sum.rate += part.rate
+					sum.burst += part.burst
+				}
+				if limit := max(earlier, later) + 1e-9; sum.burst > limit || sum.rate > limit {
+					t.Fatalf("bursts %v and then %v, started %b: %+v", earlier, later, choice, sum)
+				}
+			}
+		}
+	}
+}
+
 func TestChangedLimits(t *testing.T) {
 	now := unit.Instant(time.Hour)
 	few, many := allotment{rate: 4, burst: 4}, allotment{rate: 40, burst: 400}
@@ -209,7 +234,7 @@
 		is.True(a.share(0, 24).burst <= few.burst)
 		is.Equal(a.share(2, 24).burst, 0.0)
 		is.Equal(a.floor(10).burst, 0.0)
-		a.expire(now.Add(LendingLease + manifestDelay))
+		a.expire(now.Add(limitDelay))
 		is.True(a.share(2, 24).burst > 100)
 		is.Equal(a.floor(10).burst, 5.0)
 	})
@@ -279,7 +304,7 @@
 	w := calmWorld(1, map[unit.CallerName]manifest.RateLimit{"c": limit})
 	n := w.nodes[0]
 	n.rates["c"] = 100
-	is.True(w.admittedIn("c", time.Second) < 10)
+	is.True(w.admittedIn("c", time.Second) < 3)
 	before := w.admitted["c"]
 	n.step(Limits{Now: n.clock()})
 	n.step(Limits{Callers: w.callers(0), Now: n.clock()})
@@ -295,6 +320,26 @@
 	is.Equal(len(x.limits), 0)
 }
 
+// TestSlowLender checks that an operation does not wait for a lender again and again that
+// responds after the grants have lapsed.
+func TestSlowLender(t *testing.T) {
+	is := is.New(t)
+	w := calmWorld(2, map[unit.CallerName]manifest.RateLimit{"c": {PerSecond: 4, Burst: 4}})
+	w.startAll()
+	w.runUntil(w.now + time.Second)
+	m, _ := w.nodes[0].throttler.roster.lender(partitionOf("c", 0), w.nodes[0].clock())
+	n := w.nodes[0]
+	if m.Daemon == n.id {
+		n = w.nodes[1]
+	}
+	ask := n.throttler.Step(Request{ID: 1, Caller: "c", Now: n.clock()})[0].(Ask)
+	late := n.clock().Add(MaxValidity)
+	effects := n.throttler.Step(Answered{
+		Lender: m.Daemon, Number: ask.Number, Grants: []Grant{{Granted: 1, Validity: MaxValidity}}, Now: late,
+	})
+	is.Equal(effects, []Effect{Refuse{ID: 1, Caller: "c", RetryAfter: minRetry, Unreachable: true}})
+}
+
 // TestWithoutLender checks that a daemon that knows no lender refuses at once.
 func TestWithoutLender(t *testing.T) {
 	is := is.New(t)
