--- a/placer/placer.go
+++ b/placer/placer.go
@@ -133,7 +133,7 @@
 	}
 	order := make([]scored, len(daemons))
 	for i, d := range daemons {
-		h := hash(kind, key, id(d))
+		h := Hash(kind, key, id(d))
 		order[i] = scored{daemon: d, id: id(d), hash: h, score: score(h, weight(d))}
 	}
 	sort.Slice(order, func(i, j int) bool {
@@ -158,9 +158,9 @@
 	return rank(daemons, kind, key, func(member.Daemon) float64 { return 1 }, func(d member.Daemon) unit.DaemonID { return d.ID })
 }
 
-// hash hashes its arguments. They are separated by a zero byte, which no name
+// Hash returns the hash of a daemon for a key of a kind of work. The arguments are separated by a zero byte, which no name
 // contains, so that different arguments give different hash inputs.
-func hash(kind, key string, id unit.DaemonID) uint64 {
+func Hash(kind, key string, id unit.DaemonID) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
 	for _, part := range []string{kind, "\x00", key, "\x00", string(id)} {
