engine: pass over homes that do not reach the instance

A home refuses at once what it can't reach, and the daemon tries the next one. It leaves the authority to the daemon of the session unless it knows another primary. A daemon that has no replies of an instance of its own opens a connection before it says that it reaches it: without traffic it would contradict a home that lost its primary.

--- a/tarragonshed/engine/fake_test.go
+++ b/tarragonshed/engine/fake_test.go
@@ -291,6 +291,17 @@
 	return a
 }
 
+// setTimeouts sets the timeout of all routes.
+func (h *harness) setTimeouts(d time.Duration) {
+	next := *h.manifest
+	next.Routes = slices.Clone(h.manifest.Routes)
+	for n := range next.Routes {
+		next.Routes[n].Timeout = d
+	}
+	h.manifest = &next
+	h.Adopt(&next)
+}
+
 // gainAuthority grants authority again.
 func (h *harness) gainAuthority() {
 	h.mu.Lock()
--- a/tarragonshed/engine/home.go
+++ b/tarragonshed/engine/home.go
@@ -100,6 +100,13 @@
 	}
 }
 
+// usesHome reports whether this daemon reaches the target through another one.
+func (t *target) usesHome() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.homes) > 0 && t.homes[0] != t.engine.self
+}
+
 // limits returns this daemon's limits for the target.
 func (t *target) limits() (limiter.Limits, pooler.Limits) {
 	t.mu.Lock()
@@ -155,8 +162,8 @@
 	direct bool // Whether chosen is over this daemon's own connections.
 }
 
-// Run implements [Lease]. The first statement is sent to the first home that can be reached. If
-// there is none, the daemon uses the instance directly.
+// Run implements [Lease]. The first statement is sent to the first home that can be reached and
+// reaches the instance itself. If there is none, the daemon uses the instance directly.
 func (l *forwardedLease) Run(c Call, deadline time.Time) (Reply, *result.Error) {
 	if l.chosen != nil {
 		return l.run(c, deadline)
@@ -173,7 +180,7 @@
 		}
 		l.chosen = e.forwarder.Lease(l.ctx, address, l.request)
 		reply, err := l.run(c, deadline)
-		if err == nil || err.Code != result.HomeUnreachable {
+		if err == nil || !isHomeFailure(err.Code) || !time.Now().Before(l.request.Deadline) {
 			return reply, err
 		}
 		l.chosen.End()
@@ -183,6 +190,16 @@
 	return l.run(c, deadline)
 }
 
+// isHomeFailure reports whether a statement that has not run for this reason may run through
+// another home.
+func isHomeFailure(c result.Code) bool {
+	switch c {
+	case result.HomeUnreachable, result.InstanceUnreachable, result.InstanceRefuses, result.ShuttingDown:
+		return true
+	}
+	return false
+}
+
 // run runs the statement and records the load and the state of the instance.
 func (l *forwardedLease) run(c Call, deadline time.Time) (Reply, *result.Error) {
 	if l.direct {
@@ -199,9 +216,6 @@
 	t.endLoad(took)
 	t.group.observeLoad(t.name(), reply.Load)
 	t.engine.meters.forwarded.Inc(1)
-	if err != nil && (err.Code == result.InstanceUnreachable || err.Code == result.InstanceRefuses) {
-		t.suspect(err)
-	}
 	return reply, err
 }
 
--- a/tarragonshed/engine/lease.go
+++ b/tarragonshed/engine/lease.go
@@ -35,7 +35,7 @@
 	if err := l.admit(deadline); err != nil {
 		return Reply{}, err
 	}
-	if l.commits(c) && !l.target.mayWrite() {
+	if l.commits(c) && !l.mayWrite() {
 		return Reply{}, result.New(result.NotPrimary, "instance %s may no longer be the primary", l.target.name())
 	}
 	sentAt := l.target.engine.now()
@@ -112,15 +112,25 @@
 	return false
 }
 
-// mayWrite reports whether the target is the primary and this daemon may use it.
-func (t *target) mayWrite() bool {
+// mayWrite reports whether a write may be sent. The daemon of the session decides with its own
+// authority whether the reply may be used, so a home that has no authority at the moment need not
+// refuse.
+func (l *localLease) mayWrite() bool {
+	if _, known := l.target.engine.authority.Primary(l.target.group.name); !known && l.forwarded {
+		return true
+	}
+	return l.target.isPrimary()
+}
+
+// isPrimary reports whether the target is the primary and this daemon may use it.
+func (t *target) isPrimary() bool {
 	l, _ := t.engine.authority.Primary(t.group.name)
 	return l.Primary == t.name() && t.engine.authority.Holds(l)
 }
 
 // observe records the position in a reply to a request sent at sentAt if the target is the primary.
 func (t *target) observe(p unit.Position, sentAt unit.Instant) {
-	if t.mayWrite() {
+	if t.isPrimary() {
 		t.group.observe(p, sentAt)
 	}
 }
@@ -147,6 +157,9 @@
 	if t.instance.Incarnation != r.Incarnation {
 		return nil, result.New(result.InstanceUnreachable, "this daemon knows another incarnation of instance %s", r.Instance)
 	}
+	if t.health(time.Now()).unreachable {
+		return nil, result.New(result.InstanceUnreachable, "this daemon does not reach instance %s", r.Instance)
+	}
 	l := t.newLease(ctx, r)
 	l.forwarded = true
 	return l, nil
--- a/tarragonshed/engine/monitor.go
+++ b/tarragonshed/engine/monitor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragonshed.example/manifest"
+	"tarragonshed.example/result"
 	"tarragonshed.example/unit"
 )
 
@@ -43,6 +44,30 @@
 	}
 }
 
+// verifiedFor is how long a reply of an instance shows that the daemon reaches it.
+const verifiedFor = time.Second
+
+// Verify reports whether this daemon reaches the instance. If it has had no reply recently,
+// because it uses the instance through its home, it opens a connection.
+func (e *Engine) Verify(ctx context.Context, group unit.GroupName, name unit.InstanceName) bool {
+	t, err := e.findTarget(group, name)
+	if err != nil || t.health(time.Now()).noDirectPath {
+		return false
+	}
+	if !t.usesHome() || time.Since(time.Unix(0, t.lastReply.Load())) < verifiedFor {
+		return true
+	}
+	conn, err := t.engine.connector.Connect(ctx, t.group.name, t.instance, "", "")
+	if conn != nil {
+		conn.Close()
+	}
+	if err != nil && err.Code != result.ConnectionsExhausted {
+		return false
+	}
+	t.lastReply.Store(time.Now().UnixNano())
+	return true
+}
+
 // Acknowledged returns the highest position of a write to the group that this daemon has seen
 // acknowledged, or zero. Once the daemon has no authority over the primary, it includes every
 // write that a caller was told of.
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -106,6 +106,7 @@
 type Instances interface {
 	Manifest() *manifest.Manifest
 	Reach(unit.GroupName, unit.InstanceName) engine.Reach
+	Verify(context.Context, unit.GroupName, unit.InstanceName) bool
 	Status(context.Context, unit.GroupName, unit.InstanceName) (engine.InstanceStatus, error)
 	StatusAt(context.Context, unit.GroupName, manifest.Instance) (engine.InstanceStatus, error)
 	StepDown(context.Context, unit.GroupName, unit.InstanceName, unit.Term) (engine.InstanceStatus, error)
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -21,6 +21,9 @@
 const (
 	// peerTimeout bounds a call to another daemon.
 	peerTimeout = 400 * time.Millisecond
+	// verifyTimeout bounds the opening of a connection to an instance that another daemon asks
+	// about. The response has to arrive within peerTimeout.
+	verifyTimeout = 300 * time.Millisecond
 	// extendCheckInterval is the time between two checks whether the authority has to be
 	// extended.
 	extendCheckInterval = 100 * time.Millisecond
--- a/tarragonshed/overseer/relief_test.go
+++ b/tarragonshed/overseer/relief_test.go
@@ -41,6 +41,8 @@
 	}}}
 }
 
+func (*strainedGroup) Verify(context.Context, unit.GroupName, unit.InstanceName) bool { return true }
+
 func (g *strainedGroup) Reach(_ unit.GroupName, name unit.InstanceName) engine.Reach {
 	return engine.Reach{Known: true, Incarnation: 1, Strained: name == "a"}
 }
--- a/tarragonshed/overseer/roster_test.go
+++ b/tarragonshed/overseer/roster_test.go
@@ -23,6 +23,8 @@
 
 func (g *listedGroup) Manifest() *manifest.Manifest { return g.manifest }
 
+func (*listedGroup) Verify(context.Context, unit.GroupName, unit.InstanceName) bool { return true }
+
 func (g *listedGroup) Reach(_ unit.GroupName, name unit.InstanceName) engine.Reach {
 	_, _, known := g.manifest.Instance(name)
 	return engine.Reach{Known: known}
--- a/tarragonshed/overseer/service.go
+++ b/tarragonshed/overseer/service.go
@@ -46,9 +46,14 @@
 }
 
 // Witness implements [peerconnect.OverseerHandler].
-func (s service) Witness(_ context.Context, r *connect.Request[peer.WitnessRequest]) (*connect.Response[peer.WitnessResponse], error) {
-	reach := s.overseer.reach(unit.GroupName(r.Msg.Group), unit.InstanceName(r.Msg.Instance))
-	return connect.NewResponse(&peer.WitnessResponse{Reached: reach.Known && !reach.Unreachable}), nil
+func (s service) Witness(ctx context.Context, r *connect.Request[peer.WitnessRequest]) (*connect.Response[peer.WitnessResponse], error) {
+	reached := false
+	if p := s.overseer.instances.Load(); p != nil {
+		ctx, stop := context.WithTimeout(ctx, verifyTimeout)
+		defer stop()
+		reached = (*p).Verify(ctx, unit.GroupName(r.Msg.Group), unit.InstanceName(r.Msg.Instance))
+	}
+	return connect.NewResponse(&peer.WitnessResponse{Reached: reached}), nil
 }
 
 // Announce implements [peerconnect.OverseerHandler].
--- a/tarragonshed/overseer/survey_test.go
+++ b/tarragonshed/overseer/survey_test.go
@@ -34,6 +34,8 @@
 	return engine.InstanceStatus{Term: 1, Received: unit.Position{Term: 1, Index: 20}}, nil
 }
 
+func (*busyGroup) Verify(context.Context, unit.GroupName, unit.InstanceName) bool { return true }
+
 func (*busyGroup) Reach(unit.GroupName, unit.InstanceName) engine.Reach {
 	return engine.Reach{Known: true}
 }
