forwarder: reopen streams to failed daemons in the background

A statement now waits 250 ms for the first stream to a daemon, and a daemon that failed is passed over until a stream has been opened in the background.

--- a/tarragonshed/forwarder/forwarder.go
+++ b/tarragonshed/forwarder/forwarder.go
@@ -22,9 +22,10 @@
 //
 // # Failed daemons
 //
-// A daemon whose stream couldn't be opened, was lost or is draining is not tried again for
-// a short time; [Forwarder.Available] reports it. All statements that need a stream wait
-// for the same attempt to open it. Pings on the connection detect a silent daemon within
+// A daemon whose stream couldn't be opened, was lost or is draining is not available, see
+// [Forwarder.Available], until a stream has been opened in the background. An attempt is
+// made a short time after the failure, if the daemon is needed. All statements that need
+// the first stream to a daemon wait for the same attempt, for a bounded time. Pings on the connection detect a silent daemon within
 // about a second.
 //
 // # Usage
@@ -67,6 +68,9 @@
 const (
 	// openTimeout bounds the time until a daemon has accepted a stream.
 	openTimeout = time.Second
+	// openWait bounds how long a statement waits for a stream. It allows for a few round trips
+	// between regions; another home can serve the statement sooner than a silent one.
+	openWait = 250 * time.Millisecond
 	// failureBackoff is how long a daemon that failed is not tried again.
 	failureBackoff = 500 * time.Millisecond
 	// idleTimeout is how long a stream without a lease is kept.
@@ -208,16 +212,28 @@
 }
 
 // Available reports whether statements can be forwarded to the daemon at the address. It
-// is true for a daemon that hasn't been tried.
+// is true for a daemon that hasn't been tried. For one that failed it starts an attempt to
+// open a stream once the backoff is over.
 func (f *Forwarder) Available(address string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h, ok := f.homes[address]
-	return !ok || h.available(time.Now())
+	if !ok || h.failedAt.IsZero() {
+		return true
+	}
+	if time.Since(h.failedAt) >= failureBackoff {
+		f.beginOpening(address, h)
+	}
+	return false
 }
 
-func (h *remoteHome) available(now time.Time) bool {
-	return h.failedAt.IsZero() || now.Sub(h.failedAt) >= failureBackoff
+// beginOpening starts an attempt to open a stream unless one is in progress. The caller holds
+// the lock.
+func (f *Forwarder) beginOpening(address string, h *remoteHome) {
+	if h.opening == nil {
+		h.opening = &opening{done: make(chan struct{})}
+		go f.runOpening(address, h, h.opening)
+	}
 }
 
 // Lease implements [engine.Forwarder].
@@ -279,8 +295,8 @@
 	}
 }
 
-// open returns the stream to the daemon. If there is none, it waits for an attempt to open
-// one, which it starts if none is in progress.
+// open returns the stream to the daemon. If there is none, it waits up to openWait for an
+// attempt to open one, which it starts if none is in progress.
 func (f *Forwarder) open(address string, w wait) (*stream, *result.Error) {
 	f.mu.Lock()
 	h := f.home(address)
@@ -288,19 +304,20 @@
 		defer f.mu.Unlock()
 		return h.stream, nil
 	}
-	if !h.available(time.Now()) {
+	if !h.failedAt.IsZero() {
 		defer f.mu.Unlock()
 		return nil, h.failure
 	}
-	if h.opening == nil {
-		h.opening = &opening{done: make(chan struct{})}
-		go f.runOpening(address, h, h.opening)
-	}
+	f.beginOpening(address, h)
 	o := h.opening
 	f.mu.Unlock()
+	slow := time.NewTimer(openWait)
+	defer slow.Stop()
 	select {
 	case <-o.done:
 		return o.stream, o.err
+	case <-slow.C:
+		return nil, f.recordSlow(address, h)
 	case <-w.timer.C:
 		return nil, result.New(result.DeadlinePassed, "no stream to daemon %s was opened in time", address)
 	case <-w.ctx.Done():
@@ -308,6 +325,18 @@
 	}
 }
 
+// recordSlow makes a daemon unavailable that has not accepted a stream within openWait. The
+// attempt goes on, and its success makes the daemon available again.
+func (f *Forwarder) recordSlow(address string, h *remoteHome) *result.Error {
+	err := result.New(result.HomeUnreachable, "daemon %s did not accept a stream within %v", address, openWait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h.opening != nil && h.failedAt.IsZero() {
+		h.failedAt, h.failure = time.Now(), err
+	}
+	return err
+}
+
 // home returns the daemon at the address. The caller holds the lock.
 func (f *Forwarder) home(address string) *remoteHome {
 	h, ok := f.homes[address]
