--- a/tarragonshed/engine/home.go
+++ b/tarragonshed/engine/home.go
@@ -22,8 +22,8 @@
 }
 
 // homeCount is the number of daemons that are tried, in order, before a daemon opens
-// connections of its own.
-const homeCount = 3
+// connections of its own. In a partition one of them is likely on each side.
+const homeCount = 5
 
 // homeIdleTimeout is how long a home keeps an unused connection. It is below the minute after
 // which instances close them.
@@ -123,13 +123,13 @@
 // for a daemon that lost power. The others open connections only if it fails.
 func homeLimits(i manifest.Instance, rank int, callers bool) (limiter.Limits, pooler.Limits) {
 	pool := pooler.Limits{Share: 1, Opening: 1, Rate: refillRate, IdleTimeout: unusedTimeout}
-	switch rank {
-	case 0:
+	switch {
+	case rank == 0:
 		pool = pooler.Limits{
 			Share: max(1, i.Connections*3/4), Warm: i.Slots, Opening: openingLimit, Rate: homeRefillRate,
 			IdleTimeout: homeIdleTimeout,
 		}
-	case 1:
+	case rank > 0:
 		pool = pooler.Limits{Share: max(1, i.Connections/6), Opening: openingLimit, Rate: refillRate, IdleTimeout: idleTimeout}
 	}
 	if callers {
