--- a/tarragonshed/engine/home_test.go
+++ b/tarragonshed/engine/home_test.go
@@ -23,10 +23,11 @@
 	maxAge    time.Duration
 }
 
-// fakeLease is a lease of a fakeForwarder. A nil lease can't be reached.
+// fakeLease is a lease of a fakeForwarder, or the error of one that the home refused.
 type fakeLease struct {
 	forwarder *fakeForwarder
 	Lease
+	refusal *result.Error
 }
 
 func (f *fakeForwarder) Available(string) bool { return true }
@@ -37,13 +38,10 @@
 	f.addresses = append(f.addresses, address)
 	if f.refusing > 0 {
 		f.refusing--
-		return &fakeLease{forwarder: f}
+		return &fakeLease{forwarder: f, refusal: result.New(result.HomeUnreachable, "injected by the test")}
 	}
 	l, err := f.local.Lease(ctx, r)
-	if err != nil {
-		panic(err)
-	}
-	return &fakeLease{forwarder: f, Lease: l}
+	return &fakeLease{forwarder: f, Lease: l, refusal: err}
 }
 
 func (f *fakeForwarder) Position(ctx context.Context, _ string, g unit.GroupName, maxAge time.Duration) (unit.Position, time.Duration, *result.Error) {
@@ -54,8 +52,8 @@
 }
 
 func (l *fakeLease) Run(c Call, deadline time.Time) (Reply, *result.Error) {
-	if l.Lease == nil {
-		return Reply{}, result.New(result.HomeUnreachable, "injected by the test")
+	if l.refusal != nil {
+		return Reply{}, l.refusal
 	}
 	reply, err := l.Lease.Run(c, deadline)
 	if code := l.forwarder.lostAfter; code != 0 && c.ID != "" {
@@ -65,7 +63,7 @@
 }
 
 func (l *fakeLease) End() {
-	if l.Lease != nil {
+	if l.refusal == nil {
 		l.Lease.End()
 	}
 }
@@ -180,6 +178,7 @@
 	t.Run("a home that does not reach the instance is passed over", func(t *testing.T) {
 		is := is.New(t)
 		session, home, f := newForwarding(t)
+		home.peers = nil // It finds no other way to the instance.
 		home.instances["a"].connect = result.New(result.InstanceRefuses, "injected by the test")
 		mustSucceed(t, session.open("own"), Write{Text: "1 one"})
 		is.Equal(len(f.addresses), homeCount)
