caller: serve sessions within a budget of the daemon

Only single sessions had bounds, so crowds of them took a daemon to 1.2 GB. Messages over 4 KiB, session state, answers and the contents of sockets are now granted by the budgeter; connections over the limit take the place of idle ones or are refused.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -20,13 +20,14 @@
 // Each session holds up to [Limits.Small] bytes without asking for more. This is the share of ordinary
 // sessions, which no other session can take. What a session holds beyond it comes from a common
 // budget of [Limits.Bytes] and is granted before it is used: see [Hold]. Messages may use three
-// quarters of the budget, and session state one quarter. The rest is left for answers.
+// quarters of the budget, and session state one quarter. The rest is left for answers and for what is in the
+// sockets.
 //
 // # Pressure
 //
 // If a message does not fit, a session that has sent it ahead waits, and is not read meanwhile. Any other
-// one is refused. An answer can't be refused, because its statement has run: if it does not fit, the
-// sessions that hold most are closed.
+// one is refused. An answer can't be refused, because its statement has run, and neither can what has
+// arrived at a socket: if it does not fit, the sessions that hold most are closed.
 //
 // # Usage
 //
@@ -94,6 +95,9 @@
 	State
 	// Answer is an answer that its caller has not received yet.
 	Answer
+	// Socket is what is in the socket buffers of the session: input that is not read, and
+	// answers that are on their way.
+	Socket
 
 	numUses
 )
@@ -357,8 +361,8 @@
 		return append([]Effect{Grant{ID: s.id}}, b.admit()...)
 	}
 	switch h.Use {
-	case Answer:
-		return b.holdAnswer(s, h.Bytes)
+	case Answer, Socket:
+		return b.force(s, h.Use, h.Bytes)
 	case State:
 		more := b.excess(h.Bytes) - b.excess(s.held[State])
 		if more > 0 && b.state+more > b.limits.Bytes/stateDivisor {
@@ -389,10 +393,10 @@
 	return more == 0 || b.used+more <= b.limits.Bytes*messageNumerator/messageDenominator
 }
 
-// holdAnswer grants the bytes of an answer, and closes the sessions that hold most until all fit. The
+// force grants bytes that are already there, and closes the sessions that hold most until all fit. The
 // session itself may be one of them.
-func (b *Budgeter) holdAnswer(s *session, bytes int64) []Effect {
-	b.set(s, Answer, bytes)
+func (b *Budgeter) force(s *session, u Use, bytes int64) []Effect {
+	b.set(s, u, bytes)
 	excess := b.used - b.limits.Bytes
 	for _, holder := range b.holders {
 		if holder.closing {
@@ -407,7 +411,7 @@
 		}
 		excess -= b.charge(largest.held)
 		effects = append(effects, b.close(largest, false,
-			result.New(result.AnswerCut, "the memory for answers is used up, and this session holds most of it")))
+			result.New(result.AnswerCut, "the memory of the sessions is used up, and this one holds most of it")))
 	}
 	if s.closing {
 		return effects
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -170,7 +170,7 @@
 					delete(closing, other)
 				default:
 					step(budgeter.Hold{
-						ID: other, Use: budgeter.Use(rapid.IntRange(0, 2).Draw(t, "use")),
+						ID: other, Use: budgeter.Use(rapid.IntRange(0, 3).Draw(t, "use")),
 						Bytes: rapid.Int64Range(0, 1200).Draw(t, "bytes"), Ahead: rapid.Bool().Draw(t, "ahead"),
 					})
 				}
--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -69,6 +69,7 @@
 	peers      Peers
 	refusalLog logLimiter // Limits the log lines about refused statements.
 	messageLog logLimiter // Limits the log lines about refused messages, which are no statements.
+	closeLog   logLimiter // Limits the log lines about sessions that the daemon closed.
 	retryLog   logLimiter // Limits the log lines about retried statements.
 	// daemons is the number of daemons that share the instances.
 	daemons atomic.Int64
--- a/tarragonshed/engine/meters.go
+++ b/tarragonshed/engine/meters.go
@@ -44,6 +44,11 @@
 	metrics.GetOrRegisterCounter("engine.refusals."+code.String(), m.registry).Inc(1)
 }
 
+// recordClose counts a session that the daemon closed. There is one counter for each code.
+func (m *meters) recordClose(code result.Code) {
+	metrics.GetOrRegisterCounter("engine.closes."+code.String(), m.registry).Inc(1)
+}
+
 // recordStatement counts a statement that an instance ran and records its latency.
 func (m *meters) recordStatement(writes, primary bool, took time.Duration) {
 	switch {
--- a/tarragonshed/engine/report.go
+++ b/tarragonshed/engine/report.go
@@ -61,6 +61,15 @@
 		"name", entry.Name, "outcome", entry.Outcome, "cause", err.Detail, "lines-left-out", omitted)
 }
 
+// RecordClose counts and logs a session that the daemon closes to save memory or connections. The
+// database is empty if it is not known.
+func (e *Engine) RecordClose(database unit.DatabaseName, err *result.Error) {
+	e.meters.recordClose(err.Code)
+	if omitted, ok := e.closeLog.take(time.Now()); ok {
+		e.logger.Warn("session closed", "database", database, "code", err.Code, "cause", err.Detail, "lines-left-out", omitted)
+	}
+}
+
 // logRetry logs a statement that is retried.
 func (e *Engine) logRetry(id unit.RequestID, t *target, err *result.Error, attempt int) {
 	omitted, ok := e.retryLog.take(time.Now())
--- a/tarragonshed/engine/session.go
+++ b/tarragonshed/engine/session.go
@@ -71,6 +71,20 @@
 	return s.state
 }
 
+// StateBytes returns the length of the values and prepared statements that the session keeps.
+func (s *Session) StateBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size := 0
+	for name, value := range s.values {
+		size += len(name) + len(value)
+	}
+	for name, definition := range s.prepared {
+		size += len(name) + len(definition.Text)
+	}
+	return size
+}
+
 // Close ends the session. An open transaction is rolled back.
 func (s *Session) Close() {
 	s.mu.Lock()
