--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -411,7 +411,7 @@
 		}
 		excess -= b.charge(largest.held)
 		effects = append(effects, b.close(largest, false,
-			result.New(result.AnswerCut, "the memory of the sessions is used up, and this one holds most of it")))
+			result.New(result.SessionClosed, "the memory of the sessions is used up, and this one holds most of it")))
 	}
 	if s.closing {
 		return effects
--- a/result/codes.go
+++ b/result/codes.go
@@ -48,6 +48,7 @@
 	TransactionEnded Code = 3006
 	StatementTimeout Code = 3007
 	AuthorityLost    Code = 3008
+	SessionClosed    Code = 3009
 )
 
 // Codes of requests that ran.
@@ -126,6 +127,7 @@
 	{KeyUndetermined, "key-undetermined", Unknown, "40003", "The request key could not be looked up before the deadline; retry the request with the same key."},
 	{TransactionEnded, "transaction-ended", Unknown, "25P02", "The connection that held the open transaction was lost; the transaction was not committed unless COMMIT had been sent."},
 	{StatementTimeout, "statement-timeout", Unknown, "57014", "The instance did not respond within the statement timeout of the route."},
+	{SessionClosed, "session-closed", Unknown, "57P01", "The daemon closed the session, because the memory of all sessions was used up and this one held most of it."},
 	{AuthorityLost, "authority-lost", Unknown, "40003", "The primary responded, but the daemon could not verify that it was still the primary."},
 
 	{ManifestTooLarge, "manifest-too-large", NotRun, "", "The manifest, or a list in it, exceeds its size limit."},
