entry: serve PostgreSQL callers within a budget of the daemon

A batch had a limit of its own, 16 MiB by default, and 5,000 callers may send one at once. Batches over 32 KiB, prepared statements, responses that are written and the contents of sockets are now granted by the admitter; a batch without memory is read to its end and fails alone. Connections in startup and those of one caller are limited. Full servers refuse connections as before.

--- a/tarragonshed/daemon/daemon.go
+++ b/tarragonshed/daemon/daemon.go
@@ -238,6 +238,8 @@
 		entry.WithLimits(entry.Limits{
 			MaxCallers:       d.settings.Callers.MaxConnections,
 			MaxBatch:         int(d.settings.Callers.MaxMessageBytes),
+			MaxPerCaller:     d.settings.Callers.MaxConnectionsPerCaller,
+			Memory:           int64(d.settings.Callers.MemoryBytes),
 			StartupTimeout:   d.settings.Callers.StartupTimeout,
 			StatementTimeout: d.settings.Callers.StatementTimeout,
 		}),
--- a/tarragonshed/entry/batch.go
+++ b/tarragonshed/entry/batch.go
@@ -54,6 +54,13 @@
 	portals    map[string]*statement
 	received   int
 	ended      bool
+	// ahead is true if the batch began to arrive before the previous one was answered.
+	ahead bool
+	// held is the memory that is granted for the messages, and stateBytes that of the
+	// statements that the batch prepares.
+	held, stateBytes int
+	// redefines is true if the batch may change the prepared statements.
+	redefines bool
 	// fault is the reason why the batch can't be run, or nil.
 	fault error
 	// reported is true if an error response for the batch has been queued.
@@ -101,7 +108,7 @@
 func (s *session) collectMessage(b *batch) (bool, error) {
 	kind, body, err := s.nextMessage()
 	switch {
-	case err != nil && result.CodeOf(err) == result.StatementTooLarge:
+	case err != nil && (result.CodeOf(err) == result.StatementTooLarge || result.CodeOf(err) == result.Overloaded):
 		b.setFault(err)
 		b.ended = kind == 'Q' || kind == 'F'
 		return true, nil
@@ -151,7 +158,7 @@
 		b.setFault(result.New(result.StatementTooLarge, "the pipelined messages have more than %d bytes", b.session.entry.limits.MaxBatch))
 	}
 	b.ended = kind == 'Q' || kind == 'S' || kind == 'F'
-	if b.fault != nil {
+	if b.fault != nil || b.hold(0) != nil {
 		return nil
 	}
 	switch kind {
@@ -205,6 +212,11 @@
 	if !ok || len(rest) < 2 || len(rest) < 2+4*int(binary.BigEndian.Uint16(rest)) {
 		return errTruncated
 	}
+	b.redefines = true
+	if err := b.holdStatement(len(name) + len(query)); err != nil {
+		b.setFault(err)
+		return nil
+	}
 	s := prepare(query, rest)
 	b.define(name, s)
 	b.steps = append(b.steps, step{kind: 'P', statement: s})
@@ -335,6 +347,7 @@
 	case kind == 'C':
 		// Other sessions may use the statement on the pooled connection, so it
 		// stays prepared. Closing an unprepared name gets the same response.
+		b.redefines = true
 		delete(b.session.statements, name)
 		wireName = unprepared
 	default:
--- a/tarragonshed/entry/bench_test.go
+++ b/tarragonshed/entry/bench_test.go
@@ -59,14 +59,18 @@
 // startSession serves a connection without authentication.
 func startSession(t testing.TB, e *Entry, conn net.Conn) {
 	t.Helper()
+	c := e.open(conn)
 	s, err := newSession(e, conn, map[string]string{"user": "demo", "database": "ledger"})
-	if err != nil {
+	if err != nil || c == nil {
 		t.Fatal(err)
 	}
+	s.budget = c.budget
+	c.session.Store(s)
 	s.group = e.group("ledger")
 	s.tracker.Initialize(unit.Position{})
 	e.addSession(s)
 	e.running.Go(func() {
+		defer c.budget.Close()
 		defer conn.Close()
 		defer e.removeSession(s)
 		s.serve()
--- a/tarragonshed/entry/entry.go
+++ b/tarragonshed/entry/entry.go
@@ -28,6 +28,11 @@
 // failed transaction state, so that the following statements up to ROLLBACK do
 // not run outside of the transaction.
 //
+// # Limits
+//
+// [Limits] bound what all sessions hold together, see package budgeter. A batch for which there is
+// no memory is read to its end without being kept, and refused with [result.Overloaded].
+//
 // # Usage
 //
 //	e := entry.New(listener, holder, carrier, entry.WithDomain("lautoka-shed"))
@@ -48,6 +53,7 @@
 
 	"tarragonshed.example/recorder"
 	"tarragonshed.example/router"
+	"tarragonshed.example/tarragonshed/admitter"
 	"tarragonshed.example/tarragonshed/carrier"
 	"tarragonshed.example/tarragonshed/entry/authenticator"
 	"tarragonshed.example/tarragonshed/holder"
@@ -72,6 +78,7 @@
 	tls           *tls.Config
 	tlsRequired   bool
 	authenticator *authenticator.Authenticator
+	admitter      *admitter.Admitter
 
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -108,8 +115,13 @@
 	if e.meters == nil {
 		e.meters = newMeters(nil)
 	}
+	e.admitter = admitter.New(e.limits.budgetLimits())
+	e.admitter.Register(e.meters.registry)
 	e.ctx, e.stop = context.WithCancel(context.Background())
-	e.running.Go(e.accept)
+	e.running.Go(func() {
+		defer e.admitter.Close()
+		e.accept()
+	})
 	return e
 }
 
@@ -173,11 +185,16 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		e.running.Go(func() { e.serve(conn) })
+		// A connection over the limit is closed before the next one is accepted.
+		if c := e.open(conn); c != nil {
+			e.running.Go(func() { e.serve(c) })
+		}
 	}
 }
 
-func (e *Entry) serve(conn net.Conn) {
+func (e *Entry) serve(c *connection) {
+	conn := c.conn
+	defer c.budget.Close()
 	defer conn.Close()
 	e.callers.Add(1)
 	defer e.callers.Add(-1)
@@ -186,7 +203,7 @@
 	}
 	defer e.untrackConn(conn)
 	e.keepAlive(conn)
-	s, err := e.startup(conn)
+	s, err := e.startup(c)
 	if err != nil {
 		e.logger.Debug("caller connection rejected during startup", "remote", conn.RemoteAddr(), "err", err)
 		return
@@ -195,6 +212,7 @@
 		return
 	}
 	defer e.removeSession(s)
+	c.session.Store(s)
 	s.serve()
 }
 
--- a/tarragonshed/entry/framer/framer.go
+++ b/tarragonshed/entry/framer/framer.go
@@ -21,6 +21,7 @@
 package framer
 
 import (
+	"cmp"
 	"encoding/binary"
 	"io"
 	"sync"
@@ -50,6 +51,7 @@
 	start, end int
 	first      [1]byte
 	awaited    bool
+	grant      func(bytes int) error
 }
 
 // New returns a Reader that rejects bodies longer than limit bytes.
@@ -57,6 +59,11 @@
 	return &Reader{source: source, limit: limit}
 }
 
+// SetBudget sets the function that grants the memory for a body that does not fit into the buffer. It
+// is called before the memory is used, with the total for the body, and may wait. If it fails, the body is
+// skipped, and Next returns its error with the type; the following message can be read.
+func (r *Reader) SetBudget(grant func(bytes int) error) { r.grant = grant }
+
 // Reset sets the source of the Reader. Buffered bytes are kept.
 func (r *Reader) Reset(source io.Reader) {
 	r.source = source
@@ -157,12 +164,14 @@
 	}
 	// A long body is read in growing chunks, so that a caller that announces a
 	// large length without sending the bytes does not cause a large allocation.
-	body := make([]byte, 0, chunkSize)
+	var body []byte
 	for len(body) < length {
 		if len(body) == cap(body) {
-			grown := make([]byte, len(body), min(2*cap(body), length))
-			copy(grown, body)
-			body = grown
+			size := min(max(2*cap(body), chunkSize), length)
+			if err := r.reserve(size); err != nil {
+				return nil, cmp.Or(r.skip(length-len(body)), err)
+			}
+			body = append(make([]byte, 0, size), body...)
 		}
 		have := len(body)
 		body = body[:min(cap(body), length)]
@@ -175,6 +184,14 @@
 	return body, nil
 }
 
+// reserve asks for the memory for a body.
+func (r *Reader) reserve(size int) error {
+	if r.grant == nil {
+		return nil
+	}
+	return r.grant(size)
+}
+
 func (r *Reader) skip(length int) error {
 	used := min(length, r.end-r.start)
 	r.start += used
--- a/tarragonshed/entry/fuzz_test.go
+++ b/tarragonshed/entry/fuzz_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"net"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"tarragonshed.example/tarragonshed/admitter"
 	"tarragonshed.example/tarragonshed/entry/framer"
 )
 
@@ -18,9 +20,23 @@
 	f.Add(query)
 	describe, _ := (&pgproto3.Describe{ObjectType: 'S', Name: "p"}).Encode(seed)
 	f.Add(append(describe, 'C', 0, 0, 0, 6, 'S', 0))
+	limits := Limits{MaxBatch: 1 << 16, Memory: 1 << 16}.withDefaults()
+	a := admitter.New(limits.budgetLimits())
+	f.Cleanup(a.Close)
+	conn, _ := net.Pipe()
 	f.Fuzz(func(t *testing.T, data []byte) {
-		e := &Entry{limits: Limits{MaxBatch: 1 << 16}.withDefaults()}
-		s := &session{entry: e, status: statusIdle}
+		e := &Entry{limits: limits}
+		budget, refusal := a.Open(conn, &connection{entry: e, conn: conn})
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		defer func() {
+			budget.Close()
+			if a.Used() != 0 || a.Sessions() != 0 {
+				t.Fatalf("%d bytes and %d sessions are left", a.Used(), a.Sessions())
+			}
+		}()
+		s := &session{entry: e, status: statusIdle, budget: budget}
 		s.options.stalenessSet = true
 		b := newBatch(s)
 		framer.Walk(data, func(kind byte, body []byte) bool {
--- a/tarragonshed/entry/meters.go
+++ b/tarragonshed/entry/meters.go
@@ -61,6 +61,12 @@
 	metrics.GetOrRegisterCounter("entry.refusals."+code.String(), f.registry).Inc(1)
 }
 
+// recordClose counts a connection that the daemon closed. The registry has one counter for
+// each result code.
+func (f *meters) recordClose(code result.Code) {
+	metrics.GetOrRegisterCounter("entry.closes."+code.String(), f.registry).Inc(1)
+}
+
 // recordServed counts a batch that was served, and records its duration.
 func (f *meters) recordServed(p plan, primary bool, elapsed time.Duration) {
 	if !p.read {
--- a/tarragonshed/entry/options.go
+++ b/tarragonshed/entry/options.go
@@ -23,6 +23,7 @@
 	DefaultWriteTimeout     = time.Minute
 	DefaultKeepalive        = 30 * time.Second
 	DefaultReplicaWait      = 100 * time.Millisecond
+	DefaultMemory           = 256 * framer.MiB
 )
 
 // Limits are the bounds on the connections and requests of callers. A zero field
@@ -33,6 +34,13 @@
 	// MaxBatch is the maximum size in bytes of one message, and of the messages
 	// that are pipelined up to one Sync.
 	MaxBatch int
+	// MaxPerCaller is the maximum number of connections of one caller. Its default is
+	// MaxCallers.
+	MaxPerCaller int
+	// Memory is the maximum number of bytes of all sessions together for large batches,
+	// prepared statements, responses and the contents of sockets. Its default is
+	// DefaultMemory, or more if MaxBatch requires it.
+	Memory int64
 	// StartupTimeout bounds the startup and authentication of a connection.
 	StartupTimeout time.Duration
 	// StatementTimeout bounds a request, including the time it waits for an
@@ -49,6 +57,8 @@
 func (l Limits) withDefaults() Limits {
 	setDefault(&l.MaxCallers, DefaultMaxCallers)
 	setDefault(&l.MaxBatch, DefaultMaxBatch)
+	setDefault(&l.MaxPerCaller, l.MaxCallers)
+	setDefault(&l.Memory, max(DefaultMemory, int64(l.MaxBatch)*memoryPerBatch))
 	setDefault(&l.StartupTimeout, DefaultStartupTimeout)
 	setDefault(&l.StatementTimeout, DefaultStatementTimeout)
 	setDefault(&l.WriteTimeout, DefaultWriteTimeout)
--- a/tarragonshed/entry/session.go
+++ b/tarragonshed/entry/session.go
@@ -12,7 +12,9 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"tarragonshed.example/budgeter"
 	"tarragonshed.example/result"
+	"tarragonshed.example/tarragonshed/admitter"
 	"tarragonshed.example/tarragonshed/carrier"
 	"tarragonshed.example/tarragonshed/entry/framer"
 	"tarragonshed.example/tracker"
@@ -44,6 +46,12 @@
 	reportedPosition unit.Position
 	options          options
 	statements       map[string]*statement
+	// budget grants the memory of the session, and stateBytes is that of its prepared
+	// statements.
+	budget     *admitter.Session
+	stateBytes int
+	// batch is the batch that is being collected or run.
+	batch *batch
 
 	// status is the transaction state of the latest ReadyForQuery. A session
 	// with statusFailed and without a pinned stream has lost its transaction.
@@ -83,6 +91,7 @@
 		database: unit.GroupName(parameters["database"]),
 		status:   statusIdle,
 	}
+	s.reader.SetBudget(func(bytes int) error { return s.batch.hold(bytes) })
 	if s.database == "" {
 		s.database = unit.GroupName(s.caller)
 	}
@@ -95,17 +104,26 @@
 	s.entry.meters.callers.Inc(1)
 	defer s.entry.meters.callers.Dec(1)
 	defer s.unpin()
-	for s.awaitMessage() {
+	for {
+		ahead := s.reader.Buffered()
+		if !s.awaitMessage() {
+			return
+		}
+		s.budget.Busy()
 		b := newBatch(s)
+		b.ahead = ahead
+		s.batch = b
 		if !s.collect(b) {
 			return
 		}
 		s.execute(b)
 		b.free()
+		s.releaseBatch(b)
 		if !s.flush() {
 			return
 		}
 		s.reader.Release()
+		s.budget.Idle(false)
 	}
 }
 
@@ -228,6 +246,13 @@
 	if s.writeFailed || len(messages) == 0 {
 		return
 	}
+	if len(messages) > smallBytes {
+		if s.budget.Hold(budgeter.Answer, len(messages)) != nil {
+			s.writeFailed = true
+			return
+		}
+		defer s.budget.Release(budgeter.Answer)
+	}
 	s.conn.SetWriteDeadline(time.Now().Add(s.entry.limits.WriteTimeout))
 	if _, err := s.conn.Write(messages); err != nil {
 		s.writeFailed = true
--- a/tarragonshed/entry/startup.go
+++ b/tarragonshed/entry/startup.go
@@ -39,9 +39,9 @@
 
 // startup performs the startup and authentication of a connection. It returns
 // nil for both results after a cancel request.
-func (e *Entry) startup(conn net.Conn) (*session, error) {
-	conn.SetDeadline(time.Now().Add(e.limits.StartupTimeout))
-	conn, code, packet, err := e.negotiate(conn)
+func (e *Entry) startup(c *connection) (*session, error) {
+	c.conn.SetDeadline(time.Now().Add(e.limits.StartupTimeout))
+	conn, code, packet, err := e.negotiate(c.conn)
 	if err != nil {
 		return nil, e.reject(conn, err)
 	}
@@ -66,6 +66,10 @@
 	if err := s.resolveGroup(); err != nil {
 		return nil, e.reject(conn, err)
 	}
+	s.budget = c.budget
+	if refusal := s.budget.Start(s.caller); refusal != nil {
+		return nil, e.reject(conn, refusal)
+	}
 	e.addSession(s)
 	if err := s.completeStartup(message, minor); err != nil {
 		e.removeSession(s)
--- a/tarragonshed/settings/settings.go
+++ b/tarragonshed/settings/settings.go
@@ -58,7 +58,9 @@
 	MaxMessageBytes Bytes = 1 << 30
 	MinTimeout            = 10 * time.Millisecond
 	MaxTimeout            = time.Hour
-	MaxConnections        = 100_000
+	// batchesInMemory is the number of largest batches for which there must be memory.
+	batchesInMemory = 4
+	MaxConnections  = 100_000
 	// MaxDocumentBytes bounds the size of a settings file.
 	MaxDocumentBytes Bytes = 1 << 20
 )
@@ -84,9 +86,14 @@
 	Listen string `toml:"listen"`
 	// Advertise is the address that other daemons and tools use to connect. If it
 	// is empty, they use the address of the listener.
-	Advertise        string        `toml:"advertise"`
-	MaxConnections   int           `toml:"max-connections"`
-	MaxMessageBytes  Bytes         `toml:"max-message-bytes"`
+	Advertise       string `toml:"advertise"`
+	MaxConnections  int    `toml:"max-connections"`
+	MaxMessageBytes Bytes  `toml:"max-message-bytes"`
+	// MaxConnectionsPerCaller is MaxConnections if it is zero.
+	MaxConnectionsPerCaller int `toml:"max-connections-per-caller"`
+	// MemoryBytes is the memory of all sessions together for large batches. If it is zero,
+	// it is derived from MaxMessageBytes.
+	MemoryBytes      Bytes         `toml:"memory-bytes"`
 	StartupTimeout   time.Duration `toml:"startup-timeout"`
 	StatementTimeout time.Duration `toml:"statement-timeout"`
 	// RequireTLS rejects connections of callers without TLS.
@@ -259,6 +266,12 @@
 	if n := s.Callers.MaxMessageBytes; n < MinMessageBytes || n > MaxMessageBytes {
 		c.add("callers.max-message-bytes", "%d is not between %d and %d", n, MinMessageBytes, MaxMessageBytes)
 	}
+	if n := s.Callers.MaxConnectionsPerCaller; n < 0 || n > s.Callers.MaxConnections {
+		c.add("callers.max-connections-per-caller", "%d is not between 0 and max-connections, %d", n, s.Callers.MaxConnections)
+	}
+	if n, least := s.Callers.MemoryBytes, batchesInMemory*s.Callers.MaxMessageBytes; n != 0 && n < least {
+		c.add("callers.memory-bytes", "%d is less than %d times max-message-bytes, %d", n, batchesInMemory, least)
+	}
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "text", "json")
 	c.tls("callers.tls", s.Callers.TLS)
