--- a/tarragonshed/admitter/admitter.go
+++ b/tarragonshed/admitter/admitter.go
@@ -10,8 +10,9 @@
 // # Sockets
 //
 // What waits in the socket buffers of a session counts as its memory. An Admitter sets their sizes, and
-// counts their contents at an interval: for sessions that are being served, of which some have sent
-// ahead, for those that had something there, and for a few idle ones at a time.
+// counts their contents at an interval if full buffers of all sessions would be more than a quarter of the
+// budget: for sessions that are being served, of which some have sent ahead, for those that had something
+// there, and for a few idle ones at a time.
 //
 // # Usage
 //
@@ -54,6 +55,8 @@
 	sweepInterval = 250 * time.Millisecond
 	// restingPerSweep is the number of idle sessions that are counted at a time.
 	restingPerSweep = 32
+	// socketDivisor is the inverse of the share of the budget up to which sockets are not counted.
+	socketDivisor = 4
 )
 
 // Owner serves a session.
@@ -65,9 +68,9 @@
 
 // Admitter is the budget of one server. It is safe for concurrent use.
 type Admitter struct {
-	small int64
-	stop  chan struct{}
-	done  sync.WaitGroup
+	limits budgeter.Limits
+	stop   chan struct{}
+	done   sync.WaitGroup
 
 	mu       sync.Mutex
 	budgeter *budgeter.Budgeter
@@ -91,7 +94,7 @@
 // New returns an Admitter without sessions. The caller must call Close.
 func New(l budgeter.Limits) *Admitter {
 	a := &Admitter{
-		small: l.Small, stop: make(chan struct{}),
+		limits: l, stop: make(chan struct{}),
 		budgeter: budgeter.New(l), sessions: make(map[unit.SessionID]*Session),
 	}
 	a.done.Go(func() {
@@ -287,7 +290,7 @@
 func (a *Admitter) sweep() {
 	for _, s := range a.sweepSessions() {
 		bytes := socketBytes(s.conn)
-		if int64(bytes) <= a.small {
+		if int64(bytes) <= a.limits.Small {
 			bytes = 0
 		}
 		if bytes != s.socket {
@@ -302,10 +305,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var chosen []*Session
+	few := int64(len(a.sessions))*(receiveBytes+sendBytes) <= a.limits.Bytes/socketDivisor
 	resting := 0
 	for _, s := range a.sessions { // In random order, so that each idle session has its turn.
 		switch {
-		case s.busy.Load() || s.socket > 0:
+		case s.socket > 0:
+			chosen = append(chosen, s)
+		case few:
+		case s.busy.Load():
 			chosen = append(chosen, s)
 		case resting < restingPerSweep:
 			resting++
