--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -241,7 +241,7 @@
 	}
 	r, ok := current.routes[database]
 	if !ok {
-		return r, nil, result.New(result.UnknownDatabase, "no route for database %q", database)
+		return r, nil, result.New(result.UnknownDatabase, "no route for database %.100q", database)
 	}
 	g, ok := current.groups[r.Group]
 	if !ok {
--- a/tarragonshed/engine/report.go
+++ b/tarragonshed/engine/report.go
@@ -11,6 +11,9 @@
 // maxLinesPerSecond bounds the log lines about statements, for each kind of line.
 const maxLinesPerSecond = 20
 
+// maxNameBytes bounds what is logged of the name of a database that may not exist.
+const maxNameBytes = 100
+
 // logLimiter counts the log lines of the current second.
 type logLimiter struct {
 	mu      sync.Mutex
@@ -57,7 +60,7 @@
 		return
 	}
 	entry := err.Code.Entry()
-	e.logger.Info("message refused", "request", id, "database", database, "code", err.Code,
+	e.logger.Info("message refused", "request", id, "database", database[:min(len(database), maxNameBytes)], "code", err.Code,
 		"name", entry.Name, "outcome", entry.Outcome, "cause", err.Detail, "lines-left-out", omitted)
 }
 
