--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -71,6 +71,7 @@
 	currentAt  func() (unit.Instant, bool)
 	refusalLog logLimiter // Limits the log lines about refused statements.
 	messageLog logLimiter // Limits the log lines about refused messages, which are no statements.
+	closeLog   logLimiter // Limits the log lines about sessions that the daemon closed.
 	retryLog   logLimiter // Limits the log lines about retried statements.
 	self       unit.DaemonID
 	forwarder  Forwarder
@@ -258,7 +259,7 @@
 	}
 	r, ok := current.routes[database]
 	if !ok {
-		return r, nil, result.New(result.UnknownDatabase, "no route for database %q", database)
+		return r, nil, result.New(result.UnknownDatabase, "no route for database %.100q", database)
 	}
 	g, ok := current.groups[r.Group]
 	if !ok {
--- a/tarragonshed/engine/report.go
+++ b/tarragonshed/engine/report.go
@@ -11,6 +11,9 @@
 // maxLinesPerSecond bounds the log lines about statements, for each kind of line.
 const maxLinesPerSecond = 20
 
+// maxNameBytes bounds what is logged of the name of a database that may not exist.
+const maxNameBytes = 100
+
 // logLimiter counts the log lines of the current second.
 type logLimiter struct {
 	mu      sync.Mutex
@@ -57,10 +60,19 @@
 		return
 	}
 	entry := err.Code.Entry()
-	e.logger.Info("message refused", "request", id, "database", database, "code", err.Code,
+	e.logger.Info("message refused", "request", id, "database", database[:min(len(database), maxNameBytes)], "code", err.Code,
 		"name", entry.Name, "outcome", entry.Outcome, "cause", err.Detail, "lines-left-out", omitted)
 }
 
+// RecordClose counts and logs a session that the daemon closes to save memory or connections. The
+// database is empty if it is not known.
+func (e *Engine) RecordClose(database unit.DatabaseName, err *result.Error) {
+	e.meters.recordClose(err.Code)
+	if omitted, ok := e.closeLog.take(time.Now()); ok {
+		e.logger.Warn("session closed", "database", database, "code", err.Code, "cause", err.Detail, "lines-left-out", omitted)
+	}
+}
+
 // logRetry logs a statement that is retried.
 func (e *Engine) logRetry(id unit.RequestID, t *target, err *result.Error, attempt int) {
 	omitted, ok := e.retryLog.take(time.Now())
