--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -135,12 +135,16 @@
 	Domain      unit.DomainName  `json:"domain"`
 	// Address is where other daemons reach the daemon, as host:port.
 	Address string `json:"address"`
+	// Speed is the speed of the daemon's VM in processor cores, or zero if it is unknown.
+	Speed float64 `json:"speed,omitempty"`
 	// Listed is the store's clock when the daemon was added to the list. A restart of the
 	// daemon does not change it.
 	Listed time.Duration `json:"listed"`
 	// Removed is the store's clock when the daemon was removed from the list, or zero if
 	// it is on the list.
 	Removed time.Duration `json:"removed,omitempty"`
+	// Left reports whether the daemon removed itself, after it had stopped serving.
+	Left bool `json:"left,omitempty"`
 }
 
 // View is a snapshot of all rows.
--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -29,7 +29,7 @@
 //
 //	e := engine.New(connector, authority, clock, engine.WithDomain("lautoka-shed"))
 //	e.Adopt(manifest)
-//	s, err := e.Open("pulp-ledger-1")
+//	s, err := e.Open("pulp-ledger-1", key)
 //	answer := s.Do("request-1", engine.Read{Text: "17"})
 //	...
 //	s.Close()
@@ -67,12 +67,15 @@
 	meters     *meters
 	domain     unit.DomainName
 	peers      Peers
+	rates      RateLimits
+	currentAt  func() (unit.Instant, bool)
 	refusalLog logLimiter // Limits the log lines about refused statements.
 	messageLog logLimiter // Limits the log lines about refused messages, which are no statements.
 	closeLog   logLimiter // Limits the log lines about sessions that the daemon closed.
 	retryLog   logLimiter // Limits the log lines about retried statements.
-	// daemons is the number of daemons that share the instances.
-	daemons atomic.Int64
+	self       unit.DaemonID
+	forwarder  Forwarder
+	fleet      atomic.Pointer[fleet]
 
 	started      time.Time
 	adopted      chan struct{} // Closed when the first manifest is in force.
@@ -90,6 +93,7 @@
 	routes   map[unit.DatabaseName]manifest.Route
 	groups   map[unit.GroupName]*group
 	regions  map[unit.DomainName]unit.RegionName
+	callers  map[manifest.Key]*manifest.Caller
 }
 
 // Option configures an Engine.
@@ -110,6 +114,22 @@
 // daemon has no direct path to it.
 func WithPeers(p Peers) Option { return func(e *Engine) { e.peers = p } }
 
+// WithForwarder sets what forwards statements to other daemons, and the id of this one on the list
+// of [Engine.SetDaemons]. Without it, each daemon uses only connections of its own.
+func WithForwarder(f Forwarder, self unit.DaemonID) Option {
+	return func(e *Engine) { e.forwarder, e.self = f, self }
+}
+
+// WithRateLimits sets what admits the operations of callers. By default all are admitted.
+func WithRateLimits(r RateLimits) Option { return func(e *Engine) { e.rates = r } }
+
+// WithManifestTime sets the function that returns when the manifest in force was last known to
+// be the newest one, on the engine's clock, and whether that is known. By default the manifest
+// always counts as the newest one.
+func WithManifestTime(currentAt func() (unit.Instant, bool)) Option {
+	return func(e *Engine) { e.currentAt = currentAt }
+}
+
 // New returns an Engine without a manifest and starts its periodic checks. The function
 // now is the clock by which leases are measured. The caller must call Close.
 func New(connector Connector, authority Authority, now func() unit.Instant, options ...Option) *Engine {
@@ -118,8 +138,9 @@
 		logger: log.New(io.Discard), meters: newMeters(metrics.NewRegistry()),
 		groups:  make(map[unit.GroupName]*group),
 		started: time.Now(), adopted: make(chan struct{}),
+		rates: unlimited{}, currentAt: func() (unit.Instant, bool) { return now(), true },
 	}
-	e.daemons.Store(1)
+	e.fleet.Store(&fleet{daemons: make([]Daemon, 1)}) // This daemon alone.
 	for _, option := range options {
 		option(e)
 	}
@@ -161,6 +182,7 @@
 	for _, r := range m.Routes {
 		next.routes[r.Database] = r
 	}
+	next.callers = indexKeys(m.Callers)
 	for _, g := range m.Groups {
 		if e.groups[g.Name] == nil {
 			e.groups[g.Name] = newGroup(e, g.Name)
@@ -170,15 +192,7 @@
 	if e.current.Swap(next).manifest == nil {
 		close(e.adopted)
 	}
-	next.update()
-}
-
-// SetDaemonCount sets the number of daemons that share the instances. Each daemon's share
-// of the connections follows from it.
-func (e *Engine) SetDaemonCount(daemons int) {
-	if e.daemons.Swap(int64(max(1, daemons))) != int64(max(1, daemons)) {
-		e.resize()
-	}
+	e.update(next)
 }
 
 // Close closes all connections to instances.
@@ -196,17 +210,22 @@
 // Manifest returns the manifest in force, or nil if there is none yet.
 func (e *Engine) Manifest() *manifest.Manifest { return e.current.Load().manifest }
 
-// Open opens a session with the database. On a daemon that is starting it waits for the
-// first manifest, up to startupTimeout after the start. It fails with NoManifest or
-// UnknownDatabase.
-func (e *Engine) Open(database unit.DatabaseName) (*Session, *result.Error) {
+// Open opens a session with the database for the caller that has the key. On a daemon that is
+// starting it waits for the first manifest, up to startupTimeout after the start. It fails with
+// NoManifest, UnknownDatabase, AuthenticationFailed or CutOff.
+func (e *Engine) Open(database unit.DatabaseName, key manifest.Key) (*Session, *result.Error) {
 	e.awaitManifest()
-	if _, _, err := e.route(database); err != nil {
+	route, _, err := e.route(database)
+	if err != nil {
+		return nil, err
+	}
+	caller, err := e.awaitCaller(route, key)
+	if err != nil {
 		return nil, err
 	}
 	e.meters.sessions.Inc(1)
 	return &Session{
-		engine: e, database: database, state: Idle,
+		engine: e, database: database, key: key, account: caller.Name, state: Idle,
 		values: make(map[string]string), prepared: make(map[string]Definition),
 	}, nil
 }
@@ -317,29 +336,52 @@
 // run. It is below the two seconds that callers wait for a session.
 const startupTimeout = 1200 * time.Millisecond
 
+// assumedDaemons is the number of daemons that a daemon assumes until it knows the list of
+// daemons. With it, its share is one connection to each instance.
+const assumedDaemons = 10_000
+
 // limits returns this daemon's limits for an instance. Slots are shared by demand, because
 // most daemons have no work for most instances most of the time: the instance refuses a
 // statement that exceeds its slots before running it. Connections are shared evenly,
 // because the instance counts the connections of all daemons together.
 func (e *Engine) limits(i manifest.Instance) (limiter.Limits, pooler.Limits) {
-	pool := poolLimits(i.Connections, int(e.daemons.Load()), e.starting())
-	return limiter.Limits{Slots: min(pool.Share, i.Slots+extraStatements), Connections: pool.Share, Queue: queueLimit}, pool
+	pool := poolLimits(i.Connections, e.daemonCount(), e.starting())
+	if e.separatesCallers() {
+		pool.Warm = 0 // The next caller isn't known.
+	}
+	slots := min(pool.Share, i.Slots+extraStatements)
+	return limiter.Limits{Slots: slots, Connections: pool.Share, Queue: queueLimit, Ranked: e.separatesCallers()}, pool
+}
+
+// separatesCallers reports whether a connection to an instance belongs to one caller.
+func (e *Engine) separatesCallers() bool {
+	m := e.Manifest()
+	return m != nil && m.KeysRequired
+}
+
+// daemonCount returns the number of daemons that share the instances.
+func (e *Engine) daemonCount() int {
+	if n := len(e.fleet.Load().daemons); n > 0 {
+		return n
+	}
+	return assumedDaemons
 }
 
 // resize applies the current limits to all targets.
 func (e *Engine) resize() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.current.Load().update()
+	e.update(e.current.Load())
 }
 
 // update applies the manifest's instances and the current limits to the groups.
-func (s *snapshot) update() {
+func (e *Engine) update(s *snapshot) {
 	if s.manifest == nil {
 		return
 	}
+	homes := e.homes(s.manifest, s.regions)
 	for _, g := range s.manifest.Groups {
-		s.groups[g.Name].adopt(g.Instances)
+		s.groups[g.Name].adopt(g.Instances, homes)
 	}
 }
 
--- a/tarragonshed/engine/fake_test.go
+++ b/tarragonshed/engine/fake_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +21,8 @@
 	mu    sync.Mutex
 	sent  []Request
 	conns int
+	// callers are the callers of the connections opened on their behalf.
+	callers []unit.CallerName
 	// answer replies to a request. A nil reply closes the connection, and no reply is sent
 	// if the second result is false.
 	answer  func(c *fakeConn, r Request) (*Reply, bool)
@@ -107,6 +111,13 @@
 	return requests
 }
 
+// callersConnected returns the callers of the connections opened on their behalf.
+func (i *fakeInstance) callersConnected() []unit.CallerName {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Clone(i.callers)
+}
+
 // statements returns all statements sent to the instance.
 func (i *fakeInstance) statements() []Statement {
 	i.mu.Lock()
@@ -137,7 +148,7 @@
 	changed chan struct{}
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t *testing.T, options ...Option) *harness {
 	h := &harness{
 		peers: []string{"peer"},
 		t:     t, instances: make(map[unit.InstanceName]*fakeInstance), holds: true, changed: make(chan struct{}),
@@ -158,7 +169,8 @@
 			Database: name, Group: "g", Consistency: consistency, Timeout: time.Minute, MaxStaleness: time.Hour,
 		})
 	}
-	h.Engine = New(h, h, func() unit.Instant { return unit.Instant(time.Since(start)) }, WithDomain("domain-b"), WithPeers(h))
+	options = append([]Option{WithDomain("domain-b"), WithPeers(h)}, options...)
+	h.Engine = New(h, h, func() unit.Instant { return unit.Instant(time.Since(start)) }, options...)
 	t.Cleanup(h.Close)
 	h.Adopt(h.manifest)
 	return h
@@ -167,7 +179,7 @@
 var start = time.Now().Add(-time.Hour)
 
 // Connect implements [Connector].
-func (h *harness) Connect(ctx context.Context, _ unit.GroupName, i manifest.Instance, via string) (Conn, *result.Error) {
+func (h *harness) Connect(ctx context.Context, _ unit.GroupName, i manifest.Instance, caller unit.CallerName, via string) (Conn, *result.Error) {
 	if via == "hung" {
 		<-ctx.Done()
 		h.timedOut.Store(errors.Is(ctx.Err(), context.DeadlineExceeded))
@@ -180,6 +192,9 @@
 		return nil, f.connect
 	}
 	f.conns++
+	if caller != "" {
+		f.callers = append(f.callers, caller)
+	}
 	return &fakeConn{instance: f, replies: make(chan Reply, 64), closed: make(chan struct{}), state: Idle}, nil
 }
 
@@ -249,7 +264,7 @@
 
 func (h *harness) open(database unit.DatabaseName) *Session {
 	h.t.Helper()
-	s, err := h.Open(database)
+	s, err := h.Open(database, "")
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -276,9 +291,29 @@
 	return a
 }
 
+// setTimeouts sets the timeout of all routes.
+func (h *harness) setTimeouts(d time.Duration) {
+	next := *h.manifest
+	next.Routes = slices.Clone(h.manifest.Routes)
+	for n := range next.Routes {
+		next.Routes[n].Timeout = d
+	}
+	h.manifest = &next
+	h.Adopt(&next)
+}
+
 // gainAuthority grants authority again.
 func (h *harness) gainAuthority() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.holds = true
 }
+
+// someDaemons returns a list of n daemons.
+func someDaemons(n int) []Daemon {
+	daemons := make([]Daemon, n)
+	for i := range daemons {
+		daemons[i].ID = unit.DaemonID(fmt.Sprintf("daemon-%d", i))
+	}
+	return daemons
+}
--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -33,22 +34,25 @@
 	engine *Engine
 	name   unit.GroupName
 
-	mu            sync.Mutex
-	targets       map[unit.InstanceName]*target
-	floors        tracker.Floors
-	acknowledged  unit.Position // Highest position of an acknowledged write.
-	strain        strain
-	retryBudget   retrier.Budget
-	positionQuery chan struct{} // Closed when the position request in flight has ended. Nil if there is none.
+	mu           sync.Mutex
+	targets      map[unit.InstanceName]*target
+	floors       tracker.Floors
+	acknowledged unit.Position // Highest position of an acknowledged write.
+	strain       strain
+	spreader     *router.Spreader // Chooses the instances of reads.
+	retryBudget  retrier.Budget
+	// positionQueries are closed when the position request in flight has ended. They are nil if
+	// there is none. The second one is for other daemons, and is not forwarded.
+	positionQueries [2]chan struct{}
 }
 
 func newGroup(e *Engine, name unit.GroupName) *group {
-	return &group{engine: e, name: name, targets: make(map[unit.InstanceName]*target)}
+	return &group{engine: e, name: name, targets: make(map[unit.InstanceName]*target), spreader: router.NewSpreader()}
 }
 
 // adopt replaces the targets by those of the instances in a newer manifest. The target of
 // an unchanged incarnation and address is kept.
-func (g *group) adopt(instances []manifest.Instance) {
+func (g *group) adopt(instances []manifest.Instance, homes map[unit.InstanceName][]unit.DaemonID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	kept := make(map[unit.InstanceName]bool, len(instances))
@@ -56,13 +60,13 @@
 		kept[i.Name] = true
 		old := g.targets[i.Name]
 		if old != nil && old.instance.Incarnation == i.Incarnation && old.instance.Address == i.Address {
-			old.update(i)
+			old.update(i, homes[i.Name])
 			continue
 		}
 		if old != nil {
 			go old.retire()
 		}
-		g.targets[i.Name] = newTarget(g.engine, g, i)
+		g.targets[i.Name] = newTarget(g.engine, g, i, homes[i.Name])
 	}
 	for name, t := range g.targets {
 		if !kept[name] {
@@ -70,11 +74,13 @@
 			go t.retire()
 		}
 	}
+	g.spreader.Retain(kept)
 }
 
 // update applies the settings that may change during an incarnation of the instance.
-func (t *target) update(i manifest.Instance) {
-	limits, pool := t.engine.limits(i)
+func (t *target) update(i manifest.Instance, homes []unit.DaemonID) {
+	t.setHomes(homes)
+	limits, pool := t.limits()
 	t.Resize(limits, pool)
 	t.setLeaving(i.Leaving)
 }
@@ -195,7 +201,7 @@
 			return unit.Position{}, result.New(result.NoReplica, "group %s: no recent enough position of the primary is known", g.name)
 		}
 		select {
-		case <-g.queryPosition():
+		case <-g.queryPosition(false, g.engine.now().Sub(since)/2):
 		case <-time.After(time.Until(deadline)):
 		case <-ctx.Done():
 			return unit.Position{}, result.New(result.ShuttingDown, "the daemon is shutting down")
@@ -203,28 +209,41 @@
 	}
 }
 
-// queryPosition requests the primary's position. All waiting reads share one request. The
+// newestFloor returns the newest position that the primary has reported, and when the request
+// for it was sent.
+func (g *group) newestFloor() (unit.Position, unit.Instant, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.floors.Newest()
+}
+
+// queryPosition requests a position of the primary that is no older than maxAge. All waiting
+// reads share one request. It is not forwarded to the primary's home if direct is set. The
 // channel is closed when the request has ended.
-func (g *group) queryPosition() <-chan struct{} {
+func (g *group) queryPosition(direct bool, maxAge time.Duration) <-chan struct{} {
+	query := &g.positionQueries[0]
+	if direct {
+		query = &g.positionQueries[1]
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.positionQuery == nil {
+	if *query == nil {
 		ended := make(chan struct{})
-		g.positionQuery = ended
+		*query = ended
 		go func() {
-			g.fetchPosition()
+			g.fetchPosition(direct, maxAge)
 			g.mu.Lock()
-			g.positionQuery = nil
+			*query = nil
 			g.mu.Unlock()
 			close(ended)
 		}()
 	}
-	return g.positionQuery
+	return *query
 }
 
 // fetchPosition sends one position request. It sleeps for primaryPollInterval if there is
 // no primary or the request fails, so that callers don't loop without delay.
-func (g *group) fetchPosition() {
+func (g *group) fetchPosition(direct bool, maxAge time.Duration) {
 	t, l, ok := g.primary()
 	if !ok {
 		time.Sleep(primaryPollInterval)
@@ -232,14 +251,16 @@
 	}
 	ctx, stop := context.WithTimeout(g.engine.ctx, positionTimeout)
 	defer stop()
-	sentAt := g.engine.now()
-	reply, err := t.requestOutOfBand(ctx, Status{})
-	// An instance that refuses the request for lack of a slot still reports its position.
-	if err != nil || reply.Position.IsZero() || !g.engine.authority.Holds(l) {
+	request := func(ctx context.Context) (unit.Position, unit.Instant, bool) { return t.position(ctx, maxAge) }
+	if direct {
+		request = t.positionDirectly
+	}
+	p, at, ok := request(ctx)
+	if !ok || !g.engine.authority.Holds(l) {
 		time.Sleep(primaryPollInterval)
 		return
 	}
-	g.observe(reply.Position, sentAt)
+	g.observe(p, at)
 }
 
 // readCandidates returns the instances that may serve a read with the given staleness
@@ -273,6 +294,41 @@
 	return healthy
 }
 
+// chooseRead returns the instance for a read of the route. [group.recordRead] must be called once
+// for each instance that it returns.
+func (g *group) chooseRead(r manifest.Route, excluded map[unit.InstanceName]bool, bound time.Duration) (router.ReadCandidate, bool) {
+	candidates := g.readCandidates(excluded, bound)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.spreader.Choose(candidates, router.ReadRequest{Target: r.TargetLatency}, time.Now(), rand.Float64())
+}
+
+// recordRead records how a read ended that chooseRead chose the instance for.
+func (g *group) recordRead(name unit.InstanceName, err *result.Error) {
+	outcome := router.Outcome{Sent: err == nil}
+	if err != nil {
+		switch err.Code {
+		case result.StatementFailed, result.StatementTimeout, result.ConnectionLost, result.InstanceUnreachable, result.InstanceRefuses:
+			outcome = router.Outcome{Sent: true, Failed: true}
+		case result.InstanceBehind:
+			outcome.Sent = true
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.spreader.Record(name, outcome, time.Now())
+}
+
+// observeLoad records the load in a reply, if there is one.
+func (g *group) observeLoad(name unit.InstanceName, load *router.Report) {
+	if load == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.spreader.Observe(name, *load, time.Now())
+}
+
 // takeRetry takes one retry from the retry budget and reports whether there was one.
 func (g *group) takeRetry() bool {
 	g.mu.Lock()
--- a/tarragonshed/engine/ports.go
+++ b/tarragonshed/engine/ports.go
@@ -25,10 +25,11 @@
 
 // Connector opens connections to instances.
 type Connector interface {
-	// Connect opens a connection. If via isn't empty, the connection goes through the
-	// daemon at that address. The error has code ConnectionsExhausted if the instance is
+	// Connect opens a connection on behalf of the caller, which is empty if no caller is
+	// known. If via isn't empty, the connection goes through the daemon at that address.
+	// The error has code ConnectionsExhausted if the instance is
 	// reachable but has too many connections.
-	Connect(ctx context.Context, group unit.GroupName, i manifest.Instance, via string) (Conn, *result.Error)
+	Connect(ctx context.Context, group unit.GroupName, i manifest.Instance, caller unit.CallerName, via string) (Conn, *result.Error)
 	// Fits reports whether a request is within the size limit of the protocol.
 	Fits(Request) bool
 	// Status decodes the reply to [Status] or [StepDown].
@@ -49,9 +50,11 @@
 	// sent before the first call of Run. A lost connection to the daemon gives the error
 	// HomeUnreachable if the daemon can't have received the statement, else HomeLost.
 	Lease(ctx context.Context, address string, r LeaseRequest) Lease
+	// Available reports whether the daemon at the address has not failed recently.
+	Available(address string) bool
 	// Position requests the position of the group's primary from the daemon at the address.
-	// It is a position of a primary that had been confirmed when it replied, and it includes
-	// every write acknowledged before the returned age, counted back from the response.
+	// It is a position of a primary that had been confirmed when it replied. It includes every
+	// write acknowledged before the returned age, counted back from the time of the call.
 	Position(ctx context.Context, address string, group unit.GroupName, maxAge time.Duration) (unit.Position, time.Duration, *result.Error)
 }
 
--- a/tarragonshed/engine/session.go
+++ b/tarragonshed/engine/session.go
@@ -24,6 +24,8 @@
 type Session struct {
 	engine   *Engine
 	database unit.DatabaseName
+	key      manifest.Key
+	account  unit.CallerName // The account that had the key when the session was opened.
 
 	mu       sync.Mutex // Guards the state against the idle timer and concurrent calls.
 	state    TransactionState
@@ -71,6 +73,10 @@
 	return s.state
 }
 
+// Account returns the account that had the key when the session was opened. It is empty if the route needs
+// none.
+func (s *Session) Account() unit.CallerName { return s.account }
+
 // StateBytes returns the length of the values and prepared statements that the session keeps.
 func (s *Session) StateBytes() int {
 	s.mu.Lock()
@@ -189,7 +195,7 @@
 
 // run runs a statement that needs an instance.
 func (s *Session) run(id unit.RequestID, st Statement) Answer {
-	c := call{id: id, statement: st, values: s.values}
+	c := call{Call: Call{ID: id, Statement: st, Values: s.values}}
 	switch st := st.(type) {
 	case Write:
 		c.writes = true
@@ -198,7 +204,7 @@
 		if !ok {
 			return Answer{Err: result.New(result.UnknownStatement, "no statement is prepared as %q", st.Name)}
 		}
-		c.definition, c.writes = definition, definition.Writes
+		c.Definition, c.writes = definition, definition.Writes
 	}
 	if err := s.checkSize(&c); err != nil {
 		return Answer{Err: err}
@@ -206,12 +212,12 @@
 	if s.tx != nil {
 		return s.tx.run(c)
 	}
-	route, g, err := s.engine.route(s.database)
+	route, g, caller, err := s.admit()
 	if err != nil {
 		return Answer{Err: err}
 	}
 	g.countRequest()
-	job := &job{session: s, route: route, group: g, call: c, began: s.engine.now(), deadline: deadline(route)}
+	job := &job{session: s, route: route, group: g, caller: caller, call: c, began: s.engine.now(), deadline: deadline(route)}
 	began := time.Now()
 	answer := job.run()
 	g.recordOutcome(began, answer.Err)
--- a/tarragonshed/lender/lender.go
+++ b/tarragonshed/lender/lender.go
@@ -11,11 +11,12 @@
 // # Usage
 //
 //	l := lender.New(ctx, open, limits, poolLimits)
-//	if !l.TryAdmit(limiter.Write) {
-//		id, answer := l.Admit(limiter.Request{Caller: caller, Priority: limiter.Write, Deadline: deadline})
+//	request := limiter.Request{Caller: caller, Priority: limiter.Write, Deadline: deadline}
+//	if !l.TryAdmit(request) {
+//		id, answer := l.Admit(request)
 //		...
 //	}
-//	ticket, results := l.Acquire()
+//	ticket, results := l.Acquire(caller)
 //	r := <-results
 //	...
 //	l.Release(r.ID)
@@ -31,6 +32,7 @@
 	"tarragonshed.example/limiter"
 	"tarragonshed.example/pooler"
 	"tarragonshed.example/result"
+	"tarragonshed.example/unit"
 )
 
 // DefaultOpenTimeout is the timeout for opening a connection.
@@ -39,10 +41,10 @@
 // Conn is a connection that can be lent.
 type Conn interface{ Close() }
 
-// Open opens a connection. The connection calls gone once, when it can no longer
-// be used. The result exhausted reports that the instance refused the connection
+// Open opens a connection of the caller, see package pooler. The connection calls gone once,
+// when it can no longer be used. The result exhausted reports that the instance refused the connection
 // because it has too many.
-type Open[C Conn] func(ctx context.Context, id pooler.Conn, gone func()) (c C, exhausted bool, err *result.Error)
+type Open[C Conn] func(ctx context.Context, caller unit.CallerName, id pooler.Conn, gone func()) (c C, exhausted bool, err *result.Error)
 
 // AcquireResult is the result of a request for a connection. If Err is set, there is no
 // connection.
@@ -75,6 +77,7 @@
 	onOpen      func()
 	onClose     func()
 	onProbe     func(pooler.Probe)
+	onRefuse    func(limiter.Reason)
 
 	mu             sync.Mutex
 	limiter        *limiter.Limiter
@@ -118,12 +121,18 @@
 	return func(l *Lender[C]) { l.onProbe = probe }
 }
 
+// WithRefusals sets a function that is called with the reason of each request for a slot
+// that the limiter refuses. It is called with the lock held and must not call the [Lender].
+func WithRefusals[C Conn](refused func(limiter.Reason)) Option[C] {
+	return func(l *Lender[C]) { l.onRefuse = refused }
+}
+
 // New returns a Lender that opens connections until ctx is done.
 func New[C Conn](ctx context.Context, open Open[C], limits limiter.Limits, pool pooler.Limits, options ...Option[C]) *Lender[C] {
 	l := &Lender[C]{
 		ctx: ctx, openConn: open, openTimeout: DefaultOpenTimeout,
 		stopErr: func() *result.Error { return result.New(result.InstanceUnreachable, "the connection pool is closed") },
-		onOpen:  func() {}, onClose: func() {}, onProbe: func(pooler.Probe) {},
+		onOpen:  func() {}, onClose: func() {}, onProbe: func(pooler.Probe) {}, onRefuse: func(limiter.Reason) {},
 		limiter: limiter.New(limits), pool: pooler.New(pool),
 		conns:          make(map[pooler.Conn]C),
 		admitWaiters:   make(map[limiter.ID]chan *result.Error),
--- a/tarragonshed/lender/lender_test.go
+++ b/tarragonshed/lender/lender_test.go
@@ -12,6 +12,7 @@
 	"tarragonshed.example/pooler"
 	"tarragonshed.example/result"
 	"tarragonshed.example/tarragonshed/lender"
+	"tarragonshed.example/unit"
 )
 
 // conn is a connection without a network. The lender closes it, and the test loses it
@@ -41,7 +42,7 @@
 	return f
 }
 
-func (f *fixture) open(_ context.Context, _ pooler.Conn, gone func()) (*conn, bool, *result.Error) {
+func (f *fixture) open(_ context.Context, _ unit.CallerName, _ pooler.Conn, gone func()) (*conn, bool, *result.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.exhausted {
@@ -59,7 +60,7 @@
 // acquire waits for a connection and advances the pool's time meanwhile.
 func (f *fixture) acquire(t *testing.T) lender.AcquireResult[*conn] {
 	t.Helper()
-	_, results := f.Acquire()
+	_, results := f.Acquire("")
 	for now := time.Now(); ; now = now.Add(10 * time.Millisecond) {
 		f.Tick(now, false)
 		select {
@@ -75,7 +76,7 @@
 	f := newFixture(2, 1)
 	first := f.acquire(t)
 	is.NoErr(errOf(first))
-	_, second := f.Acquire()
+	_, second := f.Acquire("")
 	select {
 	case <-second:
 		t.Fatal("the connection was lent twice")
@@ -132,7 +133,7 @@
 	f.Close()
 	<-first.Conn.closed
 	is.True(f.acquire(t).Err != nil)
-	is.True(!f.TryAdmit(limiter.Write))
+	is.True(!f.TryAdmit(limiter.Request{Priority: limiter.Write}))
 	_, answer := f.Admit(limiter.Request{Priority: limiter.Write, Deadline: time.Now().Add(time.Hour)})
 	is.True(<-answer != nil)
 }
@@ -140,8 +141,8 @@
 func TestSlots(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1, 2)
-	is.True(f.TryAdmit(limiter.Write))
-	is.True(!f.TryAdmit(limiter.Write))
+	is.True(f.TryAdmit(limiter.Request{Priority: limiter.Write}))
+	is.True(!f.TryAdmit(limiter.Request{Priority: limiter.Write}))
 	id, answer := f.Admit(limiter.Request{Priority: limiter.Write, Deadline: time.Now().Add(time.Hour)})
 	is.Equal(f.Load().Queued, 1)
 	f.Finish(time.Millisecond)
@@ -149,3 +150,15 @@
 	is.True(!f.Withdraw(id)) // It is already admitted.
 	f.EndTransaction()
 }
+
+func TestRefusalsAreReported(t *testing.T) {
+	is := is.New(t)
+	var reasons []limiter.Reason
+	l := lender.New(context.Background(), (&fixture{}).open, limiter.Limits{Slots: 1, Connections: 1}, pooler.Limits{},
+		lender.WithRefusals[*conn](func(r limiter.Reason) { reasons = append(reasons, r) }))
+	request := limiter.Request{Priority: limiter.Write, Deadline: time.Now().Add(time.Hour)}
+	is.True(l.TryAdmit(request))
+	_, answer := l.Admit(request)
+	is.Equal((<-answer).Code, result.Overloaded)
+	is.Equal(reasons, []limiter.Reason{limiter.QueueFull})
+}
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -98,12 +98,15 @@
 	Domain      unit.DomainName
 	// Address is where other daemons connect to it, as host:port.
 	Address string
+	// Speed is the speed of its VM in processor cores, or zero if it is unknown.
+	Speed float64
 }
 
 // Instances is the part of the engine that the overseer uses.
 type Instances interface {
 	Manifest() *manifest.Manifest
 	Reach(unit.GroupName, unit.InstanceName) engine.Reach
+	Verify(context.Context, unit.GroupName, unit.InstanceName) bool
 	Status(context.Context, unit.GroupName, unit.InstanceName) (engine.InstanceStatus, error)
 	StatusAt(context.Context, unit.GroupName, manifest.Instance) (engine.InstanceStatus, error)
 	StepDown(context.Context, unit.GroupName, unit.InstanceName, unit.Term) (engine.InstanceStatus, error)
@@ -337,11 +340,20 @@
 	return o.changed
 }
 
-// Daemons returns the number of daemons on the member list.
-func (o *Overseer) Daemons() int {
+// Listed returns the daemons on the member list. It is empty if the list is not known yet.
+func (o *Overseer) Listed() []authorizer.Member {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.auth.View().Listed())
+	return o.auth.View().Listed()
+}
+
+// Membership returns the rows of the last confirmation by the store, and when its request was
+// sent. It returns false if there has been none. The caller must not modify the rows.
+func (o *Overseer) Membership() (authorizer.View, unit.Instant, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	confirmed, ok := o.auth.Confirmed()
+	return o.auth.View(), confirmed, ok
 }
 
 // notifyChanged wakes the callers that wait for a primary. The caller holds mu.
@@ -366,7 +378,8 @@
 }
 
 // Leave closes the overseer and removes the daemon from the member list. It does nothing if
-// the daemon is not on the list. The daemon must not use a primary afterwards.
+// the daemon is not on the list. The daemon must not use a primary or lend rate limits
+// afterwards.
 func (o *Overseer) Leave(ctx context.Context) error {
 	o.mu.Lock()
 	m, ok := o.auth.View().Members[o.self.Daemon]
@@ -376,7 +389,7 @@
 		return nil
 	}
 	o.Close()
-	m.Removed = max(1, o.storeNow())
+	m.Removed, m.Left = max(1, o.storeNow()), true
 	_, err := o.commit(ctx, Transaction{
 		Era:      era,
 		Expected: []Expectation{unchanged},
