--- a/tarragonshed/engine/account.go
+++ b/tarragonshed/engine/account.go
@@ -73,16 +73,6 @@
 	return result.New(result.AuthenticationFailed, "no caller has this key")
 }
 
-// Caller returns the name of the caller that has the key of the session, or an empty name.
-func (s *Session) Caller() unit.CallerName {
-	route, _, err := s.engine.route(s.database)
-	if err != nil {
-		return ""
-	}
-	c, _ := s.engine.caller(route, s.key)
-	return c.Name
-}
-
 // admit returns the route of a new operation and its caller, and counts the operation towards the
 // caller's rate limit.
 func (s *Session) admit() (manifest.Route, *group, *manifest.Caller, *result.Error) {
--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -219,12 +219,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := e.awaitCaller(route, key); err != nil {
+	caller, err := e.awaitCaller(route, key)
+	if err != nil {
 		return nil, err
 	}
 	e.meters.sessions.Inc(1)
 	return &Session{
-		engine: e, database: database, key: key, state: Idle,
+		engine: e, database: database, key: key, account: caller.Name, state: Idle,
 		values: make(map[string]string), prepared: make(map[string]Definition),
 	}, nil
 }
--- a/tarragonshed/engine/session.go
+++ b/tarragonshed/engine/session.go
@@ -25,6 +25,7 @@
 	engine   *Engine
 	database unit.DatabaseName
 	key      manifest.Key
+	account  unit.CallerName // The account that had the key when the session was opened.
 
 	mu       sync.Mutex // Guards the state against the idle timer and concurrent calls.
 	state    TransactionState
@@ -72,6 +73,10 @@
 	return s.state
 }
 
+// Account returns the account that had the key when the session was opened. It is empty if the route needs
+// none.
+func (s *Session) Account() unit.CallerName { return s.account }
+
 // StateBytes returns the length of the values and prepared statements that the session keeps.
 func (s *Session) StateBytes() int {
 	s.mu.Lock()
