engine: judge a forwarded statement by the leadership before it is sent

A home took the position in a reply for one of the primary if the instance was the primary when the reply arrived. A reply to a request from before a promotion may lack writes of the earlier primary. It also took an earlier incarnation of the primary for the primary. The leadership is now read before the request is sent, with its incarnation, and checked again after the reply.

A connection that refused a value was closed and given back to the pool as idle, where the next write could get it and end in doubt. The state of a lease is Failed until the reply has arrived, so such a connection is discarded.

The three subtests of TestForwardedLease fail without the change.

--- a/tarragonshed/engine/lease.go
+++ b/tarragonshed/engine/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tarragonshed.example/authorizer"
 	"tarragonshed.example/limiter"
 	"tarragonshed.example/result"
 	"tarragonshed.example/router"
@@ -20,7 +21,8 @@
 	forwarded bool
 
 	conn *pooledConn // Nil before the first statement has been admitted.
-	// state is the state of the connection after the statements that were sent.
+	// state is the state of the connection after the last reply. It is Failed while a reply is
+	// awaited or has not arrived.
 	state TransactionState
 	wrote bool // Whether a write may have run in the transaction.
 }
@@ -38,9 +40,10 @@
 	if l.commits(c) && !l.mayWrite() {
 		return Reply{}, result.New(result.NotPrimary, "instance %s may no longer be the primary", l.target.name())
 	}
+	leadership, leads := l.target.leadership()
 	sentAt := l.target.engine.now()
 	requests := l.conn.link.requests(c, l.state != Idle)
-	l.beginStatement(c)
+	l.state, l.wrote = Failed, l.wrote || c.writes()
 	reply, err := l.conn.roundTrip(deadline, requests...)
 	if err != nil {
 		return Reply{}, err
@@ -49,8 +52,8 @@
 	if _, begins := c.Statement.(Begin); !begins || l.forwarded || reply.Err != nil {
 		l.conn.releaseSlot()
 	}
-	if l.forwarded {
-		l.target.observe(reply.Position, sentAt)
+	if l.forwarded && leads && l.target.engine.authority.Holds(leadership) {
+		l.target.group.observe(reply.Position, sentAt)
 	}
 	reply.Load = l.target.report()
 	l.target.group.observeLoad(l.target.name(), reply.Load)
@@ -65,15 +68,6 @@
 	return l.state == Idle && c.writes()
 }
 
-// beginStatement records what may have happened until the instance has replied.
-func (l *localLease) beginStatement(c Call) {
-	switch c.Statement.(type) {
-	case Begin, Commit:
-		l.state = Failed
-	}
-	l.wrote = l.wrote || c.writes()
-}
-
 // admit waits for a slot and, before the first statement, for a connection.
 func (l *localLease) admit(deadline time.Time) *result.Error {
 	if l.conn != nil && l.conn.slot {
@@ -119,20 +113,16 @@
 	if _, known := l.target.engine.authority.Primary(l.target.group.name); !known && l.forwarded {
 		return true
 	}
-	return l.target.isPrimary()
+	_, leads := l.target.leadership()
+	return leads
 }
 
-// isPrimary reports whether the target is the primary and this daemon may use it.
-func (t *target) isPrimary() bool {
-	l, _ := t.engine.authority.Primary(t.group.name)
-	return l.Primary == t.name() && t.engine.authority.Holds(l)
-}
-
-// observe records the position in a reply to a request sent at sentAt if the target is the primary.
-func (t *target) observe(p unit.Position, sentAt unit.Instant) {
-	if t.isPrimary() {
-		t.group.observe(p, sentAt)
-	}
+// leadership returns the leadership under which the target is the primary. The result is false if
+// it isn't, or if this daemon may not use it now. An earlier incarnation of the primary is not the
+// primary.
+func (t *target) leadership() (authorizer.Leadership, bool) {
+	l, ok := t.engine.authority.Primary(t.group.name)
+	return l, ok && l.Primary == t.name() && l.Incarnation == t.instance.Incarnation
 }
 
 // report returns the load of the instance, or nil unless this daemon is its home. Other daemons
