pooler: close an idle connection when the instance has too many

An instance that refuses a connection because it has too many left a request of one caller waiting, or failed it, while the pool kept idle connections of other callers for up to 45 s: one was closed only at the pool's own share, which a home often has not reached when the instance also counts another home's connections. The longest idle one is now closed, and a connection is opened after the backoff. Without callers nothing changes, because no request waits beside an idle connection.

--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -27,10 +27,10 @@
 // # Callers
 //
 // An instance may be told at the start of a connection which caller uses it. Such a
-// connection is assigned to requests of its caller only. If the pool has reached its share,
-// the connection that has been idle the longest is closed to open one for another caller.
-// Connections of instances that are not told the caller belong to the empty name, and only
-// these are kept warm.
+// connection is assigned to requests of its caller only. If the pool has reached its share
+// or the instance has too many connections, the one that has been idle the longest is closed to
+// open one for another caller. Connections of instances that are not told the caller belong to
+// the empty name, and only these are kept warm.
 //
 // # Unresponsive connections
 //
@@ -266,6 +266,9 @@
 	p.endOpening(e.Caller)
 	if e.Exhausted {
 		p.pausedUntil = e.Now.Add(ExhaustedBackoff)
+		if len(p.waiting) > 0 && len(p.idle) > 0 {
+			return []Effect{p.closeOldest()} // One of another caller, since the requests wait.
+		}
 		if len(p.inUse)+p.openingCount() > 0 {
 			return nil // A connection in use or being opened will serve the requests.
 		}
@@ -291,8 +294,7 @@
 			if !p.evictable(caller) {
 				return effects
 			}
-			effects = append(effects, Close{Conn: p.idle[0].conn})
-			p.idle = slices.Delete(p.idle, 0, 1)
+			effects = append(effects, p.closeOldest())
 		}
 		p.opening[caller]++
 		p.tokens--
@@ -300,6 +302,13 @@
 	}
 }
 
+// closeOldest closes the connection that has been idle the longest.
+func (p *Pooler) closeOldest() Effect {
+	oldest := p.idle[0].conn
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return Close{Conn: oldest}
+}
+
 // evictable reports whether an idle connection may be closed to open one for the caller. A warm
 // connection is not worth closing another one.
 func (p *Pooler) evictable(caller unit.CallerName) bool {
