engine: pass over homes that do not reach the primary for its position

A read with a bound on its staleness waited for the position of the primary from the first home that responds, even if that home doesn't reach the primary. The home looked for a way to it until the request had timed out, and the daemon asked the same home again: such reads failed after their whole timeout with TS2003 although the daemon itself reaches the primary. The home now refuses at once, and the next home or the daemon itself asks, as with statements. Both choices share one iterator over the reachable homes.

The new subtest of TestHomes fails without the change after 52 s.

--- a/tarragonshed/engine/home.go
+++ b/tarragonshed/engine/home.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"iter"
 	"slices"
 	"time"
 
@@ -169,15 +170,7 @@
 		return l.run(c, deadline)
 	}
 	e := l.target.engine
-	addresses := e.fleet.Load().addresses
-	for _, home := range l.homes {
-		if home == e.self {
-			break
-		}
-		address := addresses[home]
-		if address == "" || !e.forwarder.Available(address) {
-			continue
-		}
+	for address := range e.reachable(l.homes) {
 		l.chosen = e.forwarder.Lease(l.ctx, address, l.request)
 		reply, err := l.run(c, deadline)
 		if err == nil || !isHomeFailure(err.Code) || !time.Now().Before(l.request.Deadline) {
@@ -190,7 +183,26 @@
 	return l.run(c, deadline)
 }
 
-// isHomeFailure reports whether a statement that has not run for this reason may run through
+// reachable yields the addresses of the homes that have not failed recently, up to this daemon.
+func (e *Engine) reachable(homes []unit.DaemonID) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		addresses := e.fleet.Load().addresses
+		for _, home := range homes {
+			if home == e.self {
+				return
+			}
+			address := addresses[home]
+			if address == "" || !e.forwarder.Available(address) {
+				continue
+			}
+			if !yield(address) {
+				return
+			}
+		}
+	}
+}
+
+// isHomeFailure reports whether a request that has not run for this reason may run through
 // another home.
 func isHomeFailure(c result.Code) bool {
 	switch c {
@@ -233,21 +245,13 @@
 	t.mu.Lock()
 	homes := t.homes
 	t.mu.Unlock()
-	addresses := e.fleet.Load().addresses
-	for _, home := range homes {
-		if home == e.self {
-			break
-		}
-		address := addresses[home]
-		if address == "" || !e.forwarder.Available(address) {
-			continue
-		}
+	for address := range e.reachable(homes) {
 		sentAt := e.now()
 		p, age, err := e.forwarder.Position(ctx, address, t.group.name, maxAge)
 		if err == nil {
 			return p, sentAt.Add(-age), !p.IsZero()
 		}
-		if err.Code != result.HomeUnreachable {
+		if !isHomeFailure(err.Code) {
 			return p, 0, false
 		}
 	}
@@ -274,6 +278,9 @@
 		if p, at, ok := g.newestFloor(); ok && at >= since {
 			return p, e.now().Sub(at), nil
 		}
+		if t, _, usable := g.primary(); t != nil && !usable {
+			return unit.Position{}, 0, result.New(result.InstanceUnreachable, "this daemon does not reach instance %s", t.name())
+		}
 		select {
 		case <-g.queryPosition(true, 0):
 		case <-ctx.Done():
--- a/tarragonshed/engine/home_test.go
+++ b/tarragonshed/engine/home_test.go
@@ -184,6 +184,14 @@
 		is.Equal(len(f.addresses), homeCount)
 		is.Equal(len(session.instances["a"].callerRequests()), 1)
 	})
+	t.Run("without a home that reaches the primary the daemon asks it directly", func(t *testing.T) {
+		is := is.New(t)
+		session, home, _ := newForwarding(t)
+		home.peers = nil
+		home.instances["a"].connect = result.New(result.InstanceRefuses, "injected by the test")
+		mustSucceed(t, session.open("old"), Read{Text: "1"})
+		is.True(len(session.instances["a"].statements()) > 0)
+	})
 	t.Run("the position of the primary comes from its home", func(t *testing.T) {
 		is := is.New(t)
 		session, home, f := newForwarding(t)
--- a/tarragonshed/engine/ports.go
+++ b/tarragonshed/engine/ports.go
@@ -103,7 +103,8 @@
 	// has code InstanceUnreachable if no such incarnation is known.
 	Lease(ctx context.Context, r LeaseRequest) (Lease, *result.Error)
 	// Position returns the position of the group's primary and its age, which is at most
-	// maxAge. It asks the primary only if no such position is known. See [Forwarder].
+	// maxAge. It asks the primary only if no such position is known. The error has code
+	// InstanceUnreachable if this daemon doesn't reach the primary. See [Forwarder].
 	Position(ctx context.Context, group unit.GroupName, maxAge time.Duration) (unit.Position, time.Duration, *result.Error)
 }
 
