forwarder: ping streams of draining homes

Only streams that accept leases were pinged and checked for silence. A home that drains keeps the stream while transactions are open on it, but heard nothing during a long statement or a pause of the caller and ended the stream after 2 s, so that a COMMIT in progress was in doubt and others were rolled back in planned work. The death of a draining home was noticed after 15 s only. All streams that have not ended are now checked.

The committed subtest checks the list of streams, which takes no time.

--- a/tarragonshed/forwarder/forwarder.go
+++ b/tarragonshed/forwarder/forwarder.go
@@ -25,8 +25,9 @@
 // A daemon whose stream couldn't be opened, was lost or is draining is not available, see
 // [Forwarder.Available], until a stream has been opened in the background. An attempt is
 // made a short time after the failure, if the daemon is needed. All statements that need
-// the first stream to a daemon wait for the same attempt, for a bounded time. Pings on the connection detect a silent daemon within
-// about a second.
+// the first stream to a daemon wait for the same attempt, for a bounded time. Pings on
+// streams with leases detect a silent daemon within about a second, also on those that
+// accept no more leases.
 //
 // # Usage
 //
@@ -47,8 +48,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,6 +100,8 @@
 
 	mu    sync.Mutex
 	homes map[string]*remoteHome // By address.
+	// streams are those that have not ended, also those that accept no more leases.
+	streams map[*stream]struct{}
 }
 
 // remoteHome is a daemon to which statements are forwarded. The lock of the Forwarder
@@ -152,7 +157,10 @@
 // New returns a Forwarder without a stream. The caller must call Close.
 func New(options ...Option) *Forwarder {
 	s := newSettings(options)
-	f := &Forwarder{logger: s.logger, meters: newMeters(s.registry), homes: make(map[string]*remoteHome)}
+	f := &Forwarder{
+		logger: s.logger, meters: newMeters(s.registry),
+		homes: make(map[string]*remoteHome), streams: make(map[*stream]struct{}),
+	}
 	transport := multiplexer.NewTransport(f.dial(s.dial), nil, connectionPingAfter)
 	transport.IdleConnTimeout = connectionIdleTimeout
 	f.client = &http.Client{Transport: transport}
@@ -193,22 +201,23 @@
 // Close closes all streams. Statements in flight fail.
 func (f *Forwarder) Close() {
 	defer f.stop()
-	for _, s := range f.streams() {
+	for _, s := range f.openStreams() {
 		s.close()
 	}
 }
 
-// streams returns the streams that accept leases.
-func (f *Forwarder) streams() []*stream {
+// openStreams returns the streams that have not ended.
+func (f *Forwarder) openStreams() []*stream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var streams []*stream
-	for _, h := range f.homes {
-		if h.stream != nil {
-			streams = append(streams, h.stream)
-		}
-	}
-	return streams
+	return slices.Collect(maps.Keys(f.streams))
+}
+
+// forget removes a stream that has ended.
+func (f *Forwarder) forget(s *stream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.streams, s)
 }
 
 // Available reports whether statements can be forwarded to the daemon at the address. It
@@ -366,6 +375,7 @@
 	known := !h.failedAt.IsZero()
 	if err == nil {
 		h.stream, h.failedAt = s, time.Time{}
+		f.streams[s] = struct{}{}
 	} else {
 		h.failedAt, h.failure = time.Now(), o.err
 	}
@@ -423,7 +433,7 @@
 
 // checkSilence sends pings that are due and ends the streams of silent daemons.
 func (f *Forwarder) checkSilence(now time.Time) {
-	for _, s := range f.streams() {
+	for _, s := range f.openStreams() {
 		s.check(now)
 	}
 }
--- a/tarragonshed/forwarder/forwarder_test.go
+++ b/tarragonshed/forwarder/forwarder_test.go
@@ -493,6 +493,23 @@
 		is.True(err == nil)
 		is.NoErr(<-drained)
 	})
+	t.Run("streams with open transactions are still pinged", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		r.local.run = reply(engine.Reply{State: engine.Open})
+		l := r.lease("a")
+		_, err := l.Run(read, soon())
+		is.True(err == nil)
+		drained := make(chan error, 1)
+		go func() { drained <- r.server.Drain(t.Context()) }()
+		for r.forwarder.Available(r.address) {
+			runtime.Gosched()
+		}
+		is.Equal(r.forwarder.Checked(), 1)
+		l.End()
+		is.NoErr(<-drained)
+		is.Equal(r.forwarder.Checked(), 0)
+	})
 	t.Run("refuses streams", func(t *testing.T) {
 		is := is.New(t)
 		r := newRig(t)
--- a/tarragonshed/forwarder/stream.go
+++ b/tarragonshed/forwarder/stream.go
@@ -285,6 +285,7 @@
 	leases = len(s.waiting)
 	close(s.ended)
 	s.mu.Unlock()
+	s.forwarder.forget(s)
 	_ = s.bidi.CloseRequest()
 	return leases, true
 }
