router: forget instances that were never chosen

Retain dropped the shares only of instances that had reported or been chosen. An instance that received a share without either kept it for ever after it had left.

--- a/router/spreader.go
+++ b/router/spreader.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"math"
 	"math/bits"
 	"time"
@@ -197,13 +198,10 @@
 
 // Retain forgets all instances but the given ones.
 func (s *Spreader) Retain(names map[unit.InstanceName]bool) {
-	for name := range s.instances {
-		if !names[name] {
-			delete(s.instances, name)
-			for _, h := range s.shares {
-				delete(h.of, name)
-			}
-		}
+	gone := func(name unit.InstanceName) bool { return !names[name] }
+	maps.DeleteFunc(s.instances, func(name unit.InstanceName, _ *observed) bool { return gone(name) })
+	for _, h := range s.shares { // They may have instances that were never chosen.
+		maps.DeleteFunc(h.of, func(name unit.InstanceName, _ float64) bool { return gone(name) })
 	}
 }
 
@@ -238,6 +236,32 @@
 	return s.class(target).of
 }
 
+// Overview is what a [Spreader] knows of an instance.
+type Overview struct {
+	// Share is the share of the reads that go to it.
+	Share float64
+	// Demand is the utilization of its slots by the statements that arrive.
+	Demand   float64
+	Queued   float64
+	Mean     time.Duration
+	Failures float64 // The share of failed statements.
+}
+
+// Overview returns what is known of an instance, with its share of the reads with the given
+// target latency. It is for logs and metrics.
+func (s *Spreader) Overview(name unit.InstanceName, target time.Duration, now time.Time) Overview {
+	o := Overview{Share: s.class(target).of[name]}
+	seen := s.instances[name]
+	if seen == nil {
+		return o
+	}
+	o.Failures = seen.failureShare(now)
+	if seen.recent(now) {
+		o.Demand, o.Queued, o.Mean = seen.load(now).demand, seen.queued, seen.mean
+	}
+	return o
+}
+
 func (s *Spreader) reported(candidates []ReadCandidate, now time.Time) bool {
 	for _, c := range candidates {
 		if seen := s.instances[c.Instance]; seen != nil && seen.recent(now) {
--- a/router/spreader_test.go
+++ b/router/spreader_test.go
@@ -39,6 +39,21 @@
 	}
 }
 
+func TestSpreaderForgetsInstances(t *testing.T) {
+	is := is.New(t)
+	s := NewSpreader()
+	var candidates []ReadCandidate
+	for i := range 3 {
+		candidates = append(candidates, ReadCandidate{Instance: nameOf(i)})
+	}
+	s.Observe(nameOf(0), Report{Slots: 2}, now)
+	s.Choose(candidates, ReadRequest{}, now, 0)
+	is.True(s.Overview(nameOf(2), 0, now).Share > 0) // It was not chosen and has not reported.
+	s.Retain(map[unit.InstanceName]bool{nameOf(0): true})
+	is.Equal(len(s.Shares(0)), 1)
+	is.Equal(len(s.instances), 1)
+}
+
 // partAt returns the part of reads that go to the second instance, 10 s after the reports began.
 func partAt(target time.Duration, candidates []ReadCandidate, reports []Report) float64 {
 	random := rand.New(rand.NewPCG(1, 2))
