engine: count reads by distance, and refusals of the queues

docs/OPERATIONS.md named counters and a log line that nothing wrote. The counters of reads are called engine.reads.same-domain and so on, as the others of the engine; the line is written at most once in ten seconds for a group, when the part of its reads that leave the domain has risen.

--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -72,6 +72,7 @@
 	refusalLog logLimiter // Limits the log lines about refused statements.
 	messageLog logLimiter // Limits the log lines about refused messages, which are no statements.
 	retryLog   logLimiter // Limits the log lines about retried statements.
+	crossLog   logLimiter // Limits the log lines about reads that leave the failure domain.
 	self       unit.DaemonID
 	forwarder  Forwarder
 	fleet      atomic.Pointer[fleet]
--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -40,6 +40,7 @@
 	acknowledged unit.Position // Highest position of an acknowledged write.
 	strain       strain
 	spreader     *router.Spreader // Chooses the instances of reads.
+	crossings    crossings
 	retryBudget  retrier.Budget
 	// positionQueries are closed when the position request in flight has ended. They are nil if
 	// there is none. The second one is for other daemons, and is not forwarded.
@@ -298,9 +299,21 @@
 // for each instance that it returns.
 func (g *group) chooseRead(r manifest.Route, excluded map[unit.InstanceName]bool, bound time.Duration) (router.ReadCandidate, bool) {
 	candidates := g.readCandidates(excluded, bound)
+	now := time.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.spreader.Choose(candidates, router.ReadRequest{Target: r.TargetLatency}, time.Now(), rand.Float64())
+	chosen, ok := g.spreader.Choose(candidates, router.ReadRequest{Target: r.TargetLatency}, now, rand.Float64())
+	share, risen := 0.0, false
+	if ok {
+		share, risen = g.crossings.record(chosen.Distance, now)
+	}
+	g.mu.Unlock()
+	if ok {
+		g.engine.meters.readsByDistance[chosen.Distance].Inc(1)
+	}
+	if risen {
+		g.logCrossings(share, candidates, r.TargetLatency)
+	}
+	return chosen, ok
 }
 
 // recordRead records how a read ended that chooseRead chose the instance for.
--- a/tarragonshed/engine/meters.go
+++ b/tarragonshed/engine/meters.go
@@ -5,7 +5,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"tarragonshed.example/limiter"
 	"tarragonshed.example/result"
+	"tarragonshed.example/router"
 )
 
 // meters holds the metrics of an Engine.
@@ -22,6 +24,9 @@
 	forwarded           metrics.Counter
 	homesUnreachable    metrics.Counter
 	latency             metrics.Timer
+
+	readsByDistance   map[router.Distance]metrics.Counter // The reads for which an instance was chosen.
+	refusalsByLimiter map[limiter.Reason]metrics.Counter
 }
 
 func newMeters(registry metrics.Registry) *meters {
@@ -40,6 +45,17 @@
 		forwarded:           counter("statements.forwarded"),
 		homesUnreachable:    counter("homes.unreachable"),
 		latency:             metrics.GetOrRegisterTimer("engine.latency", registry),
+		readsByDistance: map[router.Distance]metrics.Counter{
+			router.SameDomain:  counter("reads.same-domain"),
+			router.SameRegion:  counter("reads.same-region"),
+			router.OtherRegion: counter("reads.other-region"),
+		},
+		refusalsByLimiter: map[limiter.Reason]metrics.Counter{
+			limiter.QueueFull:   counter("refusals." + limiter.QueueFull.String()),
+			limiter.Displaced:   counter("refusals." + limiter.Displaced.String()),
+			limiter.CallerShare: counter("refusals." + limiter.CallerShare.String()),
+			limiter.Deadline:    counter("refusals." + limiter.Deadline.String()),
+		},
 	}
 }
 
@@ -48,6 +64,9 @@
 	metrics.GetOrRegisterCounter("engine.refusals."+code.String(), m.registry).Inc(1)
 }
 
+// recordLimiterRefusal counts a request for a slot that the limiter of an instance refused.
+func (m *meters) recordLimiterRefusal(r limiter.Reason) { m.refusalsByLimiter[r].Inc(1) }
+
 // recordStatement counts a statement that an instance ran and records its latency.
 func (m *meters) recordStatement(writes, primary bool, took time.Duration) {
 	switch {
--- a/tarragonshed/engine/target.go
+++ b/tarragonshed/engine/target.go
@@ -64,7 +64,8 @@
 	t.setLeaving(i.Leaving)
 	t.setHomes(homes)
 	limits, pool := t.limits()
-	t.Lender = lender.New(ctx, t.open, limits, pool, lender.WithOpenTimeout[*link](openTimeout))
+	t.Lender = lender.New(ctx, t.open, limits, pool,
+		lender.WithOpenTimeout[*link](openTimeout), lender.WithRefusals[*link](e.meters.recordLimiterRefusal))
 	return t
 }
 
