throttler: let a listed daemon lend no earlier than the others stop

A row names the latest time that the store's clock may have shown when it was written, which is ahead of the clock if the request took long. The earlier lender stops at that time plus the lease by the best knowledge of the clock, the new one began one lease after it had seen the row if its own requests took as long. Both lent one share meanwhile. It now begins later by the difference.

--- a/throttler/roster.go
+++ b/throttler/roster.go
@@ -112,9 +112,10 @@
 			continue
 		}
 		missed := known && s.onList() // It was removed and listed again since.
-		s = sighting{listed: m.Listed, removed: m.Removed, at: now}
-		if trusted && m.Removed == 0 {
-			s.at = now.Add(-max(0, r.view.Now-max(m.Listed, r.view.UnlistedUntil)-listingDelay))
+		// Others stop lending by the time in the row, which the store's clock may not show yet.
+		s = sighting{listed: m.Listed, removed: m.Removed, at: now.Add(max(0, m.Listed-r.view.Now))}
+		if age := r.view.Now - max(m.Listed, r.view.UnlistedUntil) - listingDelay; trusted && m.Removed == 0 && age > 0 {
+			s.at = now.Add(-age)
 		}
 		r.seen[d] = s
 		if missed || m.Removed != 0 {
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -382,3 +382,25 @@
 		is.True(m.Daemon == near.Daemon || m.Daemon == borrower.self)
 	}
 }
+
+// TestListedAhead checks that a new daemon begins to lend no earlier than the others stop. Its row
+// may name a later time than the store's clock showed, if the requests of the new daemon take long.
+func TestListedAhead(t *testing.T) {
+	is := is.New(t)
+	begin, ahead := unit.Instant(time.Hour), time.Second
+	old, added := New("old", 1), New("added", 1)
+	view := authorizer.View{Era: 1, Epoch: 1, Now: time.Hour, Members: map[unit.DaemonID]authorizer.Member{
+		"old":   {Daemon: "old", Incarnation: 1, Listed: time.Minute},
+		"added": {Daemon: "added", Incarnation: 1, Listed: time.Hour + ahead},
+	}}
+	for at := time.Duration(0); at < 2*LendingLease; at += 100 * time.Millisecond {
+		view.Now = time.Hour + at
+		now := begin.Add(at)
+		old.Step(Confirmed{View: view, Sent: now, Now: now})
+		added.Step(Confirmed{View: view, Sent: now.Add(-ahead), Now: now})
+		for p := range partition(partitions) {
+			is.True(!old.roster.lends(p, now) || !added.roster.lends(p, now))
+		}
+	}
+	is.True(added.lending > 0)
+}
