--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -73,6 +73,7 @@
 	messageLog logLimiter // Limits the log lines about refused messages, which are no statements.
 	closeLog   logLimiter // Limits the log lines about sessions that the daemon closed.
 	retryLog   logLimiter // Limits the log lines about retried statements.
+	crossLog   logLimiter // Limits the log lines about reads that leave the failure domain.
 	self       unit.DaemonID
 	forwarder  Forwarder
 	fleet      atomic.Pointer[fleet]
