--- a/router/spreader.go
+++ b/router/spreader.go
@@ -151,6 +151,12 @@
 // SpreaderOption configures a [Spreader].
 type SpreaderOption func(*Spreader)
 
+// The default costs of distance, see [WithDistanceCosts].
+const (
+	DefaultSameRegionCost  = sameRegionPenalty
+	DefaultOtherRegionCost = otherRegionPenalty
+)
+
 // WithDistanceCosts sets the time that a read without a target latency accepts to wait rather
 // than to send its bytes to another failure domain of the region, and to another region.
 func WithDistanceCosts(sameRegion, otherRegion time.Duration) SpreaderOption {
--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -67,6 +67,7 @@
 	meters     *meters
 	domain     unit.DomainName
 	peers      Peers
+	spreading  []router.SpreaderOption
 	rates      RateLimits
 	currentAt  func() (unit.Instant, bool)
 	refusalLog logLimiter // Limits the log lines about refused statements.
@@ -121,6 +122,12 @@
 	return func(e *Engine) { e.forwarder, e.self = f, self }
 }
 
+// WithSpreader sets options of the choice of instances for reads, which applies to instances that
+// are used through their homes.
+func WithSpreader(options ...router.SpreaderOption) Option {
+	return func(e *Engine) { e.spreading = options }
+}
+
 // WithRateLimits sets what admits the operations of callers. By default all are admitted.
 func WithRateLimits(r RateLimits) Option { return func(e *Engine) { e.rates = r } }
 
--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -48,7 +48,7 @@
 }
 
 func newGroup(e *Engine, name unit.GroupName) *group {
-	return &group{engine: e, name: name, targets: make(map[unit.InstanceName]*target), spreader: router.NewSpreader()}
+	return &group{engine: e, name: name, targets: make(map[unit.InstanceName]*target), spreader: router.NewSpreader(e.spreading...)}
 }
 
 // adopt replaces the targets by those of the instances in a newer manifest. The target of
