replacer, engine: replace a lost primary that only its home uses

Only its home used it, detected the loss at 10.0 s and was far down in the order of daemons that may claim the change, so the claim came at 17.8 s. By then an instance had taken its place and reported to lead the same term.

A daemon that is asked whether it reaches an instance and does not now suspects it, so that the first in the order detects the loss, too. An instance that reports to lead the term of the old primary gives way to a replica that has received as much, and to any replica once its promotion had no effect.

--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -101,8 +101,11 @@
 	retryAt   unit.Instant // When the step's call is retried. Zero while the call is in flight.
 	askedAt   unit.Instant // When the instances were last surveyed.
 
-	statuses        map[unit.InstanceName]Status
-	notRunning      map[unit.InstanceName]bool
+	statuses   map[unit.InstanceName]Status
+	notRunning map[unit.InstanceName]bool
+	// ineffective holds instances that did not lead a later term although their promotion was
+	// accepted. The platform takes them for the present primary and changes nothing.
+	ineffective     map[unit.InstanceName]bool
 	primaryReceived unit.Position // Last position of the primary that stepped down.
 	acknowledged    unit.Position // Highest acknowledged position according to the reports.
 	unreported      map[unit.DaemonID]bool
@@ -120,7 +123,8 @@
 func New(plan Plan, now unit.Instant) (*Replacer, []Effect) {
 	r := &Replacer{
 		plan: plan, startedAt: now, enteredAt: now, acknowledged: plan.Acknowledged,
-		notRunning: make(map[unit.InstanceName]bool), unreported: make(map[unit.DaemonID]bool),
+		notRunning: make(map[unit.InstanceName]bool), ineffective: make(map[unit.InstanceName]bool),
+		unreported: make(map[unit.DaemonID]bool),
 	}
 	for _, m := range plan.Revocation.Remaining() {
 		r.unreported[m.Daemon] = true
@@ -203,6 +207,7 @@
 		return r.choose(now)
 	case promoting, verifying, publishing:
 		if r.step == verifying && now.Sub(r.enteredAt) > verifyTimeout {
+			r.ineffective[r.candidate] = true
 			return r.survey(now)
 		}
 		if r.retryAt != 0 && now >= r.retryAt {
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -293,6 +293,31 @@
 	})
 }
 
+// TestSuccessorOfSameTerm has an instance that took the place of the old primary and reports to
+// lead its term. The platform accepts its promotion and changes nothing.
+func TestSuccessorOfSameTerm(t *testing.T) {
+	successor := func(received unit.Position) Surveyed {
+		return Surveyed{Status: Status{Instance: "b", Primary: true, Term: 3, Received: received}}
+	}
+	t.Run("a replica that has received as much is promoted", func(t *testing.T) {
+		p := newHarness(t, plan())
+		p.step(Dropped{Daemon: "d-2"}, Dropped{Daemon: "d-3"})
+		p.effects = nil
+		p.step(successor(pos(3, 7)), replica("c", pos(3, 7)))
+		p.expect(Promote{Instance: "c"})
+	})
+	t.Run("a replica is promoted after the promotion had no effect", func(t *testing.T) {
+		p := newHarness(t, plan())
+		p.step(Dropped{Daemon: "d-2"}, Dropped{Daemon: "d-3"})
+		p.step(successor(pos(3, 8)), replica("c", pos(3, 7)))
+		p.step(Promoted{Instance: "b"})
+		p.effects = nil
+		p.advance(verifyTimeout + time.Second)
+		p.step(successor(pos(3, 8)), replica("c", pos(3, 7)))
+		is.New(t).Equal(p.effects[len(p.effects)-1], Promote{Instance: "c"})
+	})
+}
+
 func TestPromoting(t *testing.T) {
 	promoting := func(t *testing.T) *harness {
 		p := revoked(t, plan())
--- a/replacer/survey.go
+++ b/replacer/survey.go
@@ -101,12 +101,27 @@
 		if !responded || r.notRunning[name] {
 			continue
 		}
-		if !ok || r.leads(s) && !r.leads(best) || r.leads(s) == r.leads(best) && best.Received.Before(s.Received) {
+		if !ok || r.precedes(s, best) {
 			best, ok = s, true
 		}
 	}
 	return best, ok
 }
 
+// precedes reports whether an instance is a better choice than another one. The promotion of an
+// instance that reports to lead the term of the old primary, for instance because it has taken
+// the place of that, would change nothing; it has precedence only for what it has received.
+func (r *Replacer) precedes(s, other Status) bool {
+	switch {
+	case r.leads(s) != r.leads(other):
+		return r.leads(s)
+	case r.ineffective[s.Instance] != r.ineffective[other.Instance]:
+		return !r.ineffective[s.Instance]
+	case s.Received != other.Received:
+		return other.Received.Before(s.Received)
+	}
+	return !s.Primary && other.Primary
+}
+
 // leads reports whether the instance leads a later term than the old primary.
 func (r *Replacer) leads(s Status) bool { return s.Primary && s.Term > r.plan.Term }
--- a/tarragonshed/engine/monitor.go
+++ b/tarragonshed/engine/monitor.go
@@ -62,6 +62,7 @@
 		conn.Close()
 	}
 	if err != nil && err.Code != result.ConnectionsExhausted {
+		t.suspect(err) // The daemon that is to replace a primary may not be its home.
 		return false
 	}
 	t.lastReply.Store(time.Now().UnixNano())
