engine: send no statement that nobody waits for

A free slot and a free connection are granted whatever the time and whether the stream of a forwarded statement is lost, so a home could send a write after its sender had gone, or after its time, with an outcome that is then unknown without need. The lease now checks both directly before it sends.

The new subtest of TestForwardedLease fails without the change.

--- a/tarragonshed/engine/lease.go
+++ b/tarragonshed/engine/lease.go
@@ -37,6 +37,9 @@
 	if err := l.admit(deadline); err != nil {
 		return Reply{}, err
 	}
+	if err := l.abandoned(deadline); err != nil {
+		return Reply{}, err
+	}
 	if l.commits(c) && !l.mayWrite() {
 		return Reply{}, result.New(result.NotPrimary, "instance %s may no longer be the primary", l.target.name())
 	}
@@ -60,6 +63,18 @@
 	return reply, nil
 }
 
+// abandoned reports that nobody waits for the statement any more. A free slot and connection are
+// granted without regard to that.
+func (l *localLease) abandoned(deadline time.Time) *result.Error {
+	if err := l.ctx.Err(); err != nil {
+		return result.New(result.CancelledUnsent, "the statement was not sent to instance %s: %v", l.target.name(), err)
+	}
+	if !time.Now().Before(deadline) {
+		return result.New(result.DeadlinePassed, "the deadline passed before the statement was sent to instance %s", l.target.name())
+	}
+	return nil
+}
+
 // commits reports whether the call makes writes permanent.
 func (l *localLease) commits(c Call) bool {
 	if _, ok := c.Statement.(Commit); ok {
--- a/tarragonshed/engine/lease_test.go
+++ b/tarragonshed/engine/lease_test.go
@@ -59,6 +59,24 @@
 		is.Equal(h.runOnce(Call{ID: "q", Statement: Write{Text: "1 one"}}).Code, result.NotPrimary)
 		is.Equal(len(h.instances["a"].callerRequests()), 0)
 	})
+	t.Run("a statement that nobody waits for is not sent", func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness(t)
+		ctx, stop := context.WithCancel(t.Context())
+		l, _ := h.Lease(ctx, LeaseRequest{
+			Group: "g", Instance: "a", Incarnation: 1, Priority: limiter.Write, Deadline: time.Now().Add(time.Minute),
+		})
+		defer l.End()
+		_, err := l.Run(Call{ID: "q", Statement: Begin{}}, time.Now().Add(time.Minute))
+		is.True(err == nil)
+		write := Call{ID: "q", Statement: Write{Text: "1 one"}}
+		_, err = l.Run(write, time.Now())
+		is.Equal(err.Code, result.DeadlinePassed)
+		stop()
+		_, err = l.Run(write, time.Now().Add(time.Minute))
+		is.Equal(err.Code, result.CancelledUnsent)
+		is.Equal(len(h.instances["a"].callerRequests()), 1) // BEGIN.
+	})
 	t.Run("a connection that refused a value is not used again", func(t *testing.T) {
 		is := is.New(t)
 		h := newHarness(t)
