forwarder: hear a sender from the first bytes of a message

A home counted a message of the sender as a sign of life only when it had arrived whole. A long statement over a slow link, behind which pings wait, could end the stream with all its leases after 2 s, and their outcomes became unknown. The home now records arriving data like the sender does.

TestLongMessageIsNoSilence shows the decision; the slow link was not played.

--- a/tarragonshed/forwarder/forwarder.go
+++ b/tarragonshed/forwarder/forwarder.go
@@ -353,7 +353,7 @@
 		h = &remoteHome{
 			client: peerconnect.NewForwarderClient(f.client, "http://"+address,
 				connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessageBytes)),
-			link: &link{base: time.Now()}, usedAt: time.Now(),
+			link: &link{arrivals: arrivals{base: time.Now()}}, usedAt: time.Now(),
 		}
 		f.homes[address] = h
 	}
--- a/tarragonshed/forwarder/link.go
+++ b/tarragonshed/forwarder/link.go
@@ -7,13 +7,27 @@
 	"time"
 )
 
+// arrivals records when data arrived last. A long message counts from its first bytes, so it
+// doesn't look like silence.
+type arrivals struct {
+	base   time.Time
+	readAt atomic.Int64 // In nanoseconds since base.
+}
+
+// record records that n bytes have arrived now.
+func (a *arrivals) record(n int) {
+	if n > 0 {
+		a.readAt.Store(int64(time.Since(a.base)))
+	}
+}
+
+// lastRead returns when data arrived last.
+func (a *arrivals) lastRead() time.Time { return a.base.Add(time.Duration(a.readAt.Load())) }
+
 // link is the connection to one daemon. It outlives a connection: the next one replaces
 // it.
 type link struct {
-	base time.Time
-	// readAt is when data arrived last, in nanoseconds since base. A long message counts
-	// from its first bytes, so it doesn't look like silence.
-	readAt atomic.Int64
+	arrivals
 
 	mu   sync.Mutex
 	conn net.Conn
@@ -28,9 +42,7 @@
 // Read implements [net.Conn].
 func (c linkedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.link.readAt.Store(int64(time.Since(c.link.base)))
-	}
+	c.link.record(n)
 	return n, err
 }
 
@@ -42,9 +54,6 @@
 	return l.conn
 }
 
-// lastRead returns when data arrived last.
-func (l *link) lastRead() time.Time { return l.base.Add(time.Duration(l.readAt.Load())) }
-
 // cut closes the connection, which may be silent. The transport would use it again.
 func (l *link) cut() {
 	l.mu.Lock()
--- a/tarragonshed/forwarder/served.go
+++ b/tarragonshed/forwarder/served.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +23,8 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	tasks  sync.WaitGroup
+	// transport is nil if the stream isn't carried by a request.
+	transport *transport
 
 	// answering is true while the answer to a ping is being sent.
 	answering atomic.Bool
@@ -64,6 +65,7 @@
 
 func newServedStream(ctx context.Context, s *Server, send func(*peer.ForwardResponse) error) *servedStream {
 	st := &servedStream{server: s, forward: send, leases: make(map[uint64]*servedLease), heardAt: time.Now()}
+	st.transport, _ = ctx.Value(transportKey{}).(*transport)
 	st.ctx, st.stop = context.WithCancel(ctx)
 	return st
 }
@@ -91,13 +93,12 @@
 	st.stop()
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	c, ok := st.ctx.Value(controllerKey{}).(*http.ResponseController)
-	if !ok || st.closed {
+	if st.transport == nil || st.closed {
 		return
 	}
 	past := time.Unix(1, 0)
-	_ = c.SetReadDeadline(past) // They fail if the stream has ended.
-	_ = c.SetWriteDeadline(past)
+	_ = st.transport.controller.SetReadDeadline(past) // They fail if the stream has ended.
+	_ = st.transport.controller.SetWriteDeadline(past)
 }
 
 // watch ends the stream when the other daemon is silent although it has leases.
@@ -121,7 +122,11 @@
 func (st *servedStream) silent(now time.Time) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return len(st.leases) > 0 && !st.handling && now.Sub(st.heardAt) >= maxSilence
+	if len(st.leases) == 0 || st.handling || now.Sub(st.heardAt) < maxSilence {
+		return false
+	}
+	// A long message counts from its first bytes.
+	return st.transport == nil || now.Sub(st.transport.lastRead()) >= maxSilence
 }
 
 // close ends all leases and waits until their statements have returned. After it, nothing
--- a/tarragonshed/forwarder/server.go
+++ b/tarragonshed/forwarder/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
@@ -43,16 +44,32 @@
 // of the peer endpoint.
 func Configure(server *http.Server) { multiplexer.Configure(server, connectionPingAfter) }
 
-// controllerKey is the key of the [http.ResponseController] in the context of a stream.
-type controllerKey struct{}
+// transportKey is the key of the *transport in the context of a stream.
+type transportKey struct{}
+
+// transport is the request that carries a stream.
+type transport struct {
+	io.ReadCloser
+	arrivals
+	controller *http.ResponseController
+}
+
+// Read implements [io.Reader].
+func (t *transport) Read(b []byte) (int, error) {
+	n, err := t.ReadCloser.Read(b)
+	t.record(n)
+	return n, err
+}
 
 // Handler returns the path and the handler for the server of the peer endpoint. That
 // server must be configured by [Configure].
 func (s *Server) Handler() (path string, handler http.Handler) {
 	path, inner := peerconnect.NewForwarderHandler(service{s}, connect.WithReadMaxBytes(maxMessageBytes))
 	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), controllerKey{}, http.NewResponseController(w))
-		inner.ServeHTTP(w, r.WithContext(ctx))
+		t := &transport{ReadCloser: r.Body, arrivals: arrivals{base: time.Now()}, controller: http.NewResponseController(w)}
+		r = r.WithContext(context.WithValue(r.Context(), transportKey{}, t))
+		r.Body = t
+		inner.ServeHTTP(w, r)
 	})
 }
 
--- a/tarragonshed/forwarder/silence_test.go
+++ b/tarragonshed/forwarder/silence_test.go
@@ -1,6 +1,9 @@
 package forwarder
 
 import (
+	"context"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,6 +55,22 @@
 	s.close(st)
 }
 
+// TestLongMessageIsNoSilence reads a part of a message.
+func TestLongMessageIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	start := time.Now().Add(-maxSilence)
+	body := &transport{ReadCloser: io.NopCloser(strings.NewReader("part of a message")), arrivals: arrivals{base: start}}
+	s := NewServer(&countingLocal{})
+	st := s.open(context.WithValue(t.Context(), transportKey{}, body), nil)
+	is.True(st.add(1, nil))
+	st.heardAt = start
+	is.True(st.silent(time.Now()))
+	_, _ = body.Read(make([]byte, 4))
+	is.True(!st.silent(time.Now()))
+	is.True(st.silent(time.Now().Add(maxSilence)))
+	s.close(st)
+}
+
 func TestRemaining(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
