overseer: count an odd speed as unknown

A daemon reads a speed that no VM has as zero, so its row was never as it wanted it, and it wrote it with each confirmation. An infinite one, the product of two settings, could not be encoded.

--- a/tarragonshed/overseer/membership_test.go
+++ b/tarragonshed/overseer/membership_test.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -32,6 +33,19 @@
 		view, _, _ = a.Membership()
 		is.True(!view.Members["b"].Left)
 	})
+	t.Run("an odd speed counts as unknown", func(t *testing.T) {
+		is := is.New(t)
+		store := &memoryStore{}
+		is.NoErr(served(t, "b", store).read())
+		for _, speed := range []float64{-1, maxSpeed + 1, math.Inf(1), math.NaN()} {
+			o := New(Self{Daemon: "a", Incarnation: 1, Address: "a:1", Speed: speed}, store, nil, func() unit.Instant { return 1 })
+			t.Cleanup(o.Close)
+			is.NoErr(o.read())
+			before := store.commits
+			is.NoErr(o.read())
+			is.Equal(store.commits, before)
+		}
+	})
 	t.Run("the time of listing is not that of an old view", func(t *testing.T) {
 		is := is.New(t)
 		store := &memoryStore{}
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -238,6 +238,9 @@
 
 // New returns an Overseer that is not yet on the member list. Call Start to start it.
 func New(self Self, store Store, platform Platform, now func() unit.Instant, options ...Option) *Overseer {
+	if !isSpeed(self.Speed) {
+		self.Speed = 0 // The row would never be as wanted, and be written again and again.
+	}
 	o := &Overseer{
 		self: self, store: store, platform: platform, now: now,
 		logger: log.New(io.Discard), meters: newMeters(metrics.NewRegistry()), dial: dialer.Default,
