throttler: let a raised limit apply at once

A daemon did not ask a lender again before the time at which the earlier limit would have had the next operation: up to 40 s for a limit of one operation in some seconds. A changed limit now forgets these times, and they are at most half a second while a lender may not know the change.

--- a/throttler/borrower.go
+++ b/throttler/borrower.go
@@ -269,7 +269,11 @@
 		a.emptyUntil[s] = now.Add(minRetry)
 		return
 	case g.Granted < wanted:
-		a.emptyUntil[s] = now.Add(max(shortestRetry, min(maxRetry, g.RetryAfter)<<a.doublings[s]))
+		retry := max(shortestRetry, min(maxRetry, g.RetryAfter)<<a.doublings[s])
+		if len(a.limit.earlier) > 0 { // The lender may not know the new limit yet.
+			retry = min(retry, lenderRetry)
+		}
+		a.emptyUntil[s] = now.Add(retry)
 	}
 	a.doublings[s] = min(a.doublings[s]+1, maxDoublings)
 	if g.Granted > 0 {
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -349,6 +349,7 @@
 	case l.current != a:
 		if account, ok := t.accounts[name]; ok {
 			t.fill(account, now)
+			account.emptyUntil = [MaxShares]unit.Instant{} // By the earlier limit.
 		}
 		l.replace(a, now)
 		l.since = now
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -404,3 +404,22 @@
 	}
 	is.True(added.lending > 0)
 }
+
+// TestRaisedLimit checks that a higher limit does not wait until the time at which the lower one
+// would have allowed the next operation.
+func TestRaisedLimit(t *testing.T) {
+	is := is.New(t)
+	w := calmWorld(4, map[unit.CallerName]manifest.RateLimit{"c": {PerSecond: 0.02, Burst: 1}})
+	for _, n := range w.nodes {
+		n.rates["c"] = 4
+	}
+	is.True(w.admittedIn("c", 20*time.Second) <= 2)
+	w.versions = append(w.versions, map[unit.CallerName]manifest.RateLimit{"c": {PerSecond: 4, Burst: 4}})
+	w.version++
+	w.runUntil(w.now + 4*time.Second) // The daemons learn of it at different times.
+	before := w.admitted["c"]
+	w.runUntil(w.now + 5*time.Second)
+	is.Equal(w.violation, "")
+	t.Log(w.admitted["c"] - before)
+	is.True(w.admitted["c"]-before >= 10)
+}
