engine: keep the target of a statement that is sent again

The target latency counted from each attempt, so a retried statement went before one of the same caller that arrived later but had to end earlier. It now counts from the begin, as the deadline does.

--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -170,7 +170,8 @@
 	return reply, reply.Err
 }
 
-// leaseRequest returns the request for a lease of the target for an operation that begins now.
+// leaseRequest returns the request for a lease of the target for a statement with the deadline.
+// Its target latency counts from the same begin, also if it is sent again.
 func leaseRequest(t *target, r manifest.Route, caller *manifest.Caller, p limiter.Priority, deadline time.Time) LeaseRequest {
 	request := LeaseRequest{
 		Group: t.group.name, Instance: t.name(), Incarnation: t.instance.Incarnation,
@@ -178,7 +179,7 @@
 		Deadline: latestSend(deadline),
 	}
 	if r.TargetLatency > 0 {
-		request.Target = time.Now().Add(r.TargetLatency)
+		request.Target = deadline.Add(r.TargetLatency - timeout(r))
 	}
 	return request
 }
--- a/tarragonshed/engine/session.go
+++ b/tarragonshed/engine/session.go
@@ -206,11 +206,14 @@
 }
 
 // deadline returns the deadline of a statement that begins now.
-func deadline(r manifest.Route) time.Time {
+func deadline(r manifest.Route) time.Time { return time.Now().Add(timeout(r)) }
+
+// timeout returns the time from the begin of a statement to its deadline.
+func timeout(r manifest.Route) time.Duration {
 	if r.Timeout <= 0 {
-		return time.Now().Add(defaultTimeout)
+		return defaultTimeout
 	}
-	return time.Now().Add(r.Timeout)
+	return r.Timeout
 }
 
 // recordWrite records the position of a commit before it is acknowledged to the caller.
