--- a/tarragonshed/quoter/peers.go
+++ b/tarragonshed/quoter/peers.go
@@ -35,11 +35,13 @@
 	ctx, stop := context.WithTimeout(q.ctx, askTimeout)
 	defer stop()
 	response, err := client.Lend(ctx, connect.NewRequest(requestOf(q.self, a.Wants)))
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	if err != nil {
 		q.meters.askFailed.Inc(1)
 		q.logAskFailure(a, err)
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err != nil {
 		q.step(throttler.Failed{Lender: a.Lender, Number: a.Number, Now: q.now()})
 		return
 	}
--- a/tarragonshed/quoter/quoter.go
+++ b/tarragonshed/quoter/quoter.go
@@ -177,9 +177,9 @@
 
 // readMembers passes the member list to the throttler.
 func (q *Quoter) readMembers() {
+	view, sent, ok := q.members.Membership() // It may wait, which operations must not.
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	view, sent, ok := q.members.Membership()
 	if ok && !q.closed {
 		q.step(throttler.Confirmed{View: view, Sent: sent, Now: q.now()})
 	}
