--- a/tarragonshed/quoter/peers.go
+++ b/tarragonshed/quoter/peers.go
@@ -17,10 +17,16 @@
 // of all callers that share a lender.
 const maxMessageBytes = 4 << 20
 
+// maxPeers bounds the clients that are kept, because daemons come at ever new addresses.
+const maxPeers = 1000
+
 // peer returns the client of the daemon at the address. The caller holds mu.
 func (q *Quoter) peer(address string) peerconnect.QuoterClient {
 	c, ok := q.peers[address]
 	if !ok {
+		if len(q.peers) >= maxPeers {
+			clear(q.peers) // The connections stay.
+		}
 		c = peerconnect.NewQuoterClient(q.client, "http://"+address,
 			connect.WithSendCompression(""), connect.WithReadMaxBytes(maxMessageBytes))
 		q.peers[address] = c
