overseer: establish no primary if two report one term

After a restore of the store, the instance that reports to be the primary of the highest term was established; of two in the same term, the last one by order. An instance that was replaced while the promotion's answer was lost may report the newest term although it leads an earlier one.

--- a/tarragonshed/overseer/establish.go
+++ b/tarragonshed/overseer/establish.go
@@ -67,20 +67,25 @@
 }
 
 // leaderOf returns the instance that leads the group: the primary of the highest term that any
-// instance has seen. It returns false unless all instances have responded.
+// instance has seen. It returns false unless all instances have responded, and if two report that they are
+// the primary of that term: one that was replaced may report the newest term that it knows.
 func leaderOf(g manifest.Group, statuses map[unit.InstanceName]engine.InstanceStatus) (leader unit.InstanceName, ok bool) {
 	highest := unit.Term(0)
 	for _, i := range g.Instances {
 		status, responded := statuses[i.Name]
-		switch {
-		case !responded:
+		if !responded {
 			return "", false
-		case status.Primary && status.Term >= highest:
-			leader, ok = i.Name, true
-		case status.Term > highest:
-			leader, ok = "", false
 		}
 		highest = max(highest, status.Term)
 	}
+	for _, i := range g.Instances {
+		if status := statuses[i.Name]; !status.Primary || status.Term < highest {
+			continue
+		}
+		if ok {
+			return "", false
+		}
+		leader, ok = i.Name, true
+	}
 	return leader, ok
 }
--- a/tarragonshed/overseer/restore_test.go
+++ b/tarragonshed/overseer/restore_test.go
@@ -261,6 +261,9 @@
 	t.Run("of two primaries the one in the later term", func(t *testing.T) {
 		check(t, map[unit.InstanceName]engine.InstanceStatus{"a": primary(1), "b": primary(2)}, "b")
 	})
+	t.Run("two primaries in one term, of which one does not know that it was replaced", func(t *testing.T) {
+		check(t, map[unit.InstanceName]engine.InstanceStatus{"a": primary(2), "b": primary(2)}, "")
+	})
 	t.Run("a primary whose term has ended", func(t *testing.T) {
 		check(t, map[unit.InstanceName]engine.InstanceStatus{"a": primary(1), "b": replica(2)}, "")
 	})
