--- a/tarragonshed/engine/account.go
+++ b/tarragonshed/engine/account.go
@@ -63,7 +63,7 @@
 		if known && currentAt >= since {
 			return nil, errUnknownKey()
 		}
-		if !pause(e.ctx, keyPollInterval, until) {
+		if !pause(e.waiting, keyPollInterval, until) {
 			return nil, result.New(result.CutOff, "the key is unknown, and a newer manifest may contain it")
 		}
 	}
@@ -86,7 +86,7 @@
 		return route, nil, nil, errUnknownKey()
 	}
 	if c.RateLimit != nil {
-		err = e.rates.Admit(e.ctx, c.Name)
+		err = e.rates.Admit(e.waiting, c.Name)
 	}
 	return route, g, c, err
 }
--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -58,26 +58,29 @@
 
 // Engine serves the sessions of one daemon. It is safe for concurrent use.
 type Engine struct {
-	ctx        context.Context
-	stop       context.CancelFunc
-	connector  Connector
-	authority  Authority
-	now        func() unit.Instant
-	logger     *log.Logger
-	meters     *meters
-	domain     unit.DomainName
-	peers      Peers
-	spreading  []router.SpreaderOption
-	rates      RateLimits
-	currentAt  func() (unit.Instant, bool)
-	refusalLog logLimiter // Limits the log lines about refused statements.
-	messageLog logLimiter // Limits the log lines about refused messages, which are no statements.
-	closeLog   logLimiter // Limits the log lines about sessions that the daemon closed.
-	retryLog   logLimiter // Limits the log lines about retried statements.
-	crossLog   logLimiter // Limits the log lines about reads that leave the failure domain.
-	self       unit.DaemonID
-	forwarder  Forwarder
-	fleet      atomic.Pointer[fleet]
+	ctx  context.Context
+	stop context.CancelFunc
+	// waiting ends when statements no longer wait for anything but the replies of instances.
+	waiting     context.Context
+	stopWaiting context.CancelFunc
+	connector   Connector
+	authority   Authority
+	now         func() unit.Instant
+	logger      *log.Logger
+	meters      *meters
+	domain      unit.DomainName
+	peers       Peers
+	spreading   []router.SpreaderOption
+	rates       RateLimits
+	currentAt   func() (unit.Instant, bool)
+	refusalLog  logLimiter // Limits the log lines about refused statements.
+	messageLog  logLimiter // Limits the log lines about refused messages, which are no statements.
+	closeLog    logLimiter // Limits the log lines about sessions that the daemon closed.
+	retryLog    logLimiter // Limits the log lines about retried statements.
+	crossLog    logLimiter // Limits the log lines about reads that leave the failure domain.
+	self        unit.DaemonID
+	forwarder   Forwarder
+	fleet       atomic.Pointer[fleet]
 
 	started      time.Time
 	adopted      chan struct{} // Closed when the first manifest is in force.
@@ -154,6 +157,7 @@
 	}
 	e.current.Store(&snapshot{})
 	e.ctx, e.stop = context.WithCancel(context.Background())
+	e.waiting, e.stopWaiting = context.WithCancel(e.ctx)
 	go func() {
 		ticker := time.NewTicker(tickInterval)
 		defer ticker.Stop()
@@ -203,6 +207,11 @@
 	e.update(next)
 }
 
+// StopWaiting refuses, as not run, the statements that wait for a primary, a position, a slot or
+// a connection, now and from now on. Statements that an instance runs are not affected. It is
+// called when a shutdown leaves no more time to wait, so that callers are answered.
+func (e *Engine) StopWaiting() { e.stopWaiting() }
+
 // Close closes all connections to instances.
 func (e *Engine) Close() {
 	e.stop()
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -53,7 +53,7 @@
 	e := j.session.engine
 	sendBy := latestSend(j.deadline)
 	for {
-		t, l, err := j.group.awaitPrimary(e.ctx, sendBy)
+		t, l, err := j.group.awaitPrimary(e.waiting, sendBy)
 		if err != nil {
 			return Answer{Err: err}
 		}
@@ -113,7 +113,7 @@
 // reached.
 func (j *job) chooseInstance(until time.Time) (router.ReadCandidate, unit.Position, *result.Error) {
 	e := j.session.engine
-	after, err := j.session.floor(e.ctx, j.group, j.route, j.began, until)
+	after, err := j.session.floor(e.waiting, j.group, j.route, j.began, until)
 	if err != nil {
 		return router.ReadCandidate{}, after, err
 	}
@@ -125,7 +125,7 @@
 			return router.ReadCandidate{}, after, result.New(result.NoReplica, "group %s has no instance for the read", j.group.name)
 		}
 		j.excluded = nil
-		if !pause(e.ctx, retrier.Backoff{}.Delay(j.attempts, rand.Float64()), until) {
+		if !pause(e.waiting, retrier.Backoff{}.Delay(j.attempts, rand.Float64()), until) {
 			return router.ReadCandidate{}, after, result.New(result.NoReplica, "group %s has no instance for the read", j.group.name)
 		}
 		j.attempts++
@@ -213,7 +213,7 @@
 		return true // Another instance can be tried at once.
 	}
 	j.attempts++
-	return pause(e.ctx, retrier.Backoff{}.Delay(j.attempts, rand.Float64()), until)
+	return pause(e.waiting, retrier.Backoff{}.Delay(j.attempts, rand.Float64()), until)
 }
 
 // final reports whether an error would be the same on any instance, or leaves no time for one.
--- a/tarragonshed/engine/lease.go
+++ b/tarragonshed/engine/lease.go
@@ -88,16 +88,33 @@
 	if l.conn != nil && l.conn.slot {
 		return nil
 	}
+	ctx, stop := l.whileWaiting()
+	defer stop()
 	if l.conn != nil {
 		open := l.request
 		open.Priority, open.Deadline = limiter.OpenTransaction, deadline
-		return l.conn.acquireSlot(l.ctx, open)
+		return l.conn.acquireSlot(ctx, open)
 	}
-	conn, err := l.target.acquire(l.ctx, l.request)
+	conn, err := l.target.acquire(ctx, l.request)
 	l.conn = conn
 	return err
 }
 
+// whileWaiting returns the context of a wait. It ends with that of the lease, and when statements
+// no longer wait.
+func (l *localLease) whileWaiting() (context.Context, context.CancelFunc) {
+	waiting := l.target.engine.waiting
+	if !l.forwarded {
+		return waiting, func() {} // The engine's own leases end with it.
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	stop := context.AfterFunc(waiting, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // End implements [Lease].
 func (l *localLease) End() {
 	if l.conn == nil {
--- a/tarragonshed/engine/transaction.go
+++ b/tarragonshed/engine/transaction.go
@@ -124,7 +124,7 @@
 			return reply, nil
 		}
 		retry := reply.Err.Code == result.Overloaded && reply.State == Open && t.group.takeRetry()
-		if !retry || !pause(e.ctx, retrier.Backoff{}.Delay(attempt, rand.Float64()), latestSend(until)) {
+		if !retry || !pause(e.waiting, retrier.Backoff{}.Delay(attempt, rand.Float64()), latestSend(until)) {
 			return Reply{}, reply.Err
 		}
 	}
@@ -160,7 +160,7 @@
 		if t.atPrimary || len(t.group.readCandidates(excluded, t.session.stalenessBound(t.route, t.began))) == 0 {
 			attempts++
 			excluded = nil
-			if !pause(t.session.engine.ctx, retrier.Backoff{}.Delay(attempts, rand.Float64()), sendBy) {
+			if !pause(t.session.engine.waiting, retrier.Backoff{}.Delay(attempts, rand.Float64()), sendBy) {
 				return err
 			}
 		}
@@ -180,11 +180,11 @@
 	s := t.session
 	t.atPrimary = !t.readOnly || t.route.Consistency == manifest.PrimaryReads
 	if t.atPrimary {
-		chosen, l, err := t.group.awaitPrimary(s.engine.ctx, until)
+		chosen, l, err := t.group.awaitPrimary(s.engine.waiting, until)
 		t.leadership = l
 		return chosen, unit.Position{}, err
 	}
-	after, err := s.floor(s.engine.ctx, t.group, t.route, t.began, until)
+	after, err := s.floor(s.engine.waiting, t.group, t.route, t.began, until)
 	if err != nil {
 		return nil, after, err
 	}
