--- a/throttler/roster.go
+++ b/throttler/roster.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +67,7 @@
 	hasView bool
 	view    authorizer.View
 	listed  []authorizer.Member
+	bases   []uint64     // Of the listed daemons.
 	sent    unit.Instant // When the request of the last confirmation was sent.
 	seen    map[unit.DaemonID]sighting
 	starts  [partitions]unit.Instant // From when on this daemon may lend, if it is the lender.
@@ -99,6 +99,10 @@
 	r.sight(first, now)
 	r.delay(gap, now)
 	r.listed = view.Listed()
+	r.bases = make([]uint64, len(r.listed))
+	for i, m := range r.listed {
+		r.bases[i] = base(m.Daemon)
+	}
 	r.ranked = [partitions][]authorizer.Member{}
 	return true
 }
@@ -137,8 +141,9 @@
 	if m.Removed != 0 && !m.Left {
 		end = now.Add(r.timing.lendWait)
 	}
+	own, other := base(r.self), base(m.Daemon)
 	for p := range r.starts {
-		if r.outranks(m.Daemon, partition(p)) {
+		if m.Daemon != r.self && mix(other, partition(p)) > mix(own, partition(p)) {
 			r.starts[p] = max(r.starts[p], end)
 		}
 	}
@@ -158,13 +163,19 @@
 	}
 }
 
-// outranks reports whether the daemon goes before this one in the partition.
-func (r *roster) outranks(d unit.DaemonID, p partition) bool {
-	return d != r.self && weighs(d, p) > weighs(r.self, p)
-}
+func weighs(d unit.DaemonID, p partition) uint64 { return mix(base(d), p) }
+
+// base returns the hash from which the weights of a daemon are computed.
+func base(d unit.DaemonID) uint64 { return placer.Hash(lenderKind, "", d) }
 
-func weighs(d unit.DaemonID, p partition) uint64 {
-	return placer.Hash(lenderKind, strconv.Itoa(int(p)), d)
+// mix returns the weight of a daemon in the partition. All daemons compute those of all others in
+// all partitions after each change of the member list, so it is cheaper than a hash of names: it is
+// the output function of splitmix64.
+func mix(base uint64, p partition) uint64 {
+	z := base + (uint64(p)+1)*0x9e3779b97f4a7c15
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
 }
 
 // latest returns the latest time that the store's clock may show.
@@ -200,17 +211,15 @@
 	if r.ranked[p] != nil {
 		return r.ranked[p]
 	}
-	weights := make([]uint64, len(r.listed))
 	best := uint64(0) // The weight of the first one that has been listed for long enough.
 	for i, m := range r.listed {
-		weights[i] = weighs(m.Daemon, p)
 		if r.eligible(m, latest) {
-			best = max(best, weights[i])
+			best = max(best, mix(r.bases[i], p))
 		}
 	}
 	ranked := []authorizer.Member{}
 	for i, m := range r.listed {
-		if weights[i] >= best {
+		if mix(r.bases[i], p) >= best {
 			ranked = append(ranked, m)
 		}
 	}
