--- a/tarragonshed/entry/budget.go
+++ b/tarragonshed/entry/budget.go
@@ -19,8 +19,8 @@
 	// their texts.
 	stepBytes      = 128
 	statementBytes = 256
-	// startupShare is the number of connections in startup, as a share of MaxCallers, beside those
-	// that MaxCallers admits.
+	// startupDivisor is the inverse of the number of connections in startup, as a share of MaxCallers,
+	// beside those that MaxCallers admits.
 	startupDivisor = 4
 	// memoryPerBatch is the number of largest batches for which there is memory: messages may
 	// use three quarters of it, and each is there three times.
