--- a/tarragonshed/engine/crossing.go
+++ b/tarragonshed/engine/crossing.go
@@ -49,7 +49,7 @@
 // the instances.
 func (g *group) logCrossings(share float64, candidates []router.ReadCandidate, target time.Duration) {
 	now := time.Now()
-	omitted, ok := g.engine.crossLog.take(now)
+	omitted, ok := g.engine.crossLog.Take(now)
 	if !ok {
 		return
 	}
--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -50,6 +50,7 @@
 	"tarragonshed.example/pooler"
 	"tarragonshed.example/result"
 	"tarragonshed.example/router"
+	"tarragonshed.example/tarragonshed/sampler"
 	"tarragonshed.example/unit"
 )
 
@@ -70,11 +71,11 @@
 	spreading  []router.SpreaderOption
 	rates      RateLimits
 	currentAt  func() (unit.Instant, bool)
-	refusalLog logLimiter // Limits the log lines about refused statements.
-	messageLog logLimiter // Limits the log lines about refused messages, which are no statements.
-	closeLog   logLimiter // Limits the log lines about sessions that the daemon closed.
-	retryLog   logLimiter // Limits the log lines about retried statements.
-	crossLog   logLimiter // Limits the log lines about reads that leave the failure domain.
+	refusalLog sampler.Sampler // Limits the log lines about refused statements.
+	messageLog sampler.Sampler // Limits the log lines about refused messages, which are no statements.
+	closeLog   sampler.Sampler // Limits the log lines about sessions that the daemon closed.
+	retryLog   sampler.Sampler // Limits the log lines about retried statements.
+	crossLog   sampler.Sampler // Limits the log lines about reads that leave the failure domain.
 	self       unit.DaemonID
 	forwarder  Forwarder
 	fleet      atomic.Pointer[fleet]
--- a/tarragonshed/engine/report.go
+++ b/tarragonshed/engine/report.go
@@ -1,46 +1,18 @@
 package engine
 
 import (
-	"sync"
 	"time"
 
 	"tarragonshed.example/result"
 	"tarragonshed.example/unit"
 )
 
-// maxLinesPerSecond bounds the log lines about statements, for each kind of line.
-const maxLinesPerSecond = 20
-
 // maxNameBytes bounds what is logged of the name of a database that may not exist.
 const maxNameBytes = 100
 
-// logLimiter counts the log lines of the current second.
-type logLimiter struct {
-	mu      sync.Mutex
-	second  int64
-	lines   int
-	omitted int
-}
-
-// take reports whether a line may be written, and how many lines were omitted before it.
-func (l *logLimiter) take(now time.Time) (omitted int, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if second := now.Unix(); second != l.second {
-		l.second, l.lines = second, 0
-	}
-	if l.lines >= maxLinesPerSecond {
-		l.omitted++
-		return 0, false
-	}
-	l.lines++
-	omitted, l.omitted = l.omitted, 0
-	return omitted, true
-}
-
 // logRefusal logs a statement that was refused or failed.
 func (e *Engine) logRefusal(s *Session, id unit.RequestID, err *result.Error) {
-	omitted, ok := e.refusalLog.take(time.Now())
+	omitted, ok := e.refusalLog.Take(time.Now())
 	if !ok {
 		return
 	}
@@ -55,7 +27,7 @@
 // database and the ID are empty if they are not known.
 func (e *Engine) RecordRefusal(database unit.DatabaseName, id unit.RequestID, err *result.Error) {
 	e.meters.recordRefusal(err.Code)
-	omitted, ok := e.messageLog.take(time.Now())
+	omitted, ok := e.messageLog.Take(time.Now())
 	if !ok {
 		return
 	}
@@ -68,14 +40,14 @@
 // database is empty if it is not known.
 func (e *Engine) RecordClose(database unit.DatabaseName, err *result.Error) {
 	e.meters.recordClose(err.Code)
-	if omitted, ok := e.closeLog.take(time.Now()); ok {
+	if omitted, ok := e.closeLog.Take(time.Now()); ok {
 		e.logger.Warn("session closed", "database", database, "code", err.Code, "cause", err.Detail, "lines-left-out", omitted)
 	}
 }
 
 // logRetry logs a statement that is retried.
 func (e *Engine) logRetry(id unit.RequestID, t *target, err *result.Error, attempt int) {
-	omitted, ok := e.retryLog.take(time.Now())
+	omitted, ok := e.retryLog.Take(time.Now())
 	if !ok {
 		return
 	}
--- a/tarragonshed/quoter/quoter.go
+++ b/tarragonshed/quoter/quoter.go
@@ -65,7 +65,7 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	client  *http.Client
-	lines   lineLimiters
+	lines   samplers
 	// distance returns the distance to the daemons of a failure domain.
 	distance func(unit.DomainName) int
 
--- a/tarragonshed/quoter/report.go
+++ b/tarragonshed/quoter/report.go
@@ -1,11 +1,11 @@
 package quoter
 
 import (
-	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"tarragonshed.example/tarragonshed/sampler"
 	"tarragonshed.example/throttler"
 	"tarragonshed.example/unit"
 )
@@ -70,39 +70,12 @@
 	m.changes.Inc(1)
 }
 
-// maxLinesPerSecond bounds the log lines of each kind.
-const maxLinesPerSecond = 20
-
-// lineLimiter counts the log lines of the current second.
-type lineLimiter struct {
-	mu      sync.Mutex
-	second  int64
-	lines   int
-	omitted int
-}
-
-// take reports whether a line may be written, and how many lines were omitted before it.
-func (l *lineLimiter) take(now time.Time) (omitted int, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if second := now.Unix(); second != l.second {
-		l.second, l.lines = second, 0
-	}
-	if l.lines >= maxLinesPerSecond {
-		l.omitted++
-		return 0, false
-	}
-	l.lines++
-	omitted, l.omitted = l.omitted, 0
-	return omitted, true
-}
-
-// lineLimiters bounds each kind of line.
-type lineLimiters struct{ refusals, grants, failures lineLimiter }
+// samplers bound each kind of log line.
+type samplers struct{ refusals, grants, failures sampler.Sampler }
 
 // logRefusal logs an operation that was refused.
 func (q *Quoter) logRefusal(r throttler.Refuse) {
-	if omitted, ok := q.lines.refusals.take(time.Now()); ok {
+	if omitted, ok := q.lines.refusals.Take(time.Now()); ok {
 		q.logger.Info("operation beyond the rate limit", "caller", r.Caller, "retry-after", r.RetryAfter,
 			"lender-unreachable", r.Unreachable, "lines-left-out", omitted)
 	}
@@ -115,7 +88,7 @@
 		if g.NotLending || g.Granted >= w.Waiting {
 			continue
 		}
-		if omitted, ok := q.lines.grants.take(time.Now()); ok {
+		if omitted, ok := q.lines.grants.Take(time.Now()); ok {
 			q.logger.Info("share of a rate limit used up", "caller", w.Caller, "share", int(w.Share), "daemon", daemon,
 				"waiting", w.Waiting, "granted", g.Granted, "retry-after", g.RetryAfter, "lines-left-out", omitted)
 		}
@@ -124,7 +97,7 @@
 
 // logAskFailure logs a request without a response.
 func (q *Quoter) logAskFailure(a throttler.Ask, err error) {
-	if omitted, ok := q.lines.failures.take(time.Now()); ok {
+	if omitted, ok := q.lines.failures.Take(time.Now()); ok {
 		q.logger.Info("no response from a lender", "lender", a.Lender, "callers", len(a.Wants), "cause", err, "lines-left-out", omitted)
 	}
 }
