--- a/router/spreader.go
+++ b/router/spreader.go
@@ -206,8 +206,8 @@
 func (s *Spreader) Retain(names map[unit.InstanceName]bool) {
 	gone := func(name unit.InstanceName) bool { return !names[name] }
 	maps.DeleteFunc(s.instances, func(name unit.InstanceName, _ *observed) bool { return gone(name) })
-	for _, h := range s.shares { // They may have instances that were never chosen.
-		maps.DeleteFunc(h.of, func(name unit.InstanceName, _ float64) bool { return gone(name) })
+	for _, class := range s.shares { // They may have instances that were never chosen.
+		maps.DeleteFunc(class.of, func(name unit.InstanceName, _ float64) bool { return gone(name) })
 	}
 }
 
@@ -441,48 +441,48 @@
 
 // follow adapts the shares to a choice that was made without them, so that they begin with
 // the present distribution.
-func (h *shares) follow(chosen unit.InstanceName) {
+func (s *shares) follow(chosen unit.InstanceName) {
 	weight := choiceWeight
-	if len(h.of) == 0 {
+	if len(s.of) == 0 {
 		weight = 1
 	}
-	for name := range h.of {
-		h.of[name] *= 1 - weight
+	for name := range s.of {
+		s.of[name] *= 1 - weight
 	}
-	h.of[chosen] += weight
+	s.of[chosen] += weight
 }
 
 // update moves parts of the shares from costly instances to those of the lowest cost.
-func (h *shares) update(candidates []ReadCandidate, costs []cost, now time.Time) {
-	passed := min(now.Sub(h.changed), maxShareTime)
+func (s *shares) update(candidates []ReadCandidate, costs []cost, now time.Time) {
+	passed := min(now.Sub(s.changed), maxShareTime)
 	if passed < sharePeriod {
 		return
 	}
-	h.changed = now
-	best := h.best(candidates, costs)
+	s.changed = now
+	best := s.best(candidates, costs)
 	var all, moved float64
 	for _, c := range candidates {
-		all += h.of[c.Instance]
+		all += s.of[c.Instance]
 	}
 	if all == 0 {
-		h.receive(candidates, costs, best.total, 1)
+		s.receive(candidates, costs, best.total, 1)
 		return
 	}
 	for i, c := range candidates {
-		leaving := h.of[c.Instance] * leavingPart(costs[i], best, passed)
-		h.of[c.Instance] -= leaving
+		leaving := s.of[c.Instance] * leavingPart(costs[i], best, passed)
+		s.of[c.Instance] -= leaving
 		moved += leaving
 	}
-	h.receive(candidates, costs, best.total, moved)
-	h.balance(candidates, costs, best.total, passed)
+	s.receive(candidates, costs, best.total, moved)
+	s.balance(candidates, costs, best.total, passed)
 }
 
 // best returns the lowest cost. An instance of unknown load that has its share for trials isn't
 // considered, unless the load of all is unknown.
-func (h *shares) best(candidates []ReadCandidate, costs []cost) cost {
+func (s *shares) best(candidates []ReadCandidate, costs []cost) cost {
 	best, found := costs[0], false
 	for i, k := range costs {
-		if (k.known || h.of[candidates[i].Instance] < trialShare) && (!found || k.total < best.total) {
+		if (k.known || s.of[candidates[i].Instance] < trialShare) && (!found || k.total < best.total) {
 			best, found = k, true
 		}
 	}
@@ -515,7 +515,7 @@
 
 // balance moves the shares of equally distant instances of the lowest cost towards a
 // distribution by slots.
-func (h *shares) balance(candidates []ReadCandidate, costs []cost, lowest, passed time.Duration) {
+func (s *shares) balance(candidates []ReadCandidate, costs []cost, lowest, passed time.Duration) {
 	type place struct {
 		distance Distance
 		primary  bool
@@ -524,20 +524,20 @@
 	for i, c := range candidates {
 		if costs[i].total <= lowest+costTolerance {
 			slots[place{c.Distance, c.Primary}] += costs[i].load.slots
-			part[place{c.Distance, c.Primary}] += h.of[c.Instance]
+			part[place{c.Distance, c.Primary}] += s.of[c.Instance]
 		}
 	}
 	for i, c := range candidates {
 		if at := (place{c.Distance, c.Primary}); costs[i].total <= lowest+costTolerance {
 			even := part[at] * costs[i].load.slots / slots[at]
-			h.of[c.Instance] += (even - h.of[c.Instance]) * balanceRate * passed.Seconds()
+			s.of[c.Instance] += (even - s.of[c.Instance]) * balanceRate * passed.Seconds()
 		}
 	}
 }
 
 // receive adds a part of all reads to the instances of the lowest cost, in proportion to
 // their free slots.
-func (h *shares) receive(candidates []ReadCandidate, costs []cost, lowest time.Duration, part float64) {
+func (s *shares) receive(candidates []ReadCandidate, costs []cost, lowest time.Duration, part float64) {
 	var free float64
 	for _, k := range costs {
 		if k.total <= lowest+costTolerance {
@@ -546,25 +546,25 @@
 	}
 	for i, c := range candidates {
 		if costs[i].total <= lowest+costTolerance {
-			h.of[c.Instance] += part * costs[i].load.free() / free
+			s.of[c.Instance] += part * costs[i].load.free() / free
 		}
 	}
 }
 
 // pick returns one of the candidates with the given indices by their shares. If they have
 // none, it is one of the lowest cost.
-func (h *shares) pick(candidates []ReadCandidate, indices []int, costs []cost, random float64) int {
+func (s *shares) pick(candidates []ReadCandidate, indices []int, costs []cost, random float64) int {
 	best := indices[0]
 	var sum float64
 	for _, i := range indices {
-		sum += h.of[candidates[i].Instance]
+		sum += s.of[candidates[i].Instance]
 		if costs[i].total < costs[best].total {
 			best = i
 		}
 	}
 	weights := make([]float64, len(indices))
 	for at, i := range indices {
-		weights[at] = h.of[candidates[i].Instance]
+		weights[at] = s.of[candidates[i].Instance]
 		if over := costs[i].total - costs[best].total - costTolerance; over > 0 {
 			weights[at] *= 1 - min(maxSpill, over.Seconds()/spillTime.Seconds())
 		}
