--- a/tarragonshed/forwarder/silence.go
+++ b/tarragonshed/forwarder/silence.go
@@ -43,35 +43,35 @@
 	pingedAt time.Time
 }
 
-// verdict is the outcome of a check of a stream.
-type verdict int
+// action is what a check of a stream requires.
+type action int
 
 const (
-	verdictNone verdict = iota
-	// verdictPing means that a ping is due.
-	verdictPing
-	// verdictSilent means that the daemon no longer answers.
-	verdictSilent
+	actionNone action = iota
+	// actionPing means that a ping is due.
+	actionPing
+	// actionEnd means that the daemon no longer answers and the stream has to be ended.
+	actionEnd
 )
 
 // check decides what is due on a stream. The home needs messages, too, to notice that the
 // sender is lost, so a ping is due if either direction is quiet.
-func (t traffic) check(now time.Time) verdict {
+func (t traffic) check(now time.Time) action {
 	if t.sinceLeases.IsZero() {
-		return verdictNone
+		return actionNone
 	}
 	if !t.pingedAt.IsZero() && !t.readAt.After(t.pingedAt) {
 		if now.Sub(t.pingedAt) >= pingTimeout {
-			return verdictSilent
+			return actionEnd
 		}
-		return verdictNone
+		return actionNone
 	}
 	quietSince := t.readAt
 	if t.sentAt.Before(quietSince) {
 		quietSince = t.sentAt
 	}
 	if now.Sub(quietSince) >= pingAfter && now.Sub(t.sinceLeases) >= pingAfter {
-		return verdictPing
+		return actionPing
 	}
-	return verdictNone
+	return actionNone
 }
--- a/tarragonshed/forwarder/silence_test.go
+++ b/tarragonshed/forwarder/silence_test.go
@@ -17,17 +17,17 @@
 	for name, c := range map[string]struct {
 		traffic traffic
 		now     time.Duration
-		want    verdict
+		want    action
 	}{
-		"no leases":              {traffic{readAt: at(0), sentAt: at(0)}, long, verdictNone},
-		"leases since just now":  {traffic{sinceLeases: at(long), readAt: at(0), sentAt: at(0)}, long + pingAfter - 1, verdictNone},
-		"quiet":                  {traffic{sinceLeases: at(long), readAt: at(0), sentAt: at(long)}, long + pingAfter, verdictPing},
-		"nothing sent":           {traffic{sinceLeases: at(0), readAt: at(long), sentAt: at(0)}, long, verdictPing},
-		"busy":                   {traffic{sinceLeases: at(0), readAt: at(long), sentAt: at(long)}, long + 1, verdictNone},
-		"answer may still come":  {traffic{sinceLeases: at(0), pingedAt: at(1)}, pingTimeout, verdictNone},
-		"no answer":              {traffic{sinceLeases: at(0), pingedAt: at(1)}, pingTimeout + 1, verdictSilent},
-		"answered":               {traffic{sinceLeases: at(0), pingedAt: at(1), readAt: at(2), sentAt: at(2)}, 3, verdictNone},
-		"lease ended since ping": {traffic{pingedAt: at(1)}, long, verdictNone},
+		"no leases":              {traffic{readAt: at(0), sentAt: at(0)}, long, actionNone},
+		"leases since just now":  {traffic{sinceLeases: at(long), readAt: at(0), sentAt: at(0)}, long + pingAfter - 1, actionNone},
+		"quiet":                  {traffic{sinceLeases: at(long), readAt: at(0), sentAt: at(long)}, long + pingAfter, actionPing},
+		"nothing sent":           {traffic{sinceLeases: at(0), readAt: at(long), sentAt: at(0)}, long, actionPing},
+		"busy":                   {traffic{sinceLeases: at(0), readAt: at(long), sentAt: at(long)}, long + 1, actionNone},
+		"answer may still come":  {traffic{sinceLeases: at(0), pingedAt: at(1)}, pingTimeout, actionNone},
+		"no answer":              {traffic{sinceLeases: at(0), pingedAt: at(1)}, pingTimeout + 1, actionEnd},
+		"answered":               {traffic{sinceLeases: at(0), pingedAt: at(1), readAt: at(2), sentAt: at(2)}, 3, actionNone},
+		"lease ended since ping": {traffic{pingedAt: at(1)}, long, actionNone},
 	} {
 		t.Run(name, func(t *testing.T) { is.New(t).Equal(c.traffic.check(at(c.now)), c.want) })
 	}
--- a/tarragonshed/forwarder/stream.go
+++ b/tarragonshed/forwarder/stream.go
@@ -212,15 +212,15 @@
 func (s *stream) check(now time.Time) {
 	s.mu.Lock()
 	s.traffic.readAt = s.link.lastRead()
-	verdict := s.traffic.check(now)
-	if verdict == verdictPing {
+	action := s.traffic.check(now)
+	if action == actionPing {
 		s.traffic.pingedAt = now
 	}
 	s.mu.Unlock()
-	switch verdict {
-	case verdictPing:
+	switch action {
+	case actionPing:
 		s.sendPing()
-	case verdictSilent:
+	case actionEnd:
 		s.end(errSilent)
 		s.link.cut()
 	}
