--- a/tarragonshed/entry/budget.go
+++ b/tarragonshed/entry/budget.go
@@ -22,9 +22,9 @@
 	// startupDivisor is the inverse of the number of connections in startup, as a share of MaxCallers,
 	// beside those that MaxCallers admits.
 	startupDivisor = 4
-	// memoryPerBatch is the number of largest batches for which there is memory: messages may
+	// batchesInMemory is the number of largest batches for which there is memory: messages may
 	// use three quarters of it, and each is there three times.
-	memoryPerBatch = 4
+	batchesInMemory = 4
 )
 
 // budgetLimits returns the limits of the budget.
--- a/tarragonshed/entry/options.go
+++ b/tarragonshed/entry/options.go
@@ -58,7 +58,7 @@
 	setDefault(&l.MaxCallers, DefaultMaxCallers)
 	setDefault(&l.MaxBatch, DefaultMaxBatch)
 	setDefault(&l.MaxPerCaller, l.MaxCallers)
-	setDefault(&l.Memory, max(DefaultMemory, int64(l.MaxBatch)*memoryPerBatch))
+	setDefault(&l.Memory, max(DefaultMemory, int64(l.MaxBatch)*batchesInMemory))
 	setDefault(&l.StartupTimeout, DefaultStartupTimeout)
 	setDefault(&l.StatementTimeout, DefaultStatementTimeout)
 	setDefault(&l.WriteTimeout, DefaultWriteTimeout)
