--- a/tarragonshed/engine/home.go
+++ b/tarragonshed/engine/home.go
@@ -34,6 +34,13 @@
 // A home with more callers than connections closes one to open another.
 const homeRefillRate = 80
 
+// homeNumerator and homeDenominator are the share of an instance's connections that its first home
+// may open, and standbyDivisor is the inverse of the share of each other home.
+const (
+	homeNumerator, homeDenominator = 3, 4
+	standbyDivisor                 = 6
+)
+
 // fleet is the list of the daemons that share the instances. It is immutable.
 type fleet struct {
 	daemons   []Daemon // In the order of their ids. Empty if the list is not known yet.
@@ -127,11 +134,11 @@
 	switch {
 	case rank == 0:
 		pool = pooler.Limits{
-			Share: max(1, i.Connections*3/4), Warm: i.Slots, Opening: openingLimit, Rate: homeRefillRate,
+			Share: max(1, i.Connections*homeNumerator/homeDenominator), Warm: i.Slots, Opening: openingLimit, Rate: homeRefillRate,
 			IdleTimeout: homeIdleTimeout,
 		}
 	case rank > 0:
-		pool = pooler.Limits{Share: max(1, i.Connections/6), Opening: openingLimit, Rate: refillRate, IdleTimeout: idleTimeout}
+		pool = pooler.Limits{Share: max(1, i.Connections/standbyDivisor), Opening: openingLimit, Rate: refillRate, IdleTimeout: idleTimeout}
 	}
 	if callers {
 		pool.Warm = 0 // The next caller isn't known.
