quoter: admit nothing from own shares after closing

Close cancels the requests to lenders. An operation that waited for one was then asked for at the daemon's own share, and admitted if that had filled again, although the successor of a daemon that leaves begins to lend at once. Close now refuses the operations that wait, and a response that comes later has no effect. The new test admitted such an operation before.

--- a/tarragonshed/quoter/peers.go
+++ b/tarragonshed/quoter/peers.go
@@ -47,6 +47,9 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.closed {
+		return
+	}
 	if err != nil {
 		q.step(throttler.Failed{Lender: a.Lender, Number: a.Number, Now: q.now()})
 		return
--- a/tarragonshed/quoter/quoter.go
+++ b/tarragonshed/quoter/quoter.go
@@ -147,15 +147,26 @@
 	return q
 }
 
-// Close stops lending and admits no further operations of callers with a limit.
+// Close stops lending, refuses the operations that wait and admits no further ones of callers with
+// a limit.
 func (q *Quoter) Close() {
 	q.stop()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.closed = true
+	q.refuseWaiting()
 	q.client.CloseIdleConnections()
 }
 
+// refuseWaiting closes the Quoter for operations. Those that wait must not be admitted from the
+// shares that this daemon has lent, which have another lender as soon as it has left. The caller holds mu.
+func (q *Quoter) refuseWaiting() {
+	q.closed = true
+	for id, answer := range q.waiting {
+		close(answer)
+		delete(q.waiting, id)
+	}
+}
+
 // Handler returns the path and the handler of the Quoter service.
 func (q *Quoter) Handler() (string, http.Handler) {
 	return peerconnect.NewQuoterHandler(service{quoter: q}, connect.WithCompressMinBytes(1<<30), connect.WithReadMaxBytes(maxMessageBytes))
@@ -192,7 +203,7 @@
 	}
 	id, answer, ok := q.request(caller)
 	if !ok {
-		return result.New(result.RateLimited, "the daemon is leaving and admits no operations of caller %s", caller)
+		return errLeaving(caller)
 	}
 	select {
 	case e := <-answer:
@@ -230,8 +241,15 @@
 	q.step(throttler.Cancel{ID: id, Caller: caller})
 }
 
-// errorOf returns nil if the operation was admitted.
+func errLeaving(caller unit.CallerName) *result.Error {
+	return result.New(result.RateLimited, "the daemon is leaving and admits no operations of caller %s", caller)
+}
+
+// errorOf returns nil if the operation was admitted. The effect is nil if the Quoter was closed.
 func (q *Quoter) errorOf(caller unit.CallerName, e throttler.Effect) *result.Error {
+	if e == nil {
+		return errLeaving(caller)
+	}
 	refused, ok := e.(throttler.Refuse)
 	if !ok {
 		return nil
--- a/tarragonshed/quoter/quoter_test.go
+++ b/tarragonshed/quoter/quoter_test.go
@@ -138,6 +138,46 @@
 	is.Equal(quoters[0].Admit(context.Background(), "free"), (*result.Error)(nil))
 }
 
+// TestCloseWithWaitingOperation closes a daemon while an operation waits for another lender, after
+// the daemon's own share has filled again.
+func TestCloseWithWaitingOperation(t *testing.T) {
+	is := is.New(t)
+	c, quoters := startCluster(t, manifest.RateLimit{PerSecond: 100, Burst: 100}, "a", "b")
+	q := quoters[0]
+	q.mu.Lock() // Until the end, so that the response of the other lender comes too late.
+	is.True(lends(q, "limited"))
+	answer := requestUntilWaiting(q, "limited")
+	c.clock.Add(int64(time.Second))
+	q.refuseWaiting()
+	q.mu.Unlock()
+	err := q.errorOf("limited", <-answer)
+	is.True(err != nil)
+	is.Equal(err.Code, result.RateLimited)
+}
+
+// lends reports whether the daemon lends a share of the caller's limit.
+func lends(q *Quoter, caller unit.CallerName) bool {
+	for s := range throttler.Share(throttler.MaxShares) {
+		if !q.throttler.Lend([]throttler.Want{{Caller: caller, Share: s}}, q.now())[0].NotLending {
+			return true
+		}
+	}
+	return false
+}
+
+// requestUntilWaiting requests operations until one of them waits for another daemon.
+func requestUntilWaiting(q *Quoter, caller unit.CallerName) <-chan throttler.Effect {
+	for {
+		answer := make(chan throttler.Effect, 1)
+		q.lastID++
+		q.waiting[q.lastID] = answer
+		q.step(throttler.Request{ID: q.lastID, Caller: caller, Now: q.now()})
+		if len(answer) == 0 {
+			return answer
+		}
+	}
+}
+
 // TestRemovedLimit checks that a caller is not limited once its limit has been removed.
 func TestRemovedLimit(t *testing.T) {
 	is := is.New(t)
