--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -370,7 +370,7 @@
 			break
 		}
 		if !w.Deadline.After(now.Add(l.mean)) {
-			effects = append(effects, l.refuseLate(w))
+			effects = append(effects, l.refuseExpired(w))
 			continue
 		}
 		l.acquire(w.Priority)
--- a/limiter/refusal.go
+++ b/limiter/refusal.go
@@ -61,8 +61,8 @@
 	return fmt.Sprintf("the queue is full: %d statements are waiting", l.queue.size())
 }
 
-// refuseLate refuses a request that has waited for too long.
-func (l *Limiter) refuseLate(w *waiting) Refuse {
+// refuseExpired refuses a request that has waited for too long.
+func (l *Limiter) refuseExpired(w *waiting) Refuse {
 	after := retryAfter(w.ID, l.drainTime(l.queue.size()))
 	err := result.New(result.DeadlinePassed, "no slot became free before the deadline; try again in %v", after)
 	return Refuse{ID: w.ID, Reason: Deadline, RetryAfter: after, Err: err}
@@ -77,7 +77,7 @@
 			return effects
 		}
 		l.queue.remove(w)
-		effects = append(effects, l.refuseLate(w))
+		effects = append(effects, l.refuseExpired(w))
 	}
 }
 
@@ -94,7 +94,7 @@
 			return effects
 		}
 		l.queue.remove(w)
-		effects = append(effects, l.refuseLate(w))
+		effects = append(effects, l.refuseExpired(w))
 	}
 }
 
