--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -78,7 +78,7 @@
 	crossLog   sampler.Sampler // Limits the log lines about reads that leave the failure domain.
 	self       unit.DaemonID
 	forwarder  Forwarder
-	fleet      atomic.Pointer[fleet]
+	members    atomic.Pointer[memberList]
 
 	started      time.Time
 	adopted      chan struct{} // Closed when the first manifest is in force.
@@ -149,7 +149,7 @@
 		started: time.Now(), adopted: make(chan struct{}),
 		rates: unlimited{}, currentAt: func() (unit.Instant, bool) { return now(), true },
 	}
-	e.fleet.Store(&fleet{daemons: make([]Daemon, 1)}) // This daemon alone.
+	e.members.Store(&memberList{daemons: make([]Daemon, 1)}) // This daemon alone.
 	for _, option := range options {
 		option(e)
 	}
@@ -370,7 +370,7 @@
 
 // daemonCount returns the number of daemons that share the instances.
 func (e *Engine) daemonCount() int {
-	if n := len(e.fleet.Load().daemons); n > 0 {
+	if n := len(e.members.Load().daemons); n > 0 {
 		return n
 	}
 	return assumedDaemons
--- a/tarragonshed/engine/home.go
+++ b/tarragonshed/engine/home.go
@@ -23,7 +23,7 @@
 }
 
 // homeCount is the number of daemons that are tried, in order, before a daemon opens
-// connections of its own. In a partition one of them is likely on each side.
+// connections of its own. If daemons are cut off from others, one of them is likely on each side.
 const homeCount = 5
 
 // homeIdleTimeout is how long a home keeps an unused connection. It is below the minute after
@@ -41,8 +41,8 @@
 	standbyDivisor                 = 6
 )
 
-// fleet is the list of the daemons that share the instances. It is immutable.
-type fleet struct {
+// memberList is the list of the daemons that share the instances. It is immutable.
+type memberList struct {
 	daemons   []Daemon // In the order of their ids. Empty if the list is not known yet.
 	addresses map[unit.DaemonID]string
 }
@@ -53,21 +53,21 @@
 func (e *Engine) SetDaemons(daemons []Daemon) {
 	daemons = slices.Clone(daemons)
 	slices.SortFunc(daemons, func(a, b Daemon) int { return cmp.Compare(a.ID, b.ID) })
-	if slices.Equal(daemons, e.fleet.Load().daemons) {
+	if slices.Equal(daemons, e.members.Load().daemons) {
 		return
 	}
-	next := &fleet{daemons: daemons, addresses: make(map[unit.DaemonID]string, len(daemons))}
+	next := &memberList{daemons: daemons, addresses: make(map[unit.DaemonID]string, len(daemons))}
 	for _, d := range daemons {
 		next.addresses[d.ID] = d.Address
 	}
-	e.fleet.Store(next)
+	e.members.Store(next)
 	e.resize()
 }
 
 // homes returns the homes of each instance that is reached through homes, by instance. The first
 // one owns the connections.
 func (e *Engine) homes(m *manifest.Manifest, regions map[unit.DomainName]unit.RegionName) map[unit.InstanceName][]unit.DaemonID {
-	current := e.fleet.Load()
+	current := e.members.Load()
 	if e.forwarder == nil || len(current.daemons) == 0 {
 		return nil
 	}
@@ -193,7 +193,7 @@
 // reachable yields the addresses of the homes that have not failed recently, up to this daemon.
 func (e *Engine) reachable(homes []unit.DaemonID) iter.Seq[string] {
 	return func(yield func(string) bool) {
-		addresses := e.fleet.Load().addresses
+		addresses := e.members.Load().addresses
 		for _, home := range homes {
 			if home == e.self {
 				return
