forwarder: log that a silent daemon can't be reached

A statement waits for the stream to a home for 250 ms, the attempt to open it takes up to 1 s. The failure that the statement recorded made the end of the attempt look like a repeated one, which is not logged. So a home that is silent or drops packets was never named in the log. The forwarder now records whether it has logged a failure. The new check in TestSilentPeer waited in vain before.

--- a/tarragonshed/forwarder/forwarder.go
+++ b/tarragonshed/forwarder/forwarder.go
@@ -117,6 +117,8 @@
 	// stream was opened.
 	failedAt time.Time
 	failure  *result.Error
+	// logged is true if a failure has been logged since the stream was opened.
+	logged bool
 	// usedAt is when the daemon was last found to have a stream or to be opening one.
 	usedAt time.Time
 }
@@ -372,7 +374,8 @@
 	o.stream = s
 	f.mu.Lock()
 	h.opening = nil
-	known := !h.failedAt.IsZero()
+	known := h.logged
+	h.logged = err != nil
 	if err == nil {
 		h.stream, h.failedAt = s, time.Time{}
 		f.streams[s] = struct{}{}
@@ -404,7 +407,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if h := f.homes[s.address]; h != nil && h.stream == s {
-		h.stream, h.failedAt = nil, time.Now()
+		h.stream, h.failedAt, h.logged = nil, time.Now(), true
 		h.failure = result.New(result.HomeUnreachable, "daemon %s: %s", s.address, cause)
 	}
 }
--- a/tarragonshed/forwarder/forwarder_test.go
+++ b/tarragonshed/forwarder/forwarder_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
@@ -401,9 +403,12 @@
 	is.New(t).NoErr(err)
 	defer silent.Close()
 	t.Run("before the stream is open", func(t *testing.T) {
-		r := newRig(t)
+		is := is.New(t)
+		lines := make(lineWriter, 10)
+		r := newRig(t, forwarder.WithLogger(log.New(lines)))
 		_, err := r.forwarder.Lease(t.Context(), silent.Addr().String(), engine.LeaseRequest{}).Run(read, soon())
-		is.New(t).Equal(err.Code, result.HomeUnreachable)
+		is.Equal(err.Code, result.HomeUnreachable)
+		is.True(strings.Contains(<-lines, "stream to daemon can't be opened")) // After the statement was refused.
 	})
 	t.Run("with a statement under way", func(t *testing.T) {
 		is := is.New(t)
@@ -422,6 +427,15 @@
 	})
 }
 
+// lineWriter receives the lines of a log.
+type lineWriter chan string
+
+// Write implements [io.Writer].
+func (w lineWriter) Write(line []byte) (int, error) {
+	w <- string(line)
+	return len(line), nil
+}
+
 // silentConn is a connection that can stop delivering data without being closed.
 type silentConn struct {
 	net.Conn
