--- a/tarragonshed/engine/engine.go
+++ b/tarragonshed/engine/engine.go
@@ -50,6 +50,7 @@
 	"tarragonshed.example/pooler"
 	"tarragonshed.example/result"
 	"tarragonshed.example/router"
+	"tarragonshed.example/tarragonshed/sampler"
 	"tarragonshed.example/unit"
 )
 
@@ -73,14 +74,14 @@
 	spreading   []router.SpreaderOption
 	rates       RateLimits
 	currentAt   func() (unit.Instant, bool)
-	refusalLog  logLimiter // Limits the log lines about refused statements.
-	messageLog  logLimiter // Limits the log lines about refused messages, which are no statements.
-	closeLog    logLimiter // Limits the log lines about sessions that the daemon closed.
-	retryLog    logLimiter // Limits the log lines about retried statements.
-	crossLog    logLimiter // Limits the log lines about reads that leave the failure domain.
+	refusalLog  sampler.Sampler // Limits the log lines about refused statements.
+	messageLog  sampler.Sampler // Limits the log lines about refused messages, which are no statements.
+	closeLog    sampler.Sampler // Limits the log lines about sessions that the daemon closed.
+	retryLog    sampler.Sampler // Limits the log lines about retried statements.
+	crossLog    sampler.Sampler // Limits the log lines about reads that leave the failure domain.
 	self        unit.DaemonID
 	forwarder   Forwarder
-	fleet       atomic.Pointer[fleet]
+	members     atomic.Pointer[memberList]
 
 	started      time.Time
 	adopted      chan struct{} // Closed when the first manifest is in force.
@@ -151,7 +152,7 @@
 		started: time.Now(), adopted: make(chan struct{}),
 		rates: unlimited{}, currentAt: func() (unit.Instant, bool) { return now(), true },
 	}
-	e.fleet.Store(&fleet{daemons: make([]Daemon, 1)}) // This daemon alone.
+	e.members.Store(&memberList{daemons: make([]Daemon, 1)}) // This daemon alone.
 	for _, option := range options {
 		option(e)
 	}
@@ -378,7 +379,7 @@
 
 // daemonCount returns the number of daemons that share the instances.
 func (e *Engine) daemonCount() int {
-	if n := len(e.fleet.Load().daemons); n > 0 {
+	if n := len(e.members.Load().daemons); n > 0 {
 		return n
 	}
 	return assumedDaemons
