--- a/tarragonshed/engine/home_test.go
+++ b/tarragonshed/engine/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -201,3 +202,24 @@
 		is.True(len(home.instances["a"].statements()) > 0) // A request for its status.
 	})
 }
+
+func TestVerify(t *testing.T) {
+	t.Run("an instance that accepts a connection is reached", func(t *testing.T) {
+		is := is.New(t)
+		session, _, _ := newForwarding(t)
+		is.True(session.Verify(t.Context(), "g", "a"))
+		is.Equal(session.instances["a"].conns, 1)
+		is.True(session.Verify(t.Context(), "g", "a")) // The connection is recent.
+		is.Equal(session.instances["a"].conns, 1)
+	})
+	t.Run("an instance that refuses one is suspected without statements to it", func(t *testing.T) {
+		is := is.New(t)
+		session, _, _ := newForwarding(t)
+		session.peers = nil
+		session.instances["a"].connect = result.New(result.InstanceRefuses, "injected by the test")
+		is.True(!session.Verify(t.Context(), "g", "a"))
+		for !session.Reach("g", "a").Unreachable {
+			runtime.Gosched() // The probe finds it.
+		}
+	})
+}
