throttler: find a lender without ranking all daemons

While daemons start, none has been listed long enough to lend, and each ranked all others by weight in 256 partitions after each change of the list, with two hashes of names for each comparison. Now the greatest weight is found in one pass of some nanoseconds for each daemon.

A test reset the ranking that there is no more.

--- a/throttler/roster.go
+++ b/throttler/roster.go
@@ -1,8 +1,6 @@
 package throttler
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,7 +71,6 @@
 	starts  [partitions]unit.Instant // From when on this daemon may lend, if it is the lender.
 	// floorStart is from when on this daemon may use its floors.
 	floorStart unit.Instant
-	ranked     [partitions][]authorizer.Member
 }
 
 func newRoster(self unit.DaemonID, incarnation unit.Incarnation) *roster {
@@ -103,7 +100,6 @@
 	for i, m := range r.listed {
 		r.bases[i] = base(m.Daemon)
 	}
-	r.ranked = [partitions][]authorizer.Member{}
 	return true
 }
 
@@ -163,8 +159,6 @@
 	}
 }
 
-func weighs(d unit.DaemonID, p partition) uint64 { return mix(base(d), p) }
-
 // base returns the hash from which the weights of a daemon are computed.
 func base(d unit.DaemonID) uint64 { return placer.Hash(lenderKind, "", d) }
 
@@ -188,16 +182,23 @@
 	return r.hasView && ok && m.Removed == 0 && m.Incarnation <= r.incarnation
 }
 
-// lender returns the daemon that lends in the partition. A daemon lends only once it has
-// been on the list for [LendingLease].
+// lender returns the daemon that lends in the partition: the one with the greatest weight of those
+// that have been on the list for [LendingLease].
 func (r *roster) lender(p partition, now unit.Instant) (authorizer.Member, bool) {
 	latest := r.latest(now)
-	for _, m := range r.candidates(p, latest) {
-		if r.eligible(m, latest) {
-			return m, true
+	best, weight := -1, uint64(0)
+	for i, m := range r.listed {
+		if !r.eligible(m, latest) {
+			continue
+		}
+		if w := mix(r.bases[i], p); best < 0 || w > weight {
+			best, weight = i, w
 		}
 	}
-	return authorizer.Member{}, false
+	if best < 0 {
+		return authorizer.Member{}, false
+	}
+	return r.listed[best], true
 }
 
 // eligible reports whether the daemon has been listed for long enough to lend.
@@ -205,31 +206,6 @@
 	return m.Listed+r.timing.lendWait <= latest
 }
 
-// candidates returns the daemons on the list by descending weight, up to the first one that
-// has been listed for long enough.
-func (r *roster) candidates(p partition, latest time.Duration) []authorizer.Member {
-	if r.ranked[p] != nil {
-		return r.ranked[p]
-	}
-	best := uint64(0) // The weight of the first one that has been listed for long enough.
-	for i, m := range r.listed {
-		if r.eligible(m, latest) {
-			best = max(best, mix(r.bases[i], p))
-		}
-	}
-	ranked := []authorizer.Member{}
-	for i, m := range r.listed {
-		if mix(r.bases[i], p) >= best {
-			ranked = append(ranked, m)
-		}
-	}
-	slices.SortFunc(ranked, func(a, b authorizer.Member) int {
-		return cmp.Compare(weighs(b.Daemon, p), weighs(a.Daemon, p))
-	})
-	r.ranked[p] = ranked
-	return ranked
-}
-
 // lends reports whether this daemon lends in the partition.
 func (r *roster) lends(p partition, now unit.Instant) bool {
 	if !r.isListed() || now >= r.sent.Add(r.timing.lend) || now < r.starts[p] {
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -370,7 +370,6 @@
 			borrower.roster.view.Members[n.id] = m
 		}
 		borrower.roster.listed = borrower.roster.view.Listed()
-		borrower.roster.ranked = [partitions][]authorizer.Member{}
 		borrower.distance = func(d unit.DomainName) int {
 			if d == unit.DomainName(near.Daemon) {
 				return 0
