engine: send a statement only on a connection that is prepared for it

While an instance refuses a part of its requests, reads and writes run with the values of another session or with none, although the SET was acknowledged. The write is committed, the caller sees a lost connection; after a timeout even success.

Cause: DISCARD, SET and PARSE were sent together with the statement that needs them, and noted as done when they were sent. An instance answers each request on its own, so a refused SET does not stop the statement behind it. Replies after the timeout of a statement were read by nobody, so the connection went back to the pool with a state that the instance had refused.

Change: the replies to the preparation are awaited, and what a connection holds is noted in one place, when a reply is read, also after a timeout. A statement that was not sent is "not run" and may be tried again. A connection whose state is not known is closed. An EXECUTE whose name the instance does not know is "not run" instead of "unknown" for the caller, who was told that it is prepared.

--- a/result/codes.go
+++ b/result/codes.go
@@ -36,6 +36,7 @@
 	RolledBack           Code = 2017
 	CutOff               Code = 2018
 	RateLimited          Code = 2019
+	ConnectionUnprepared Code = 2020
 )
 
 // Codes of requests whose outcome is unknown.
@@ -119,6 +120,7 @@
 	{RolledBack, "rolled-back", NotRun, "40001", "The transaction was rolled back before its COMMIT was sent; it had no effect."},
 	{CutOff, "cut-off", NotRun, "57P03", "The daemon is partitioned from the platform and from other daemons; another daemon may serve the request."},
 	{RateLimited, "rate-limited", NotRun, "53400", "The caller has used up its rate limit; the detail states when to try again."},
+	{ConnectionUnprepared, "connection-unprepared", NotRun, "08004", "The instance did not give the connection the values or the prepared statement that the statement needs, so it was not sent."},
 
 	{ConnectionLost, "connection-lost", Unknown, "08007", "The connection to the instance was lost after the statement was sent."},
 	{Unconfirmed, "unconfirmed", Unknown, "40003", "The write was committed on a primary, but a majority did not confirm it before the deadline."},
--- a/tarragonshed/engine/group.go
+++ b/tarragonshed/engine/group.go
@@ -321,7 +321,8 @@
 	outcome := router.Outcome{Sent: err == nil}
 	if err != nil {
 		switch err.Code {
-		case result.StatementFailed, result.StatementTimeout, result.ConnectionLost, result.InstanceUnreachable, result.InstanceRefuses:
+		case result.StatementFailed, result.StatementTimeout, result.ConnectionLost, result.ConnectionUnprepared,
+			result.InstanceUnreachable, result.InstanceRefuses:
 			outcome = router.Outcome{Sent: true, Failed: true}
 		case result.InstanceBehind:
 			outcome.Sent = true
--- a/tarragonshed/engine/job.go
+++ b/tarragonshed/engine/job.go
@@ -202,7 +202,7 @@
 	switch err.Code {
 	case result.InstanceBehind:
 		return true // The instance did no work for the statement.
-	case result.Overloaded, result.StatementFailed, result.ConnectionLost, result.HomeLost:
+	case result.Overloaded, result.StatementFailed, result.ConnectionLost, result.HomeLost, result.ConnectionUnprepared:
 		// A statement that the instance shed needs no retry budget: the limiter has
 		// narrowed its window of statements and bounds the retries.
 		if !j.shed && !j.group.takeRetry() {
--- a/tarragonshed/engine/lease.go
+++ b/tarragonshed/engine/lease.go
@@ -40,18 +40,24 @@
 	if err := l.abandoned(deadline); err != nil {
 		return Reply{}, err
 	}
+	if reply, err := l.prepare(c, deadline); err != nil || reply.Err != nil {
+		return reply, err
+	}
 	if l.commits(c) && !l.mayWrite() {
 		return Reply{}, result.New(result.NotPrimary, "instance %s may no longer be the primary", l.target.name())
 	}
 	leadership, leads := l.target.leadership()
 	sentAt := l.target.engine.now()
-	requests := l.conn.link.requests(c, l.state != Idle)
 	l.state, l.wrote = Failed, l.wrote || c.writes()
-	reply, err := l.conn.roundTrip(deadline, requests...)
+	reply, err := l.conn.roundTrip(deadline, l.conn.link.request(c))
 	if err != nil {
 		return Reply{}, err
 	}
 	l.state = reply.State
+	if reply.Err != nil && reply.Err.Code == result.UnknownStatement {
+		// The session has prepared it, so the connection has not kept it.
+		reply.Err = l.conn.unprepared(reply.Err)
+	}
 	if _, begins := c.Statement.(Begin); !begins || l.forwarded || reply.Err != nil {
 		l.conn.releaseSlot()
 	}
@@ -63,6 +69,31 @@
 	return reply, nil
 }
 
+// prepare gives the connection the state that the statement needs. An error in the reply is the reason
+// why it can't be sent now; the connection is still usable.
+func (l *localLease) prepare(c Call, deadline time.Time) (Reply, *result.Error) {
+	requests := l.conn.link.preparation(c, l.state != Idle)
+	if len(requests) == 0 {
+		return Reply{}, nil
+	}
+	before := l.state
+	l.state = Failed
+	reply, err := l.conn.prepare(deadline, before != Idle, requests)
+	if err != nil {
+		return Reply{}, err
+	}
+	if reply.Err == nil && reply.State != before {
+		// Outside of its transaction the statement would be committed at once.
+		reply.Err = result.New(result.ConnectionUnprepared, "the state of the connection to instance %s became %c", l.target.name(), reply.State)
+	}
+	l.state = reply.State
+	if reply.Err != nil {
+		l.conn.releaseSlot()
+		return reply, nil
+	}
+	return Reply{}, l.abandoned(deadline)
+}
+
 // abandoned reports that nobody waits for the statement any more. A free slot and connection are
 // granted without regard to that.
 func (l *localLease) abandoned(deadline time.Time) *result.Error {
@@ -120,7 +151,7 @@
 	if l.conn == nil {
 		return
 	}
-	if l.state == Idle && l.conn.link.unread == 0 {
+	if l.state == Idle && len(l.conn.link.awaited) == 0 {
 		l.conn.release()
 		return
 	}
--- a/tarragonshed/engine/link.go
+++ b/tarragonshed/engine/link.go
@@ -1,12 +1,14 @@
 package engine
 
 import (
+	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"tarragonshed.example/pooler"
+	"tarragonshed.example/result"
 )
 
 // replyBuffer is the number of received replies that a link buffers until they are read.
@@ -28,12 +30,19 @@
 	closed  chan struct{} // Closed when replies are no longer read.
 	once    sync.Once
 
-	// values and prepared are used only by the current holder of the link.
+	// values and prepared are the state that the instance has confirmed. They and what follows
+	// are used only by the current holder of the link.
 	values   map[string]string
 	prepared map[Definition]string
-	unread   int // Expected replies that have not been read from replies.
+	// names is the number of names given to prepared statements since a Discard was last sent.
+	names int
 	// dirty is true if a value was set within a transaction, whose rollback may undo it.
 	dirty bool
+	// uncertain is true if the state is not known: a request to change it failed although it may
+	// have run, or it gave the name of another prepared statement. The connection must be closed.
+	uncertain bool
+	// awaited are the requests whose replies have not been read, the oldest first.
+	awaited []awaitedRequest
 
 	inFlight     atomic.Int32
 	waitingSince atomic.Int64 // When the oldest request in flight was sent, or the last reply arrived.
@@ -98,44 +107,98 @@
 	return time.Unix(0, l.waitingSince.Load()), true
 }
 
-// requests returns the requests to send for the call: the values and the prepared
-// statement that the connection lacks, followed by the statement. inTransaction is true if
-// a transaction is open on the connection.
-func (l *link) requests(c Call, inTransaction bool) []Request {
-	requests := l.valueRequests(c.Values, inTransaction)
-	if st, ok := c.Statement.(Execute); ok {
-		name, prepared := l.prepared[c.Definition]
-		if !prepared {
-			name = "p" + strconv.Itoa(len(l.prepared)+1)
-			l.prepared[c.Definition] = name
-			requests = append(requests, Request{Statement: Prepare{Name: name, Definition: c.Definition}})
-		}
-		st.Name = name
-		c.Statement = st
+// awaitedRequest is a request whose reply has not been read.
+type awaitedRequest struct {
+	statement     Statement
+	inTransaction bool
+}
+
+// await records requests whose replies are to be read. inTransaction is true if a transaction is
+// open on the connection.
+func (l *link) await(requests []Request, inTransaction bool) {
+	for _, r := range requests {
+		l.awaited = append(l.awaited, awaitedRequest{statement: r.Statement, inTransaction: inTransaction})
 	}
-	return append(requests, Request{ID: c.ID, Statement: c.Statement, After: c.After})
 }
 
-// valueRequests returns the requests that give the connection exactly the values. Values
-// that it should not have are discarded, which is possible only outside of a transaction.
-func (l *link) valueRequests(values map[string]string, inTransaction bool) []Request {
-	var requests []Request
-	if !inTransaction && (l.dirty || !containsKeys(values, l.values) || len(l.prepared) >= maxPrepared) {
-		requests = append(requests, Request{Statement: Discard{}})
+// settle records what the reply to the oldest awaited request says about the state of the
+// connection. A request that did not run has changed nothing.
+func (l *link) settle(reply Reply) {
+	r := l.awaited[0]
+	l.awaited = l.awaited[1:]
+	if reply.Err != nil {
+		l.settleError(r.statement, reply.Err.Code)
+		return
+	}
+	switch st := r.statement.(type) {
+	case Discard:
 		clear(l.values)
 		clear(l.prepared)
 		l.dirty = false
+	case Set:
+		l.values[st.Name] = st.Value
+		l.dirty = l.dirty || r.inTransaction
+	case Prepare:
+		// A name is given again if the instance has refused to discard it.
+		l.uncertain = l.uncertain || l.knows(st.Name)
+		l.prepared[st.Definition] = st.Name
 	}
-	for name, value := range values {
-		if old, ok := l.values[name]; !ok || old != value {
+}
+
+// knows reports whether a statement is prepared under the name.
+func (l *link) knows(name string) bool {
+	for _, known := range l.prepared {
+		if known == name {
+			return true
+		}
+	}
+	return false
+}
+
+// settleError records what the error of a statement says about the state of the connection.
+func (l *link) settleError(st Statement, code result.Code) {
+	switch st := st.(type) {
+	case Discard, Set, Prepare:
+		l.uncertain = l.uncertain || code.Entry().Outcome != result.NotRun
+	case Execute:
+		if code == result.UnknownStatement {
+			maps.DeleteFunc(l.prepared, func(_ Definition, name string) bool { return name == st.Name })
+		}
+	}
+}
+
+// preparation returns the requests that give the connection exactly the values and the prepared
+// statement of the call. There are none if it has them. Values that it should not have are
+// discarded, which is possible only outside of a transaction.
+func (l *link) preparation(c Call, inTransaction bool) []Request {
+	var requests []Request
+	values, prepared := l.values, l.prepared
+	if !inTransaction && (l.dirty || !containsKeys(c.Values, values) || len(prepared) >= maxPrepared) {
+		requests = append(requests, Request{Statement: Discard{}})
+		values, prepared, l.names = nil, nil, 0
+	}
+	for name, value := range c.Values {
+		if old, ok := values[name]; !ok || old != value {
 			requests = append(requests, Request{Statement: Set{Name: name, Value: value}})
-			l.values[name] = value
-			l.dirty = l.dirty || inTransaction
 		}
 	}
+	if _, executes := c.Statement.(Execute); executes && prepared[c.Definition] == "" {
+		l.names++
+		name := "p" + strconv.Itoa(l.names)
+		requests = append(requests, Request{Statement: Prepare{Name: name, Definition: c.Definition}})
+	}
 	return requests
 }
 
+// request returns the request for the call on a connection that has been prepared for it.
+func (l *link) request(c Call) Request {
+	if st, executes := c.Statement.(Execute); executes {
+		st.Name = l.prepared[c.Definition]
+		c.Statement = st
+	}
+	return Request{ID: c.ID, Statement: c.Statement, After: c.After}
+}
+
 // containsKeys reports whether every key of part is in whole.
 func containsKeys(whole, part map[string]string) bool {
 	for name := range part {
--- a/tarragonshed/engine/meters.go
+++ b/tarragonshed/engine/meters.go
@@ -20,6 +20,8 @@
 	writes              metrics.Counter
 	retries             metrics.Counter
 	connectionsOpened   metrics.Counter
+	preparations        metrics.Counter // Round trips to prepare a connection for a statement.
+	unprepared          metrics.Counter // Those that failed, so that the statement was not sent.
 	transactionsExpired metrics.Counter
 	forwarded           metrics.Counter
 	homesUnreachable    metrics.Counter
@@ -41,6 +43,8 @@
 		writes:              counter("writes"),
 		retries:             counter("retries"),
 		connectionsOpened:   counter("connections.opened"),
+		preparations:        counter("preparations"),
+		unprepared:          counter("preparations.failed"),
 		transactionsExpired: counter("transactions.expired"),
 		forwarded:           counter("statements.forwarded"),
 		homesUnreachable:    counter("homes.unreachable"),
