engine: prepare fewer connections, and send BEGIN with its preparation

Change: an idle connection that has the values and the prepared statement is preferred to the one used last. BEGIN goes out together with its preparation: nothing runs in the transaction before all have succeeded, else it is rolled back.

Ruled out: to send PARSE together with EXECUTE, which an instance refuses if it doesn't know the name. The caller was told that the name is prepared, so an instance that sees it unknown is what PINNED forbids. To wait for SET behind a statement, or to undo the statement: it has run with other values.

--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -20,7 +20,8 @@
 //
 // # Assignment
 //
-// The most recently used idle connection is assigned first. A connection that has been
+// The most recently used idle connection is assigned first, or the most recently used one that
+// fits the request if the request says which ones do. A connection that has been
 // idle for longer than [IdleCheckThreshold] is checked with a round trip before use,
 // because it may have been closed without notice.
 //
@@ -196,15 +197,26 @@
 	return nil
 }
 
-// TryAcquire assigns an idle connection of the caller if there is one, as [Acquire] does. The
-// caller of the function must pass a [Tick] to Step afterwards, which opens warm connections.
-func (p *Pooler) TryAcquire(caller unit.CallerName, now time.Time) (Assign, bool) {
+// TryAcquire assigns an idle connection of the caller if there is one, as [Acquire] does. One that
+// fits is preferred; if fits is nil, all do. The caller of the function must pass a [Tick] to Step
+// afterwards, which opens warm connections.
+func (p *Pooler) TryAcquire(caller unit.CallerName, now time.Time, fits func(Conn) bool) (Assign, bool) {
+	chosen := -1
 	for n := len(p.idle) - 1; n >= 0; n-- {
-		if p.idle[n].caller == caller {
+		if p.idle[n].caller != caller {
+			continue
+		}
+		if fits == nil || fits(p.idle[n].conn) {
 			return p.assignIdle(n, now), true
 		}
+		if chosen < 0 {
+			chosen = n
+		}
+	}
+	if chosen < 0 {
+		return Assign{}, false
 	}
-	return Assign{}, false
+	return p.assignIdle(chosen, now), true
 }
 
 // TryAcquireAny assigns the most recently used idle connection of any caller, for a request
@@ -224,7 +236,7 @@
 }
 
 func (p *Pooler) acquire(e Acquire) []Effect {
-	if assign, ok := p.TryAcquire(e.Caller, e.Now); ok {
+	if assign, ok := p.TryAcquire(e.Caller, e.Now, nil); ok {
 		assign.Ticket = e.Ticket
 		return append([]Effect{assign}, p.openNeeded(e.Now)...)
 	}
--- a/pooler/pooler_test.go
+++ b/pooler/pooler_test.go
@@ -54,6 +54,28 @@
 	})
 }
 
+// TestFittingConnectionIsPreferred checks that one that fits is assigned before one that was used later,
+// and that a request is served also if none fits.
+func TestFittingConnectionIsPreferred(t *testing.T) {
+	is := is.New(t)
+	p := pooler.New(pooler.Limits{Share: 3, Opening: 3, Rate: 10})
+	for c := range pooler.Conn(3) {
+		expect(t, p, pooler.Acquire{Ticket: 1, Now: start}, pooler.Open{})
+		expect(t, p, pooler.Opened{Conn: c, Now: start}, pooler.Assign{Ticket: 1, Conn: c})
+	}
+	for c := range pooler.Conn(3) {
+		expect(t, p, pooler.Returned{Conn: c, Now: start})
+	}
+	first := func(c pooler.Conn) bool { return c == 0 }
+	for _, want := range []pooler.Conn{0, 2, 1} {
+		assigned, ok := p.TryAcquire("", start, first)
+		is.True(ok)
+		is.Equal(assigned.Conn, want)
+	}
+	_, ok := p.TryAcquire("", start, first)
+	is.True(!ok)
+}
+
 // TestInUseIsNotWarm checks that a connection in use does not count as warm: another one is
 // opened in the meantime and is kept after the first is returned.
 func TestInUseIsNotWarm(t *testing.T) {
--- a/tarragonshed/engine/conn.go
+++ b/tarragonshed/engine/conn.go
@@ -30,13 +30,13 @@
 	startedAt time.Time
 }
 
-// acquire waits for a slot and a connection.
-func (t *target) acquire(ctx context.Context, r LeaseRequest) (*pooledConn, *result.Error) {
+// acquire waits for a slot and a connection, preferably one that needs no preparation for the call.
+func (t *target) acquire(ctx context.Context, r LeaseRequest, c Call) (*pooledConn, *result.Error) {
 	pc := &pooledConn{target: t}
 	if err := pc.acquireSlot(ctx, r); err != nil {
 		return nil, err
 	}
-	if err := pc.acquireConn(ctx, r); err != nil {
+	if err := pc.acquireConn(ctx, r, c); err != nil {
 		pc.releaseSlot()
 		t.EndTransaction()
 		return nil, err
@@ -78,9 +78,9 @@
 }
 
 // acquireConn waits for a connection.
-func (pc *pooledConn) acquireConn(ctx context.Context, r LeaseRequest) *result.Error {
+func (pc *pooledConn) acquireConn(ctx context.Context, r LeaseRequest, c Call) *result.Error {
 	t := pc.target
-	g, ok := t.TryAcquire(r.Caller)
+	g, ok := t.TryAcquire(r.Caller, func(l *link) bool { return l.fits(c) })
 	if !ok {
 		ticket, answer := t.Acquire(r.Caller)
 		g, ok = await(ctx, r.Deadline, answer)
@@ -161,31 +161,57 @@
 // the first error of all. The outcome of each error is "not run". If the result is an error, the
 // connection can't be used any more.
 func (pc *pooledConn) prepare(deadline time.Time, inTransaction bool, requests []Request) (Reply, *result.Error) {
-	pc.target.engine.meters.preparations.Inc(1)
-	if err := pc.send(inTransaction, requests...); err != nil {
+	last, refused, err := pc.exchange(deadline, inTransaction, requests)
+	if err != nil {
 		return Reply{}, pc.unprepared(err)
 	}
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	var last Reply
-	var refused *result.Error
-	for range requests {
-		reply, err := pc.receive(timer.C)
-		if err != nil {
-			return Reply{}, pc.unprepared(err)
-		}
-		last, refused = reply, cmp.Or(refused, reply.Err)
+	last.Err = cmp.Or(refused, last.Err)
+	if last.Err != nil {
+		last.Err = pc.unprepared(last.Err)
+	}
+	return last, pc.closeUncertain(last.Err)
+}
+
+// begin sends BEGIN together with the requests that prepare the connection for its transaction. If one
+// of them is refused, the transaction must be rolled back; nothing has run in it.
+func (pc *pooledConn) begin(deadline time.Time, preparation []Request, begin Request) (Reply, *result.Error) {
+	last, refused, err := pc.exchange(deadline, false, append(preparation, begin))
+	if err != nil {
+		return Reply{}, err
 	}
-	last.Err = nil
 	if refused != nil {
-		pc.shed = refused.Code == result.Overloaded
 		last.Err = pc.unprepared(refused)
 	}
-	if pc.link.uncertain {
-		pc.link.Close()
-		return Reply{}, last.Err
+	return last, pc.closeUncertain(last.Err)
+}
+
+// closeUncertain closes the connection and returns the error if the state of the connection is not
+// known.
+func (pc *pooledConn) closeUncertain(err *result.Error) *result.Error {
+	if !pc.link.uncertain {
+		return nil
+	}
+	pc.link.Close()
+	return err
+}
+
+// exchange sends the requests and waits for all replies. The results are the last reply and the first
+// error in the others.
+func (pc *pooledConn) exchange(deadline time.Time, inTransaction bool, requests []Request) (last Reply, refused, err *result.Error) {
+	if err := pc.send(inTransaction, requests...); err != nil {
+		return Reply{}, nil, err
+	}
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	for range requests {
+		refused = cmp.Or(refused, last.Err)
+		if last, err = pc.receive(timer.C); err != nil {
+			return Reply{}, nil, err
+		}
 	}
-	return last, nil
+	first := cmp.Or(refused, last.Err)
+	pc.shed = first != nil && first.Code == result.Overloaded
+	return last, refused, nil
 }
 
 // unprepared returns the error of a statement that was not sent for the given reason.
@@ -217,13 +243,7 @@
 
 // roundTrip sends the request and returns the reply. If it fails, a reply may still be in flight.
 func (pc *pooledConn) roundTrip(deadline time.Time, r Request) (Reply, *result.Error) {
-	if err := pc.send(false, r); err != nil {
-		return Reply{}, err
-	}
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	reply, err := pc.receive(timer.C)
-	pc.shed = err == nil && reply.Err != nil && reply.Err.Code == result.Overloaded
+	reply, _, err := pc.exchange(deadline, false, []Request{r})
 	return reply, err
 }
 
--- a/tarragonshed/engine/lease.go
+++ b/tarragonshed/engine/lease.go
@@ -34,14 +34,18 @@
 
 // Run implements [Lease].
 func (l *localLease) Run(c Call, deadline time.Time) (Reply, *result.Error) {
-	if err := l.admit(deadline); err != nil {
+	if err := l.admit(c, deadline); err != nil {
 		return Reply{}, err
 	}
 	if err := l.abandoned(deadline); err != nil {
 		return Reply{}, err
 	}
-	if reply, err := l.prepare(c, deadline); err != nil || reply.Err != nil {
-		return reply, err
+	begins := isBegin(c)
+	preparation := l.conn.link.preparation(c, l.state != Idle)
+	if len(preparation) > 0 && !begins {
+		if reply, err := l.prepare(preparation, deadline); err != nil || reply.Err != nil {
+			return reply, err
+		}
 	}
 	if l.commits(c) && !l.mayWrite() {
 		return Reply{}, result.New(result.NotPrimary, "instance %s may no longer be the primary", l.target.name())
@@ -49,7 +53,7 @@
 	leadership, leads := l.target.leadership()
 	sentAt := l.target.engine.now()
 	l.state, l.wrote = Failed, l.wrote || c.writes()
-	reply, err := l.conn.roundTrip(deadline, l.conn.link.request(c))
+	reply, err := l.send(c, preparation, deadline)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -58,7 +62,7 @@
 		// The session has prepared it, so the connection has not kept it.
 		reply.Err = l.conn.unprepared(reply.Err)
 	}
-	if _, begins := c.Statement.(Begin); !begins || l.forwarded || reply.Err != nil {
+	if !begins || l.forwarded || reply.Err != nil {
 		l.conn.releaseSlot()
 	}
 	if l.forwarded && leads && l.target.engine.authority.Holds(leadership) {
@@ -69,16 +73,27 @@
 	return reply, nil
 }
 
-// prepare gives the connection the state that the statement needs. An error in the reply is the reason
-// why it can't be sent now; the connection is still usable.
-func (l *localLease) prepare(c Call, deadline time.Time) (Reply, *result.Error) {
-	requests := l.conn.link.preparation(c, l.state != Idle)
-	if len(requests) == 0 {
-		return Reply{}, nil
+// isBegin reports whether the call opens a transaction.
+func isBegin(c Call) bool {
+	_, begins := c.Statement.(Begin)
+	return begins
+}
+
+// send sends the statement and returns the reply. BEGIN is sent together with its preparation.
+func (l *localLease) send(c Call, preparation []Request, deadline time.Time) (Reply, *result.Error) {
+	if isBegin(c) {
+		return l.conn.begin(deadline, preparation, l.conn.link.request(c))
 	}
+	return l.conn.roundTrip(deadline, l.conn.link.request(c))
+}
+
+// prepare gives the connection the state that the statement needs. An error in the reply is the reason
+// why the statement can't be sent now; the connection is still usable.
+func (l *localLease) prepare(preparation []Request, deadline time.Time) (Reply, *result.Error) {
 	before := l.state
 	l.state = Failed
-	reply, err := l.conn.prepare(deadline, before != Idle, requests)
+	l.target.engine.meters.preparations.Inc(1)
+	reply, err := l.conn.prepare(deadline, before != Idle, preparation)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -115,7 +130,7 @@
 }
 
 // admit waits for a slot and, before the first statement, for a connection.
-func (l *localLease) admit(deadline time.Time) *result.Error {
+func (l *localLease) admit(c Call, deadline time.Time) *result.Error {
 	if l.conn != nil && l.conn.slot {
 		return nil
 	}
@@ -126,7 +141,7 @@
 		open.Priority, open.Deadline = limiter.OpenTransaction, deadline
 		return l.conn.acquireSlot(ctx, open)
 	}
-	conn, err := l.target.acquire(ctx, l.request)
+	conn, err := l.target.acquire(ctx, l.request, c)
 	l.conn = conn
 	return err
 }
--- a/tarragonshed/engine/link.go
+++ b/tarragonshed/engine/link.go
@@ -190,6 +190,14 @@
 	return requests
 }
 
+// fits reports whether an idle connection needs no preparation for the call.
+func (l *link) fits(c Call) bool {
+	if _, executes := c.Statement.(Execute); executes && l.prepared[c.Definition] == "" {
+		return false
+	}
+	return !l.dirty && maps.Equal(l.values, c.Values) && len(l.prepared) < maxPrepared
+}
+
 // request returns the request for the call on a connection that has been prepared for it.
 func (l *link) request(c Call) Request {
 	if st, executes := c.Statement.(Execute); executes {
--- a/tarragonshed/engine/preparation_test.go
+++ b/tarragonshed/engine/preparation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -145,7 +146,7 @@
 	}
 	s.runs[r.ID]++
 	// The id is the name of the session, a dot and a number.
-	if want := r.ID[:slices.Index([]byte(r.ID), '.')]; conn.values["office"] != string(want) || len(conn.values) > 1 {
+	if want, _, _ := strings.Cut(string(r.ID), "."); conn.values["office"] != want || len(conn.values) > 1 {
 		s.wrong = append(s.wrong, fmt.Sprintf("%s: %T ran with the values %v", r.ID, r.Statement, conn.values))
 	}
 	return nil
@@ -325,6 +326,33 @@
 	is.Equal(instance.ran(id), 1)
 }
 
+// TestFittingConnectionIsPreferred checks that a session gets the idle connection that has its values
+// and its prepared statement, although another session has used another one since.
+func TestFittingConnectionIsPreferred(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	instance := newStatefulInstance(h.instances["a"])
+	offices := []*office{newOffice(h, "first"), newOffice(h, "second")}
+	for _, o := range offices { // Both hold a connection at the same time.
+		mustSucceed(t, o.Session, Begin{})
+		_, answer := o.execute()
+		is.True(answer.Err == nil)
+	}
+	for _, o := range offices {
+		_, answer := o.do(Commit{})
+		is.True(answer.Err == nil)
+	}
+	prepared := h.meters.preparations.Count()
+	for range 3 {
+		for _, o := range offices {
+			_, answer := o.execute()
+			is.True(answer.Err == nil)
+		}
+	}
+	is.Equal(h.meters.preparations.Count(), prepared)
+	instance.mustBeRight(t)
+}
+
 // TestRandomRefusals lets sessions take turns on a few connections while an instance refuses, loses
 // and delays requests. No statement may run in another state than that of its session, and a
 // statement that is said not to have run must not have run.
--- a/tarragonshed/home/transaction.go
+++ b/tarragonshed/home/transaction.go
@@ -279,7 +279,7 @@
 // acquire waits for a connection. check reports whether the connection has been idle
 // for so long that it must be checked first.
 func (t *transaction) acquire(ctx context.Context) (c *conn, check bool, err *result.Error) {
-	if g, ok := t.target.TryAcquire(""); ok {
+	if g, ok := t.target.TryAcquire("", nil); ok {
 		return g.Conn, g.Check, nil
 	}
 	ticket, answer := t.target.Acquire("")
--- a/tarragonshed/lender/pool.go
+++ b/tarragonshed/lender/pool.go
@@ -8,10 +8,14 @@
 	"tarragonshed.example/unit"
 )
 
-// TryAcquire takes an idle connection of the caller without waiting. It returns false if there
-// is none.
-func (l *Lender[C]) TryAcquire(caller unit.CallerName) (AcquireResult[C], bool) {
-	return l.tryAcquire(func() (pooler.Assign, bool) { return l.pool.TryAcquire(caller, time.Now()) })
+// TryAcquire takes an idle connection of the caller without waiting. One that fits is preferred; if
+// fits is nil, all do. It is called with the lock held. The result is false if there is no connection.
+func (l *Lender[C]) TryAcquire(caller unit.CallerName, fits func(C) bool) (AcquireResult[C], bool) {
+	var fitsConn func(pooler.Conn) bool
+	if fits != nil {
+		fitsConn = func(id pooler.Conn) bool { return fits(l.conns[id]) }
+	}
+	return l.tryAcquire(func() (pooler.Assign, bool) { return l.pool.TryAcquire(caller, time.Now(), fitsConn) })
 }
 
 // TryAcquireAny takes an idle connection of any caller without waiting, for a request that is
