spooler: drop what is written after Close

Cause: main closes the log when the shutdown has returned, while sessions and probes of instances may still write to it. Write had to be prevented from then on, and nobody could: whoever logs does not know when the process ends.

Change: the channel for lines is never closed. Close signals by another channel; what is written later is dropped and counted.

--- a/tarragonshed/spooler/spooler.go
+++ b/tarragonshed/spooler/spooler.go
@@ -21,6 +21,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -39,11 +40,13 @@
 
 // Spooler writes lines in the background. It is safe for concurrent use.
 type Spooler struct {
-	out     io.Writer
-	lines   chan []byte
-	dropped atomic.Int64
-	failed  atomic.Int64
-	done    chan struct{}
+	out       io.Writer
+	lines     chan []byte
+	dropped   atomic.Int64
+	failed    atomic.Int64
+	closeOnce sync.Once
+	closing   chan struct{}
+	done      chan struct{}
 }
 
 // Option configures a [Spooler].
@@ -54,22 +57,45 @@
 
 // New returns a Spooler that writes to out.
 func New(out io.Writer, options ...Option) *Spooler {
-	s := &Spooler{out: out, lines: make(chan []byte, DefaultCapacity), done: make(chan struct{})}
+	s := &Spooler{out: out, lines: make(chan []byte, DefaultCapacity), closing: make(chan struct{}), done: make(chan struct{})}
 	for _, option := range options {
 		option(s)
 	}
 	go func() {
 		defer close(s.done)
-		for line := range s.lines {
-			s.writeLine(line)
-			if n := s.dropped.Swap(0); n > 0 {
-				s.writeLine(fmt.Appendf(nil, "level=warn msg=\"log lines dropped: output blocked\" lines=%d\n", n))
+		for {
+			select {
+			case line := <-s.lines:
+				s.writeBuffered(line)
+			case <-s.closing:
+				s.writeRest()
+				return
 			}
 		}
 	}()
 	return s
 }
 
+// writeRest writes the lines that are buffered.
+func (s *Spooler) writeRest() {
+	for {
+		select {
+		case line := <-s.lines:
+			s.writeBuffered(line)
+		default:
+			return
+		}
+	}
+}
+
+// writeBuffered writes one line and reports the lines that were dropped before.
+func (s *Spooler) writeBuffered(line []byte) {
+	s.writeLine(line)
+	if n := s.dropped.Swap(0); n > 0 {
+		s.writeLine(fmt.Appendf(nil, "level=warn msg=\"log lines dropped: output blocked\" lines=%d\n", n))
+	}
+}
+
 // writeLine writes one line. A failure is only counted, because the log itself is what
 // can't be written.
 func (s *Spooler) writeLine(line []byte) {
@@ -78,9 +104,13 @@
 	}
 }
 
-// Write buffers one line in the logfmt format, or drops it if the buffer is full. It never fails.
-// It must not be called after [Spooler.Close].
+// Write buffers one line in the logfmt format, or drops it if the buffer is full or the Spooler is
+// closed. It never fails.
 func (s *Spooler) Write(line []byte) (int, error) {
+	if s.isClosing() {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case s.lines <- cut(line):
 	default:
@@ -89,6 +119,15 @@
 	return len(line), nil
 }
 
+func (s *Spooler) isClosing() bool {
+	select {
+	case <-s.closing:
+		return true
+	default:
+		return false
+	}
+}
+
 // cut returns a copy of the line that is at most MaxLineBytes long. A quoted value that is cut is
 // closed, so that the line can still be decoded.
 func cut(line []byte) []byte {
@@ -122,9 +161,9 @@
 func (s *Spooler) Failed() int64 { return s.failed.Load() }
 
 // Close writes the buffered lines. It returns when all are written or after the
-// timeout.
+// timeout. Lines that are written meanwhile or later may be dropped.
 func (s *Spooler) Close(timeout time.Duration) {
-	close(s.lines)
+	s.closeOnce.Do(func() { close(s.closing) })
 	select {
 	case <-s.done:
 	case <-time.After(timeout):
--- a/tarragonshed/spooler/spooler_test.go
+++ b/tarragonshed/spooler/spooler_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -40,6 +41,34 @@
 	is.Equal(s.Dropped(), int64(0))
 }
 
+// TestWritesDuringClose guards against a panic of whoever still logs while the log is closed, as
+// sessions did at the end of a process (review/9).
+func TestWritesDuringClose(t *testing.T) {
+	is := is.New(t)
+	for range 50 {
+		var out bytes.Buffer
+		s := New(&out)
+		fmt.Fprint(s, "first\n")
+		var writers sync.WaitGroup
+		for range 4 {
+			writers.Go(func() {
+				for range 100 {
+					fmt.Fprint(s, "beside\n")
+				}
+			})
+		}
+		s.Close(time.Minute)
+		is.True(strings.HasPrefix(out.String(), "first\n"))
+		writers.Wait()
+		dropped := s.Dropped()
+		n, err := fmt.Fprint(s, "late\n")
+		is.NoErr(err)
+		is.Equal(n, len("late\n"))
+		is.Equal(s.Dropped(), dropped+1)
+		s.Close(time.Minute)
+	}
+}
+
 type failingWriter struct{}
 
 func (failingWriter) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
