lender: let nothing happen after Close

Cause: Close forgot the connections, but the pool and the limiter went on deciding. A smaller share closed a connection that was no longer there (nil pointer), and requests that waited got no answer before their own deadline.

Change: Close answers those that wait as not run, and decisions have no effect after it.

Before: TestUseAfterClose panics in applyPooler (pool.go:90); TestCloseAnswersWaitingRequests (written with the change) needs the answers. After: both pass, also with the race detector.

--- a/tarragonshed/lender/lender.go
+++ b/tarragonshed/lender/lender.go
@@ -165,12 +165,21 @@
 	}
 }
 
-// Close closes all connections. Later requests are refused.
+// Close closes all connections and refuses the requests that wait. Later requests are refused, too. All
+// other methods have no effect after it.
 func (l *Lender[C]) Close() {
 	l.mu.Lock()
 	l.stopped = true
 	conns := l.conns
 	l.conns = make(map[pooler.Conn]C)
+	for _, answer := range l.admitWaiters {
+		answer <- l.stopErr()
+	}
+	for _, answer := range l.acquireWaiters {
+		answer <- AcquireResult[C]{Err: l.stopErr()}
+	}
+	clear(l.admitWaiters)
+	clear(l.acquireWaiters)
 	l.mu.Unlock()
 	for _, c := range conns {
 		c.Close()
@@ -222,6 +231,9 @@
 func (l *Lender[C]) Probed(p pooler.Probed) []C {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.stopped {
+		return nil
+	}
 	effects := l.pool.Step(p)
 	var closed []C
 	for _, effect := range effects {
--- a/tarragonshed/lender/lender_test.go
+++ b/tarragonshed/lender/lender_test.go
@@ -138,6 +138,44 @@
 	is.True(<-answer != nil)
 }
 
+// TestUseAfterClose guards against a panic of whoever uses a lender that was closed meanwhile: a change
+// of the limits closed connections that it no longer had (issue 34).
+func TestUseAfterClose(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(3, 3)
+	first, second := f.acquire(t), f.acquire(t)
+	f.Release(first.ID)
+	f.Close()
+	f.Resize(limiter.Limits{Slots: 1, Connections: 1}, pooler.Limits{Share: 1})
+	f.Resize(limiter.Limits{Slots: 3, Connections: 3}, pooler.Limits{Share: 3, Warm: 3, Opening: 3, Rate: 1000})
+	f.Tick(time.Now().Add(time.Hour), true)
+	f.Release(second.ID)
+	first.Conn.gone()
+	second.Conn.gone()
+	f.Close()
+	_, ok := f.TryAcquire("", nil)
+	is.True(!ok)
+	is.Equal(len(f.opened), 2)
+}
+
+// TestCloseAnswersWaitingRequests checks that requests don't wait for what a closed lender can't give
+// them any more.
+func TestCloseAnswersWaitingRequests(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 1)
+	f.acquire(t)
+	is.True(f.TryAdmit(limiter.Request{Priority: limiter.Write}))
+	id, slot := f.Admit(limiter.Request{Priority: limiter.Write, Deadline: time.Now().Add(time.Hour)})
+	ticket, conn := f.Acquire("")
+	f.Close()
+	is.Equal((<-slot).Code, result.InstanceUnreachable)
+	is.Equal((<-conn).Err.Code, result.InstanceUnreachable)
+	is.True(!f.Withdraw(id))
+	is.True(!f.WithdrawAcquire(ticket))
+	f.Finish(time.Millisecond)
+	f.EndTransaction()
+}
+
 func TestSlots(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1, 2)
--- a/tarragonshed/lender/pool.go
+++ b/tarragonshed/lender/pool.go
@@ -74,12 +74,16 @@
 	}
 }
 
-// applyPooler carries out effects of the pooler. The caller must hold the lock.
+// applyPooler carries out effects of the pooler. After Close there are no connections and nobody waits.
+// The caller must hold the lock.
 func (l *Lender[C]) applyPooler(effects []pooler.Effect) {
+	if l.stopped {
+		return
+	}
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case pooler.Assign:
-			l.acquireWaiters[effect.Ticket] <- l.acquireResult(effect)
+			l.acquireWaiters[effect.Ticket] <- AcquireResult[C]{ID: effect.Conn, Conn: l.conns[effect.Conn], Check: effect.Check}
 			delete(l.acquireWaiters, effect.Ticket)
 		case pooler.Fail:
 			l.acquireWaiters[effect.Ticket] <- AcquireResult[C]{Err: effect.Err}
@@ -95,15 +99,6 @@
 	}
 }
 
-// acquireResult returns the result for a connection that the pooler assigns. The caller must
-// hold the lock.
-func (l *Lender[C]) acquireResult(g pooler.Assign) AcquireResult[C] {
-	if l.stopped {
-		return AcquireResult[C]{Err: l.stopErr()}
-	}
-	return AcquireResult[C]{ID: g.Conn, Conn: l.conns[g.Conn], Check: g.Check}
-}
-
 // open opens one connection of the caller and adds it to the pool.
 func (l *Lender[C]) open(caller unit.CallerName) {
 	ctx, stop := context.WithTimeout(l.ctx, l.openTimeout)
@@ -122,11 +117,12 @@
 		l.applyPooler(l.pool.Step(pooler.OpenFailed{Caller: caller, Now: time.Now(), Exhausted: exhausted, Err: err}))
 		return
 	}
-	l.conns[id] = c
-	l.onOpen()
 	if l.stopped {
 		c.Close()
+		return
 	}
+	l.conns[id] = c
+	l.onOpen()
 	l.applyPooler(l.pool.Step(pooler.Opened{Conn: id, Caller: caller, Now: time.Now()}))
 	if !alive {
 		l.remove(id)
--- a/tarragonshed/lender/slot.go
+++ b/tarragonshed/lender/slot.go
@@ -80,8 +80,12 @@
 	l.applyLimiter(l.limiter.Step(limiter.TransactionEnded{Now: time.Now()}))
 }
 
-// applyLimiter carries out effects of the limiter. The caller must hold the lock.
+// applyLimiter carries out effects of the limiter. After Close nobody waits. The caller must hold the
+// lock.
 func (l *Lender[C]) applyLimiter(effects []limiter.Effect) {
+	if l.stopped {
+		return
+	}
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case limiter.Admit:
