--- a/tarragonshed/admitter/admitter.go
+++ b/tarragonshed/admitter/admitter.go
@@ -39,10 +39,10 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sys/unix"
 
 	"tarragonshed.example/budgeter"
 	"tarragonshed.example/result"
+	"tarragonshed.example/tarragonshed/socket"
 	"tarragonshed.example/unit"
 )
 
@@ -289,7 +289,7 @@
 // sweep counts what is in the socket buffers of some sessions.
 func (a *Admitter) sweep() {
 	for _, s := range a.sweepSessions() {
-		bytes := socketBytes(s.conn)
+		bytes := socket.Unread(s.conn) + socket.Unsent(s.conn)
 		if int64(bytes) <= a.limits.Small {
 			bytes = 0
 		}
@@ -321,24 +321,3 @@
 	}
 	return chosen
 }
-
-// socketBytes returns the number of bytes in the buffers of a socket.
-func socketBytes(c net.Conn) int {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return 0
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	sum := 0
-	_ = raw.Control(func(fd uintptr) { // A closed connection has nothing.
-		for _, request := range []uint{unix.TIOCINQ, unix.TIOCOUTQ} {
-			if bytes, err := unix.IoctlGetInt(int(fd), request); err == nil {
-				sum += bytes
-			}
-		}
-	})
-	return sum
-}
