overseer: finish the changes of primaries before the daemon leaves

Cause: shutdown waited for sessions and forwarded statements, not for a change that the daemon had claimed. Another one takes over only when the change has not been completed for some seconds.

Change: FinishChanges waits for them within the time for draining, and begins none any more.

--- a/tarragonshed/overseer/change.go
+++ b/tarragonshed/overseer/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -33,7 +34,8 @@
 // begin yet.
 func (o *Overseer) beginChange(g manifest.Group, row authorizer.Leadership, f *fault) {
 	o.mu.Lock()
-	begins := !o.changes[g.Name] && f.mayBegin(time.Since(o.changeEndedAt[g.Name])) && (f.reason == noRow || o.auth.IsListed())
+	begins := !o.finishing && !o.changes[g.Name] && f.mayBegin(time.Since(o.changeEndedAt[g.Name])) &&
+		(f.reason == noRow || o.auth.IsListed())
 	if begins {
 		o.changes[g.Name] = true
 	}
@@ -59,6 +61,41 @@
 	}()
 }
 
+// FinishChanges waits until no change of a primary by this daemon is running, or until ctx ends. From now
+// on the daemon begins none. Another daemon takes over a change only when its daemon has not completed it
+// for some seconds, in which the group has no primary.
+func (o *Overseer) FinishChanges(ctx context.Context) error {
+	o.mu.Lock()
+	o.finishing = true
+	o.mu.Unlock()
+	ticker := time.NewTicker(changeTickInterval)
+	defer ticker.Stop()
+	for {
+		running := o.runningChanges()
+		if running == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("overseer: %d changes of primaries have not ended: %w", running, ctx.Err())
+		}
+	}
+}
+
+// runningChanges returns the number of changes of primaries that this daemon carries out.
+func (o *Overseer) runningChanges() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	running := 0
+	for _, runs := range o.changes {
+		if runs {
+			running++
+		}
+	}
+	return running
+}
+
 // changeWithoutAuthority replaces the primary of the group. Meanwhile the daemon has no
 // authority over the group.
 func (o *Overseer) changeWithoutAuthority(g manifest.Group, row authorizer.Leadership, f *fault) {
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -182,6 +182,7 @@
 	synchronous          map[unit.GroupName][]manifest.Instance // The instances of its groups with synchronous replicas.
 	departed             map[unit.GroupName][]departure
 	changes              map[unit.GroupName]bool
+	finishing            bool      // Whether no change begins any more, see FinishChanges.
 	failingSince         time.Time // Since when reads of the store have failed, or zero.
 	failures             int       // The number of failed reads since then.
 	changeEndedAt        map[unit.GroupName]time.Time
--- a/tarragonshed/overseer/relief_test.go
+++ b/tarragonshed/overseer/relief_test.go
@@ -150,6 +150,52 @@
 	})
 }
 
+// heldGroup is a strainedGroup whose platform promotes when it is released.
+type heldGroup struct {
+	*strainedGroup
+	requested, released chan struct{}
+}
+
+func (g heldGroup) Promote(ctx context.Context, group unit.GroupName, name unit.InstanceName, d authorizer.Duty) replacer.PromotionResult {
+	g.requested <- struct{}{}
+	<-g.released
+	return g.strainedGroup.Promote(ctx, group, name, d)
+}
+
+// TestChangeIsFinished guards against a group without a primary for seconds, because the daemon that
+// changed it ended before it was through (issue 34).
+func TestChangeIsFinished(t *testing.T) {
+	is := is.New(t)
+	g := heldGroup{strainedGroup: newStrainedGroup(10), requested: make(chan struct{}), released: make(chan struct{})}
+	o, _ := overseen(t, g.strainedGroup)
+	o.platform = g
+	for begun := false; !begun; {
+		o.watch()
+		is.NoErr(o.read())
+		select {
+		case <-g.requested:
+			begun = true
+		case <-time.After(time.Millisecond):
+		}
+	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	is.True(errors.Is(o.FinishChanges(ended), context.Canceled))
+	finished := make(chan error)
+	go func() { finished <- o.FinishChanges(t.Context()) }()
+	select {
+	case <-finished:
+		t.Fatal("the change was still running")
+	case <-time.After(10 * time.Millisecond):
+	}
+	close(g.released)
+	is.NoErr(<-finished)
+	is.NoErr(o.read())
+	is.Equal(o.rowOf("g").Primary, unit.InstanceName("b"))
+	o.beginChange(o.manifest().Groups[0], o.rowOf("g"), &fault{reason: leaving, queriedAt: time.Now()})
+	is.Equal(o.runningChanges(), 0)
+}
+
 // groupWithDark is a strainedGroup with another instance, dark, that never responds.
 type groupWithDark struct{ *strainedGroup }
 
