--- a/tarragonshed/engine/preparation_test.go
+++ b/tarragonshed/engine/preparation_test.go
@@ -308,6 +308,29 @@
 	}
 }
 
+// TestRefusedPreparationAtHome checks the connections of a home, to which another daemon's sessions bring
+// the values.
+func TestRefusedPreparationAtHome(t *testing.T) {
+	for _, st := range []Statement{Set{}, Discard{}, Prepare{}} {
+		for _, code := range []result.Code{result.Overloaded, result.StatementFailed} {
+			t.Run(fmt.Sprintf("%T %v", st, code), func(t *testing.T) {
+				is := is.New(t)
+				daemon, home, _ := newForwarding(t)
+				instance := newStatefulInstance(home.instances["a"])
+				first, second := newOffice(daemon, "first"), newOffice(daemon, "second")
+				mustSucceed(t, first.Session, Set{Name: "other", Value: "x"})
+				first.Do("", Read{Text: "1"})
+				instance.failOnce(st, fault{code: code})
+				id, answer := second.execute()
+				is.True(answer.Err == nil)
+				is.Equal(instance.ran(id), 1)
+				is.Equal(daemon.instances["a"].conns, 0)
+				instance.mustBeRight(t)
+			})
+		}
+	}
+}
+
 // TestPreparedNameUnknown checks that a caller is not told that a name is unknown that it was told is
 // prepared, if the instance has forgotten it.
 func TestPreparedNameUnknown(t *testing.T) {
