engine: give no name of a prepared statement twice, keep no text of a past request

After a refused DISCARD the names began again at p1, which the instance still holds. The connection was closed once that had happened, but the statement that followed got an unknown outcome, although it had not been sent. Names that are in use are passed over now. TestNameOfRefusedDiscardIsNotGivenAgain expects that the connection stays in use.

A request that was answered stayed in the array behind the list of awaited ones, with a text of up to 1 MiB. slices.Delete clears it.

--- a/tarragonshed/engine/conn.go
+++ b/tarragonshed/engine/conn.go
@@ -192,7 +192,7 @@
 		return nil
 	}
 	pc.link.Close()
-	return err
+	return cmp.Or(err, pc.unprepared(pc.lostReplyError()))
 }
 
 // exchange sends the requests and waits for all replies. The results are the last reply and the first
--- a/tarragonshed/engine/link.go
+++ b/tarragonshed/engine/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -125,7 +126,7 @@
 // connection. A request that did not run has changed nothing.
 func (l *link) settle(reply Reply) {
 	r := l.awaited[0]
-	l.awaited = l.awaited[1:]
+	l.awaited = slices.Delete(l.awaited, 0, 1)
 	if reply.Err != nil {
 		l.settleError(r.statement, reply.Err.Code)
 		return
@@ -140,14 +141,14 @@
 		l.dirty = l.dirty || r.inTransaction
 	case Prepare:
 		// A name is given again if the instance has refused to discard it.
-		l.uncertain = l.uncertain || l.knows(st.Name)
+		l.uncertain = l.uncertain || hasName(l.prepared, st.Name)
 		l.prepared[st.Definition] = st.Name
 	}
 }
 
-// knows reports whether a statement is prepared under the name.
-func (l *link) knows(name string) bool {
-	for _, known := range l.prepared {
+// hasName reports whether a statement is prepared under the name.
+func hasName(prepared map[Definition]string, name string) bool {
+	for _, known := range prepared {
 		if known == name {
 			return true
 		}
@@ -155,6 +156,17 @@
 	return false
 }
 
+// nextName returns a name under which none of the statements is prepared.
+func (l *link) nextName(prepared map[Definition]string) string {
+	for {
+		l.names++
+		name := "p" + strconv.Itoa(l.names)
+		if !hasName(prepared, name) {
+			return name
+		}
+	}
+}
+
 // settleError records what the error of a statement says about the state of the connection.
 func (l *link) settleError(st Statement, code result.Code) {
 	switch st := st.(type) {
@@ -183,8 +195,7 @@
 		}
 	}
 	if _, executes := c.Statement.(Execute); executes && prepared[c.Definition] == "" {
-		l.names++
-		name := "p" + strconv.Itoa(l.names)
+		name := l.nextName(prepared)
 		requests = append(requests, Request{Statement: Prepare{Name: name, Definition: c.Definition}})
 	}
 	return requests
--- a/tarragonshed/engine/preparation_test.go
+++ b/tarragonshed/engine/preparation_test.go
@@ -331,6 +331,31 @@
 	}
 }
 
+// TestNameOfRefusedDiscardIsNotGivenAgain guards against a name that gets another statement while the
+// instance still has the first one under it, because it has refused to discard it.
+func TestNameOfRefusedDiscardIsNotGivenAgain(t *testing.T) {
+	is := is.New(t)
+	h, instance := newStateful(t)
+	first := newOffice(h, "first")
+	_, answer := first.execute()
+	is.True(answer.Err == nil)
+	instance.setFault(func(r Request) fault {
+		if _, discards := r.Statement.(Discard); discards {
+			return fault{code: result.Overloaded}
+		}
+		return fault{}
+	})
+	h.setTimeouts(20 * time.Millisecond)
+	is.Equal(h.open("first").Do("", Read{Text: "1"}).Err.Code.Entry().Outcome, result.NotRun)
+	h.setTimeouts(time.Minute)
+	for _, st := range []Execute{{Name: "other", Text: "other first"}, {Name: "shape", Text: "shape first"}} {
+		_, answer = first.do(st)
+		is.True(answer.Err == nil)
+	}
+	is.Equal(h.instances["a"].conns, 1)
+	instance.mustBeRight(t)
+}
+
 // TestPreparedNameUnknown checks that a caller is not told that a name is unknown that it was told is
 // prepared, if the instance has forgotten it.
 func TestPreparedNameUnknown(t *testing.T) {
