engine, home: keep no texts of ended sessions on a connection

Cause: a connection to an instance remembers what is prepared on it, with the text, after its session has ended: up to 512 texts of up to 1 MiB, counted by nobody. The same stood in the home of the PostgreSQL engine (256 texts), and a connection kept the values of its last session, up to a quarter of the memory budget each.

Values over 16 KiB are forgotten when the connection becomes idle, and discarded before its next use. So a connection keeps at most about 70 KiB, whatever was sent, and nothing has to be counted or given up.

Ruled out: the budget of the sessions, which returned to zero; a budget for texts with the least recently used given up first, which would have to be asked on each connection's use, and still keep them.

--- a/tarragonshed/engine/conn.go
+++ b/tarragonshed/engine/conn.go
@@ -135,6 +135,7 @@
 func (pc *pooledConn) release() {
 	pc.releaseSlot()
 	if pc.link != nil {
+		pc.link.forgetLarge()
 		pc.target.Release(pc.link.id)
 		pc.link = nil
 		pc.target.EndTransaction()
--- a/tarragonshed/engine/lease.go
+++ b/tarragonshed/engine/lease.go
@@ -34,6 +34,9 @@
 
 // Run implements [Lease].
 func (l *localLease) Run(c Call, deadline time.Time) (Reply, *result.Error) {
+	if _, executes := c.Statement.(Execute); executes {
+		c.digest = digestOf(c.Definition)
+	}
 	if err := l.admit(c, deadline); err != nil {
 		return Reply{}, err
 	}
--- a/tarragonshed/engine/link.go
+++ b/tarragonshed/engine/link.go
@@ -1,6 +1,9 @@
 package engine
 
 import (
+	"crypto/sha256"
+	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"strconv"
@@ -20,6 +23,21 @@
 // maxPrepared bounds the statements that are prepared on a connection.
 const maxPrepared = 512
 
+// maxValueBytes bounds the values that a connection keeps between two uses.
+const maxValueBytes = 16 << 10
+
+// digest identifies the definition of a prepared statement. A connection outlives the sessions that
+// prepare statements on it, and the texts may be as long as a message.
+type digest [sha256.Size]byte
+
+// digestOf returns the digest of the definition.
+func digestOf(d Definition) digest {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%t ", d.Writes) // A hash never fails.
+	_, _ = io.WriteString(h, d.Text)
+	return digest(h.Sum(nil))
+}
+
 // link is a connection to an instance together with the session state applied to it. One
 // goroutine receives the replies, so that the loss of an idle connection is detected
 // before its next use.
@@ -34,10 +52,9 @@
 	// values and prepared are the state that the instance has confirmed. They and what follows
 	// are used only by the current holder of the link.
 	values   map[string]string
-	prepared map[Definition]string
-	// names is the number of names given to prepared statements since a Discard was last sent.
-	names int
-	// dirty is true if a value was set within a transaction, whose rollback may undo it.
+	prepared map[digest]string
+	// dirty is true if the connection may have other values: one was set within a transaction, whose
+	// rollback may undo it, or they were too large to be kept.
 	dirty bool
 	// uncertain is true if the state is not known: a request to change it failed although it may
 	// have run, or it gave the name of another prepared statement. The connection must be closed.
@@ -56,7 +73,7 @@
 		lost:     make(chan struct{}),
 		closed:   make(chan struct{}),
 		values:   make(map[string]string),
-		prepared: make(map[Definition]string),
+		prepared: make(map[digest]string),
 	}
 	go func() {
 		l.receive(lastReply)
@@ -142,12 +159,12 @@
 	case Prepare:
 		// A name is given again if the instance has refused to discard it.
 		l.uncertain = l.uncertain || hasName(l.prepared, st.Name)
-		l.prepared[st.Definition] = st.Name
+		l.prepared[digestOf(st.Definition)] = st.Name
 	}
 }
 
 // hasName reports whether a statement is prepared under the name.
-func hasName(prepared map[Definition]string, name string) bool {
+func hasName(prepared map[digest]string, name string) bool {
 	for _, known := range prepared {
 		if known == name {
 			return true
@@ -156,12 +173,10 @@
 	return false
 }
 
-// nextName returns a name under which none of the statements is prepared.
-func (l *link) nextName(prepared map[Definition]string) string {
-	for {
-		l.names++
-		name := "p" + strconv.Itoa(l.names)
-		if !hasName(prepared, name) {
+// freeName returns a name under which none of the statements is prepared.
+func freeName(prepared map[digest]string) string {
+	for n := len(prepared) + 1; ; n++ {
+		if name := "p" + strconv.Itoa(n); !hasName(prepared, name) {
 			return name
 		}
 	}
@@ -174,7 +189,7 @@
 		l.uncertain = l.uncertain || code.Entry().Outcome != result.NotRun
 	case Execute:
 		if code == result.UnknownStatement {
-			maps.DeleteFunc(l.prepared, func(_ Definition, name string) bool { return name == st.Name })
+			maps.DeleteFunc(l.prepared, func(_ digest, name string) bool { return name == st.Name })
 		}
 	}
 }
@@ -187,23 +202,22 @@
 	values, prepared := l.values, l.prepared
 	if !inTransaction && (l.dirty || !containsKeys(c.Values, values) || len(prepared) >= maxPrepared) {
 		requests = append(requests, Request{Statement: Discard{}})
-		values, prepared, l.names = nil, nil, 0
+		values, prepared = nil, nil
 	}
 	for name, value := range c.Values {
 		if old, ok := values[name]; !ok || old != value {
 			requests = append(requests, Request{Statement: Set{Name: name, Value: value}})
 		}
 	}
-	if _, executes := c.Statement.(Execute); executes && prepared[c.Definition] == "" {
-		name := l.nextName(prepared)
-		requests = append(requests, Request{Statement: Prepare{Name: name, Definition: c.Definition}})
+	if _, executes := c.Statement.(Execute); executes && prepared[c.digest] == "" {
+		requests = append(requests, Request{Statement: Prepare{Name: freeName(prepared), Definition: c.Definition}})
 	}
 	return requests
 }
 
 // fits reports whether an idle connection needs no preparation for the call.
 func (l *link) fits(c Call) bool {
-	if _, executes := c.Statement.(Execute); executes && l.prepared[c.Definition] == "" {
+	if _, executes := c.Statement.(Execute); executes && l.prepared[c.digest] == "" {
 		return false
 	}
 	return !l.dirty && maps.Equal(l.values, c.Values) && len(l.prepared) < maxPrepared
@@ -212,12 +226,24 @@
 // request returns the request for the call on a connection that has been prepared for it.
 func (l *link) request(c Call) Request {
 	if st, executes := c.Statement.(Execute); executes {
-		st.Name = l.prepared[c.Definition]
+		st.Name = l.prepared[c.digest]
 		c.Statement = st
 	}
 	return Request{ID: c.ID, Statement: c.Statement, After: c.After}
 }
 
+// forgetLarge forgets values that are too large to be kept until the next use. The instance still has
+// them, so they are discarded then.
+func (l *link) forgetLarge() {
+	size := 0
+	for name, value := range l.values {
+		size += len(name) + len(value)
+	}
+	if size > maxValueBytes {
+		l.values, l.dirty = make(map[string]string), true
+	}
+}
+
 // containsKeys reports whether every key of part is in whole.
 func containsKeys(whole, part map[string]string) bool {
 	for name := range part {
--- a/tarragonshed/engine/ports.go
+++ b/tarragonshed/engine/ports.go
@@ -95,6 +95,8 @@
 	Values map[string]string
 	// After is the position that the instance must have reached. Zero means any position.
 	After unit.Position
+
+	digest digest // Of Definition, once the call runs over this daemon's own connections.
 }
 
 // Local serves the statements that other daemons forward to this one.
--- a/tarragonshed/engine/preparation_test.go
+++ b/tarragonshed/engine/preparation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"tarragonshed.example/pooler"
 	"tarragonshed.example/result"
 	"tarragonshed.example/unit"
 )
@@ -401,6 +402,26 @@
 	instance.mustBeRight(t)
 }
 
+// TestLargeValuesAreNotKept checks that an idle connection does not keep the values of a session that has
+// large ones, and that no later statement runs with them.
+func TestLargeValuesAreNotKept(t *testing.T) {
+	is := is.New(t)
+	h, instance := newStateful(t)
+	large := h.open("first")
+	const values = 32
+	for n := range values {
+		mustSucceed(t, large, Set{Name: fmt.Sprint(n) + strings.Repeat("x", maxValueBytes/values), Value: "y"})
+	}
+	is.True(large.Do("", Read{Text: "1"}).Err == nil)
+	large.Close()
+	kept := 0
+	h.groups["g"].targets["a"].Each(func(_ pooler.Conn, l *link) { kept += len(l.values) })
+	is.Equal(kept, 0)
+	_, answer := newOffice(h, "first").do(Read{Text: "1"})
+	is.True(answer.Err == nil)
+	instance.mustBeRight(t)
+}
+
 // TestRandomRefusals lets sessions take turns on a few connections while an instance refuses, loses
 // and delays requests. No statement may run in another state than that of its session, and a
 // statement that is said not to have run must not have run.
--- a/tarragonshed/home/batch.go
+++ b/tarragonshed/home/batch.go
@@ -99,7 +99,7 @@
 		}
 		out = append(out, encode(&pgproto3.Parse{Name: s.Name, Query: string(s.Query), ParameterOIDs: s.ParameterTypes})...)
 		if c.push(pendingResponse{kind: 'P', discard: true, name: s.Name}) {
-			c.prepared.add(s.Name, string(s.Query), s.ParameterTypes)
+			c.prepared.add(s.Name, s.Query, s.ParameterTypes)
 		}
 	}
 	for {
@@ -185,7 +185,7 @@
 		return
 	}
 	if c.push(pendingResponse{kind: 'P', name: parse.Name}) {
-		c.prepared.add(parse.Name, parse.Query, parse.ParameterOIDs)
+		c.prepared.add(parse.Name, []byte(parse.Query), parse.ParameterOIDs)
 	}
 }
 
--- a/tarragonshed/home/preparer.go
+++ b/tarragonshed/home/preparer.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"crypto/sha256"
 	"slices"
 
 	"tarragonshed.example/wire/peer"
@@ -16,10 +17,11 @@
 	order  *list.List // The most recently used statement is at the front.
 }
 
-// prepared is one statement. An uncertain statement may not exist.
+// prepared is one statement. An uncertain statement may not exist. The query itself is not kept: it may
+// be as long as a message, and the connection outlives the session that prepared it.
 type prepared struct {
 	name      string
-	query     string
+	query     [sha256.Size]byte // Its digest.
 	types     []uint32
 	uncertain bool
 }
@@ -35,7 +37,7 @@
 		return false
 	}
 	known := element.Value.(*prepared)
-	if known.uncertain || known.query != string(s.Query) || !slices.Equal(known.types, s.ParameterTypes) {
+	if known.uncertain || known.query != sha256.Sum256(s.Query) || !slices.Equal(known.types, s.ParameterTypes) {
 		return false
 	}
 	p.order.MoveToFront(element)
@@ -49,9 +51,9 @@
 }
 
 // add registers a statement that is being prepared.
-func (p *preparer) add(name, query string, types []uint32) {
+func (p *preparer) add(name string, query []byte, types []uint32) {
 	p.drop(name)
-	p.byName[name] = p.order.PushFront(&prepared{name: name, query: query, types: types})
+	p.byName[name] = p.order.PushFront(&prepared{name: name, query: sha256.Sum256(query), types: types})
 }
 
 // markUncertain marks a statement whose Parse or Close was skipped.
@@ -61,7 +63,7 @@
 		return
 	}
 	if _, ok := p.byName[name]; !ok {
-		p.add(name, "", nil)
+		p.add(name, nil, nil)
 	}
 	p.byName[name].Value.(*prepared).uncertain = true
 }
