entry: supervise a batch by a copy of what it was sent with

It could mark the next attempt as superseded.

Change: the supervision copies the choice and the deadline, and looks first whether its batch has ended.

Before: TestRunGoesOnAfterSupervision reports two races, and fails; after it passes.

--- a/tarragonshed/entry/supervisor.go
+++ b/tarragonshed/entry/supervisor.go
@@ -32,49 +32,63 @@
 // determine its outcome.
 func (r *run) supervise(stream carrier.Stream) (end func()) {
 	done := make(chan struct{})
-	timer := time.AfterFunc(min(superviseDelay, time.Until(r.deadline)), func() { r.watch(stream, done) })
+	batch := supervised{stream: stream, use: r.use, deadline: r.deadline, done: done}
+	timer := time.AfterFunc(min(superviseDelay, time.Until(r.deadline)), func() { r.watch(batch) })
 	return func() {
 		timer.Stop()
 		close(done)
 	}
 }
 
-func (r *run) watch(stream carrier.Stream, done <-chan struct{}) {
+// supervised is a batch that is supervised. The run may go on with the next one before its supervision
+// has ended.
+type supervised struct {
+	stream   carrier.Stream
+	use      router.Use
+	deadline time.Time
+	done     <-chan struct{} // Closed when the batch has ended.
+}
+
+func (r *run) watch(b supervised) {
 	defer r.group.startSlowPolling()()
 	began := time.Now()
 	ticker := time.NewTicker(superviseInterval)
 	defer ticker.Stop()
 	for {
+		select {
+		case <-b.done:
+			return
+		default:
+		}
 		switch {
-		case !time.Now().Before(r.deadline):
-			r.cancelStream(stream, cancelGrace, done)
+		case !time.Now().Before(b.deadline):
+			r.cancelStream(b, cancelGrace)
 			return
-		case !r.use.Primary && r.group.unresponsiveFor(r.use.Instance, began) > readUnresponsiveTimeout:
-			stream.Close()
+		case !b.use.Primary && r.group.unresponsiveFor(b.use.Instance, began) > readUnresponsiveTimeout:
+			b.stream.Close()
 			return
-		case r.use.Primary && r.group.replaced(r.use.Instance):
+		case b.use.Primary && r.group.replaced(b.use.Instance):
 			r.superseded.Store(true)
-			r.cancelStream(stream, supersededGrace, done)
+			r.cancelStream(b, supersededGrace)
 			return
 		}
 		select {
 		case <-ticker.C:
-		case <-done:
-			return
+		case <-b.done:
 		}
 	}
 }
 
-// cancelStream cancels the batch on the stream, and closes the stream if the
+// cancelStream cancels the batch on its stream, and closes the stream if the
 // batch has not ended after the grace period.
-func (r *run) cancelStream(stream carrier.Stream, grace time.Duration, done <-chan struct{}) {
+func (r *run) cancelStream(b supervised, grace time.Duration) {
 	// After an error the stream is broken, which the relaying goroutine
 	// detects.
-	_ = r.transmit(stream, &peer.CarryRequest{Kind: &peer.CarryRequest_Cancel{Cancel: &peer.Cancel{}}})
+	_ = r.transmit(b.stream, &peer.CarryRequest{Kind: &peer.CarryRequest_Cancel{Cancel: &peer.Cancel{}}})
 	select {
 	case <-time.After(grace):
-		stream.Close()
-	case <-done:
+		b.stream.Close()
+	case <-b.done:
 	}
 }
 
