engine: count a preparation that failed once

closeUncertain built its fallback error, which counts, also where the error was given already, so engine.preparations.failed rose by two. Nothing else changes.

--- a/tarragonshed/engine/conn.go
+++ b/tarragonshed/engine/conn.go
@@ -193,7 +193,10 @@
 		return nil
 	}
 	pc.link.Close()
-	return cmp.Or(err, pc.unprepared(pc.lostReplyError()))
+	if err == nil {
+		err = pc.unprepared(pc.lostReplyError())
+	}
+	return err
 }
 
 // exchange sends the requests and waits for all replies. The results are the last reply and the first
