--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -13,6 +13,7 @@
 
 	"tarragonshed.example/authorizer"
 	"tarragonshed.example/tarragonshed/dialer"
+	"tarragonshed.example/tarragonshed/pacer"
 	"tarragonshed.example/unit"
 	"tarragonshed.example/wire/peer"
 	"tarragonshed.example/wire/peer/peerconnect"
@@ -54,12 +55,12 @@
 )
 
 func newPeerClient(dial dialer.Func) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: pacer.Transport(&http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
-	}}
+	})}
 }
 
 // peer returns the client of the daemon at the address.
