overseer: send large documents in parts, and keep the parts that have arrived

Cause: a daemon fetched the whole configuration from its reader with one call of at most 400 ms. On a link of 10 Mbit/s about 460 kB arrive in that time; with 2,869 routes the configuration has 529 kB, so no call ever ended (198 of 206 failures were the deadline), all that had arrived was thrown away, and the attempts filled the links. Each change of one route sent all routes again.

Documents above 64 kB are now offered by the digests of their parts, whose boundaries follow the content. The receiver fetches the parts that its version lacks, some with each call, and keeps them when an attempt fails; they may come from another daemon or belong to another version. A call lasts as long as its response arrives, and is given up after 400 ms without any. Smaller documents are sent as before.

TestLargeDocumentArrivesOverConnectionsThatAreCut and TestChangeOfALargeDocumentIsNotSentAsAWhole failed before: no attempt of 50 ended, and the change of one route sent everything.

--- a/tarragonshed/overseer/documents.go
+++ b/tarragonshed/overseer/documents.go
@@ -1,14 +1,10 @@
 package overseer
 
 import (
-	"context"
 	"errors"
 	"slices"
 	"time"
 
-	"connectrpc.com/connect"
-
-	"tarragonshed.example/tarragonshed/pacer"
 	"tarragonshed.example/unit"
 	"tarragonshed.example/wire/peer"
 )
@@ -130,20 +126,3 @@
 		o.fetchFrom(address)
 	}
 }
-
-func (o *Overseer) fetchFrom(address string) {
-	ctx, stop := context.WithTimeout(o.ctx, peerTimeout)
-	defer stop()
-	ctx, call := pacer.Begin(ctx)
-	request := &peer.FetchRequest{Known: versionsOf(o.documents)}
-	response, err := o.peer(address).Fetch(ctx, connect.NewRequest(request))
-	if err != nil {
-		o.logger.Info("documents not received from another daemon", "from", address, "bytes", call.Received(), "took", call.Took(), "cause", err)
-		return // The next call contacts the next daemon.
-	}
-	for _, d := range response.Msg.Documents {
-		o.logger.Info("document received from another daemon", "document", d.Name, "era", d.Era, "version", d.Version,
-			"from", address, "bytes", len(d.Body), "took", call.Took())
-		o.documents.Offer(Document{Name: d.Name, Revision: revisionOf(d), Body: d.Body})
-	}
-}
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -162,6 +162,7 @@
 	meters    meters
 	dial      dialer.Func
 	documents Documents
+	transfers transfers
 	seeds     []string
 	region    unit.RegionName   // The region of this daemon.
 	domains   []unit.DomainName // The failure domains of the region.
@@ -257,6 +258,7 @@
 		readerFailedAt: make(map[unit.DaemonID]time.Time),
 		peers:          make(map[string]peerconnect.OverseerClient),
 		domains:        []unit.DomainName{self.Domain},
+		transfers:      newTransfers(),
 	}
 	for _, option := range options {
 		option(o)
--- a/tarragonshed/overseer/service.go
+++ b/tarragonshed/overseer/service.go
@@ -116,13 +116,6 @@
 	for _, d := range r.Msg.Known {
 		known[d.Name] = revisionOf(d)
 	}
-	response := &peer.FetchResponse{}
-	if s.overseer.documents != nil {
-		for _, d := range s.overseer.documents.Newer(known) {
-			message := messageOf(d.Name, d.Revision)
-			message.Body = d.Body
-			response.Documents = append(response.Documents, message)
-		}
-	}
-	return connect.NewResponse(response), nil
+	documents := s.overseer.offeredDocuments(known, r.Msg.AcceptsParts)
+	return connect.NewResponse(&peer.FetchResponse{Documents: documents}), nil
 }
--- /dev/null
+++ b/tarragonshed/overseer/transfer.go
@@ -0,0 +1,320 @@
+package overseer
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"tarragonshed.example/splitter"
+	"tarragonshed.example/tarragonshed/pacer"
+	"tarragonshed.example/unit"
+	"tarragonshed.example/wire/peer"
+)
+
+const (
+	// maxWholeBytes is the size up to which a document is sent as a whole. Splitting it would
+	// cost a further call.
+	maxWholeBytes = 64 << 10
+	// partsPerCall is the number of parts that are requested with one call. All of them
+	// together are about as large as a document that is sent as a whole.
+	partsPerCall = 32
+	// maxPartBytes bounds the size of a part.
+	maxPartBytes = splitter.MaxPart
+	// transferTimeout bounds one call of a transfer, which usually ends when it makes no
+	// progress for [peerTimeout].
+	transferTimeout = 10 * time.Second
+)
+
+// errNoPart means that a daemon has sent none of the requested parts. It has a newer version
+// of the document, which the next attempt fetches.
+var errNoPart = errors.New("overseer: the daemon has none of the missing parts")
+
+// errIncompleteDocument means that parts of a document have disappeared while it was fetched.
+var errIncompleteDocument = errors.New("overseer: parts of the document are missing")
+
+// transfers holds the parts of documents that are sent to and received from other daemons.
+type transfers struct {
+	offersMu sync.Mutex
+	offers   map[string]*offer
+
+	receiving  sync.Mutex // Held while documents are being fetched.
+	assemblers map[string]*assembler
+}
+
+func newTransfers() transfers {
+	return transfers{offers: make(map[string]*offer), assemblers: make(map[string]*assembler)}
+}
+
+// offer is a large document as it is sent.
+type offer struct {
+	revision unit.Revision
+	digests  [][]byte
+	parts    map[splitter.Digest][]byte
+	deflated map[splitter.Digest][]byte // The parts that have been requested.
+}
+
+// assembler joins the parts of one document that are received.
+type assembler struct {
+	splitter.Assembler
+	base unit.Revision // The revision in force whose parts are known.
+}
+
+// offerOf returns the document in parts. They are computed once for each revision.
+func (t *transfers) offerOf(d Document) *offer {
+	t.offersMu.Lock()
+	defer t.offersMu.Unlock()
+	if known, ok := t.offers[d.Name]; ok && known.revision == d.Revision {
+		return known
+	}
+	o := &offer{revision: d.Revision, parts: make(map[splitter.Digest][]byte), deflated: make(map[splitter.Digest][]byte)}
+	earlier := t.offers[d.Name]
+	for _, p := range splitter.Split(d.Body) {
+		o.digests = append(o.digests, p.Digest[:])
+		o.parts[p.Digest] = p.Body
+		if earlier != nil && earlier.deflated[p.Digest] != nil {
+			o.deflated[p.Digest] = earlier.deflated[p.Digest]
+		}
+	}
+	t.offers[d.Name] = o
+	return o
+}
+
+// deflatedParts returns those of the parts that the document with the name has.
+func (t *transfers) deflatedParts(name string, digests [][]byte) []*peer.Part {
+	t.offersMu.Lock()
+	defer t.offersMu.Unlock()
+	o, ok := t.offers[name]
+	if !ok {
+		return nil
+	}
+	var parts []*peer.Part
+	var d deflater
+	for _, digest := range digests {
+		if body, ok := o.deflate(digest, &d); ok {
+			parts = append(parts, &peer.Part{Digest: digest, Deflated: body})
+		}
+	}
+	return parts
+}
+
+// deflate returns the part in its compressed form, which is kept for other daemons.
+func (o *offer) deflate(digest []byte, d *deflater) ([]byte, bool) {
+	id, ok := digestIn(digest)
+	if !ok {
+		return nil, false
+	}
+	if body, ok := o.deflated[id]; ok {
+		return body, true
+	}
+	part, ok := o.parts[id]
+	if ok {
+		o.deflated[id] = d.deflate(part)
+	}
+	return o.deflated[id], ok
+}
+
+// digestIn returns the digest in a message.
+func digestIn(digest []byte) (splitter.Digest, bool) {
+	if len(digest) != len(splitter.Digest{}) {
+		return splitter.Digest{}, false
+	}
+	return splitter.Digest(digest), true
+}
+
+// deflater compresses parts. Its writer is large and made when it is first needed.
+type deflater struct{ writer *flate.Writer }
+
+func (d *deflater) deflate(part []byte) []byte {
+	var compressed bytes.Buffer
+	if d.writer == nil {
+		d.writer, _ = flate.NewWriter(nil, flate.BestSpeed) // The level is valid.
+	}
+	d.writer.Reset(&compressed)
+	_, _ = d.writer.Write(part) // A buffer accepts all data.
+	_ = d.writer.Close()
+	return bytes.Clone(compressed.Bytes())
+}
+
+// inflate returns the part in its original form.
+func inflate(deflated []byte) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(deflated)), maxPartBytes))
+}
+
+// offeredDocuments returns the messages with the documents that a daemon with the known ones lacks.
+func (o *Overseer) offeredDocuments(known map[string]unit.Revision, acceptsParts bool) []*peer.Document {
+	if o.documents == nil {
+		return nil
+	}
+	var all []*peer.Document
+	for _, d := range o.documents.Newer(known) {
+		message := messageOf(d.Name, d.Revision)
+		if acceptsParts && len(d.Body) > maxWholeBytes {
+			message.Parts = o.digestsOf(d)
+		}
+		if len(message.Parts) == 0 {
+			message.Body = d.Body
+		}
+		all = append(all, message)
+	}
+	return all
+}
+
+// digestsOf returns the digests of the parts of the whole document, of which d may be the changes
+// only. It returns none if the document has changed meanwhile.
+func (o *Overseer) digestsOf(d Document) [][]byte {
+	whole := o.wholeDocument(d.Name)
+	if whole.Revision != d.Revision {
+		return nil
+	}
+	return o.transfers.offerOf(whole).digests
+}
+
+// wholeDocument returns the document in force, or an empty one. Its body does not depend on what
+// another daemon knows.
+func (o *Overseer) wholeDocument(name string) Document {
+	known := make(map[string]unit.Revision)
+	for other, state := range o.documents.States() {
+		if other != name {
+			known[other] = state.Revision
+		}
+	}
+	for _, d := range o.documents.Newer(known) {
+		if d.Name == name {
+			return d
+		}
+	}
+	return Document{Name: name}
+}
+
+// FetchParts implements [peerconnect.OverseerHandler].
+func (s service) FetchParts(_ context.Context, r *connect.Request[peer.FetchPartsRequest]) (*connect.Response[peer.FetchPartsResponse], error) {
+	parts := s.overseer.transfers.deflatedParts(r.Msg.Document, r.Msg.Digests)
+	return connect.NewResponse(&peer.FetchPartsResponse{Parts: parts}), nil
+}
+
+// fetchFrom requests newer documents from the daemon at the address, unless documents are being
+// fetched already.
+func (o *Overseer) fetchFrom(address string) {
+	if !o.transfers.receiving.TryLock() {
+		return
+	}
+	defer o.transfers.receiving.Unlock()
+	ctx, call := o.beginTransfer()
+	defer call.End()
+	request := &peer.FetchRequest{Known: versionsOf(o.documents), AcceptsParts: true}
+	response, err := o.peer(address).Fetch(ctx, connect.NewRequest(request))
+	if err != nil {
+		o.logger.Info("documents not received from another daemon", "from", address, "bytes", call.Received(), "took", call.Took(), "cause", err)
+		return // The next call contacts the next daemon.
+	}
+	for _, d := range response.Msg.Documents {
+		o.receive(address, d)
+	}
+}
+
+// beginTransfer begins a call of a transfer.
+func (o *Overseer) beginTransfer() (context.Context, *pacer.Call) {
+	return pacer.Begin(o.ctx, peerTimeout, pacer.WithLimit(transferTimeout))
+}
+
+// receive passes in a document that the daemon at the address offers, after it has fetched the missing
+// parts.
+func (o *Overseer) receive(address string, d *peer.Document) {
+	began, body, fetched := o.now(), d.Body, len(d.Body)
+	if len(d.Parts) > 0 {
+		var err error
+		if body, fetched, err = o.fetchBody(address, d); err != nil {
+			o.logger.Info("document not received from another daemon", "document", d.Name, "version", d.Version,
+				"from", address, "bytes", fetched, "took", o.now().Sub(began), "cause", err)
+			return
+		}
+	}
+	o.logger.Info("document received from another daemon", "document", d.Name, "era", d.Era, "version", d.Version,
+		"from", address, "size", len(body), "bytes", fetched, "took", o.now().Sub(began))
+	o.documents.Offer(Document{Name: d.Name, Revision: revisionOf(d), Body: body})
+}
+
+// fetchBody returns the body of a document in parts, and how many bytes of it were fetched. What
+// a failed attempt has fetched is kept for the next one.
+func (o *Overseer) fetchBody(address string, d *peer.Document) (body []byte, fetched int, err error) {
+	document := make([]splitter.Digest, 0, len(d.Parts))
+	for _, part := range d.Parts {
+		digest, ok := digestIn(part)
+		if !ok {
+			return nil, 0, fmt.Errorf("overseer: digest of %d bytes", len(part))
+		}
+		document = append(document, digest)
+	}
+	a := o.assemblerOf(d.Name)
+	for missing := a.Missing(document); len(missing) > 0; missing = a.Missing(document) {
+		n, err := o.fetchParts(address, d.Name, a, missing[:min(len(missing), partsPerCall)])
+		fetched += n
+		if err != nil {
+			return nil, fetched, err
+		}
+	}
+	body, complete := a.Join(document)
+	if !complete {
+		return nil, fetched, errIncompleteDocument
+	}
+	return body, fetched, nil
+}
+
+// assemblerOf returns the assembler of the document, which knows the parts of the one in force.
+func (o *Overseer) assemblerOf(name string) *assembler {
+	a, ok := o.transfers.assemblers[name]
+	if !ok {
+		a = &assembler{}
+		o.transfers.assemblers[name] = a
+	}
+	if current := o.wholeDocument(name); a.base != current.Revision {
+		a.base = current.Revision
+		a.SetBase(current.Body)
+	}
+	return a
+}
+
+// fetchParts fetches parts of the document and adds them to a. It returns how many bytes they
+// were.
+func (o *Overseer) fetchParts(address, name string, a *assembler, missing []splitter.Digest) (fetched int, err error) {
+	ctx, call := o.beginTransfer()
+	defer call.End()
+	request := &peer.FetchPartsRequest{Document: name}
+	for _, digest := range missing {
+		request.Digests = append(request.Digests, digest[:])
+	}
+	response, err := o.peer(address).FetchParts(ctx, connect.NewRequest(request))
+	if err != nil {
+		return 0, err
+	}
+	if len(response.Msg.Parts) == 0 {
+		return 0, errNoPart
+	}
+	for _, part := range response.Msg.Parts {
+		if err := addPart(a, part); err != nil {
+			return fetched, err
+		}
+		fetched += len(part.Deflated)
+	}
+	return fetched, nil
+}
+
+// addPart adds a part in a message to a.
+func addPart(a *assembler, part *peer.Part) error {
+	body, err := inflate(part.Deflated)
+	if err != nil {
+		return fmt.Errorf("overseer: part of a document: %w", err)
+	}
+	digest, ok := digestIn(part.Digest)
+	if !ok {
+		return splitter.ErrDigest
+	}
+	return a.Add(digest, body)
+}
--- /dev/null
+++ b/tarragonshed/overseer/transfer_test.go
@@ -0,0 +1,136 @@
+package overseer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"tarragonshed.example/unit"
+)
+
+// bodies holds one document.
+type bodies struct {
+	mu       sync.Mutex
+	document Document
+}
+
+func (b *bodies) get() Document {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.document
+}
+
+// States implements Documents.
+func (b *bodies) States() map[string]DocumentState {
+	d := b.get()
+	return map[string]DocumentState{d.Name: {Revision: d.Revision}}
+}
+
+// Newer implements Documents.
+func (b *bodies) Newer(known map[string]unit.Revision) []Document {
+	if d := b.get(); known[d.Name].Before(d.Revision) {
+		return []Document{d}
+	}
+	return nil
+}
+
+// Offer implements Documents.
+func (b *bodies) Offer(d Document) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.document.Revision.Before(d.Revision) {
+		b.document = d
+	}
+}
+
+// Confirm implements Documents.
+func (*bodies) Confirm(string, unit.Revision, unit.Instant) {}
+
+// largeDocument returns a document of many routes in the version.
+func largeDocument(version uint64) Document {
+	const routes = 5000
+	random := rand.New(rand.NewPCG(version, 0))
+	var body bytes.Buffer
+	for n := range routes {
+		fmt.Fprintf(&body, `{"Name":"r-%x","Host":"host-%d","TimeoutMs":800,"ServiceName":"ledger"},`, random.Uint64(), n)
+	}
+	return Document{Name: "config", Revision: unit.Revision{Version: version}, Body: body.Bytes()}
+}
+
+// link counts the bytes that arrive, and cuts each connection after some.
+type link struct {
+	perConnection int // Zero if connections are not cut.
+	mu            sync.Mutex
+	received      int
+}
+
+// errCut is the error of a connection that was cut.
+var errCut = errors.New("connection cut")
+
+// dial opens a connection over the link.
+func (l *link) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	return &linkConn{Conn: c, link: l}, err
+}
+
+// linkConn is a connection over a link.
+type linkConn struct {
+	net.Conn
+	link *link
+	read int
+}
+
+// Read implements net.Conn.
+func (c *linkConn) Read(p []byte) (int, error) {
+	if limit := c.link.perConnection; limit > 0 {
+		if c.read >= limit {
+			return 0, errCut
+		}
+		p = p[:min(len(p), limit-c.read)]
+	}
+	n, err := c.Conn.Read(p)
+	c.read += n
+	c.link.mu.Lock()
+	defer c.link.mu.Unlock()
+	c.link.received += n
+	return n, err
+}
+
+// senderAndReceiver returns a daemon with the document, and one with the known document behind the link.
+func senderAndReceiver(t *testing.T, document, known Document, l *link) (sender, receiver *Overseer) {
+	t.Helper()
+	store := &memoryStore{}
+	sender, receiver = served(t, "a", store), served(t, "b", store)
+	sender.documents, receiver.documents = &bodies{document: document}, &bodies{document: known}
+	receiver.client = newPeerClient(l.dial)
+	return sender, receiver
+}
+
+func TestLargeDocumentArrivesOverConnectionsThatAreCut(t *testing.T) {
+	is := is.New(t)
+	const attempts = 50
+	document := largeDocument(2)
+	sender, receiver := senderAndReceiver(t, document, Document{Name: "config"}, &link{perConnection: 100_000})
+	for range attempts {
+		receiver.fetchFrom(sender.self.Address)
+	}
+	is.True(bytes.Equal(receiver.documents.(*bodies).get().Body, document.Body))
+}
+
+func TestChangeOfALargeDocumentIsNotSentAsAWhole(t *testing.T) {
+	is := is.New(t)
+	known := largeDocument(1)
+	document := Document{Name: "config", Revision: unit.Revision{Version: 2}, Body: append(bytes.Clone(known.Body), "{one route more}"...)}
+	l := &link{}
+	sender, receiver := senderAndReceiver(t, document, known, l)
+	receiver.fetchFrom(sender.self.Address)
+	is.True(bytes.Equal(receiver.documents.(*bodies).get().Body, document.Body))
+	is.True(l.received < len(document.Body)/10)
+}
--- a/tarragonshed/pacer/pacer.go
+++ b/tarragonshed/pacer/pacer.go
@@ -1,9 +1,13 @@
-// Package pacer measures how much of the response to an HTTP call has arrived.
+// Package pacer bounds HTTP calls by their progress: a call may take as long as its response
+// keeps arriving, whatever its size, and is cancelled once nothing has arrived for some time. A
+// limit for the whole call would have to know how large the response is and how much the link
+// carries beside it.
 //
 // # Usage
 //
 //	client := &http.Client{Transport: pacer.Transport(http.DefaultTransport)}
-//	ctx, call := pacer.Begin(ctx)
+//	ctx, call := pacer.Begin(ctx, 400*time.Millisecond)
+//	defer call.End()
 //	response, err := client.Do(request.WithContext(ctx))
 //	...
 //	logger.Info("response received", "bytes", call.Received(), "took", call.Took())
@@ -11,33 +15,73 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 )
 
+// ErrStalled is the cause with which a call is cancelled whose response does not arrive.
+var ErrStalled = errors.New("pacer: the response stalled")
+
 // Call is the progress of one call. It is safe for concurrent use.
 type Call struct {
 	began    time.Time
+	patience time.Duration
+	stalled  *time.Timer // Cancels the call.
+	cancel   context.CancelCauseFunc
+	limit    time.Duration      // How long the whole call may take, or zero.
+	release  context.CancelFunc // Releases the timer of the limit, if there is one.
 	received atomic.Int64
 }
 
 // callKey is the key of the [Call] in a context.
 type callKey struct{}
 
-// Begin returns a context for one call whose client uses [Transport], and its progress.
-func Begin(ctx context.Context) (context.Context, *Call) {
-	c := &Call{began: time.Now()}
+// Option configures a Call under construction.
+type Option func(*Call)
+
+// WithLimit sets the time that the whole call may take.
+func WithLimit(d time.Duration) Option { return func(c *Call) { c.limit = d } }
+
+// Begin returns a context for one call whose client uses [Transport], and its progress. The context
+// is cancelled with [ErrStalled] when no part of the response has arrived for the time of the
+// patience. The caller must call End when it has read the response.
+func Begin(ctx context.Context, patience time.Duration, options ...Option) (context.Context, *Call) {
+	c := &Call{began: time.Now(), patience: patience}
+	for _, option := range options {
+		option(c)
+	}
+	ctx, c.cancel = context.WithCancelCause(ctx)
+	if c.limit > 0 {
+		ctx, c.release = context.WithTimeout(ctx, c.limit)
+	}
+	c.stalled = time.AfterFunc(patience, func() { c.cancel(ErrStalled) })
 	return context.WithValue(ctx, callKey{}, c), c
 }
 
+// End releases the resources of the call.
+func (c *Call) End() {
+	c.stalled.Stop()
+	c.cancel(nil)
+	if c.release != nil {
+		c.release()
+	}
+}
+
 // Received returns how many bytes of the response's body have been read.
 func (c *Call) Received() int64 { return c.received.Load() }
 
 // Took returns the time since the call began.
 func (c *Call) Took() time.Duration { return time.Since(c.began) }
 
+// progress records that some bytes have arrived.
+func (c *Call) progress(n int) {
+	c.received.Add(int64(n))
+	c.stalled.Reset(c.patience)
+}
+
 // transport records the progress of calls.
 type transport struct{ http.RoundTripper }
 
@@ -48,6 +92,7 @@
 func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.RoundTripper.RoundTrip(request)
 	if c, ok := request.Context().Value(callKey{}).(*Call); ok && err == nil {
+		c.progress(0)
 		response.Body = &body{ReadCloser: response.Body, call: c}
 	}
 	return response, err
@@ -62,6 +107,8 @@
 // Read implements [io.Reader].
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.call.received.Add(int64(n))
+	if n > 0 {
+		b.call.progress(n)
+	}
 	return n, err
 }
--- a/wire/peer/peerconnect/oversee.connect.go
+++ b/wire/peer/peerconnect/oversee.connect.go
@@ -45,6 +45,8 @@
 	OverseerRelayProcedure = "/tarragonshed.peer.v1.Overseer/Relay"
 	// OverseerFetchProcedure is the fully-qualified name of the Overseer's Fetch RPC.
 	OverseerFetchProcedure = "/tarragonshed.peer.v1.Overseer/Fetch"
+	// OverseerFetchPartsProcedure is the fully-qualified name of the Overseer's FetchParts RPC.
+	OverseerFetchPartsProcedure = "/tarragonshed.peer.v1.Overseer/FetchParts"
 	// OverseerEnlistProcedure is the fully-qualified name of the Overseer's Enlist RPC.
 	OverseerEnlistProcedure = "/tarragonshed.peer.v1.Overseer/Enlist"
 	// OverseerRecallProcedure is the fully-qualified name of the Overseer's Recall RPC.
@@ -66,6 +68,9 @@
 	// Fetch returns the documents of the platform that are in force on the
 	// receiver.
 	Fetch(context.Context, *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error)
+	// FetchParts returns parts of a document that the receiver has named in a
+	// FetchResponse.
+	FetchParts(context.Context, *connect.Request[peer.FetchPartsRequest]) (*connect.Response[peer.FetchPartsResponse], error)
 	// Enlist asks the receiver to write the sender's row of the member list, because
 	// the store refuses the sender's own requests.
 	Enlist(context.Context, *connect.Request[peer.EnlistRequest]) (*connect.Response[peer.EnlistResponse], error)
@@ -121,6 +126,12 @@
 			connect.WithSchema(overseerMethods.ByName("Fetch")),
 			connect.WithClientOptions(opts...),
 		),
+		fetchParts: connect.NewClient[peer.FetchPartsRequest, peer.FetchPartsResponse](
+			httpClient,
+			baseURL+OverseerFetchPartsProcedure,
+			connect.WithSchema(overseerMethods.ByName("FetchParts")),
+			connect.WithClientOptions(opts...),
+		),
 		enlist: connect.NewClient[peer.EnlistRequest, peer.EnlistResponse](
 			httpClient,
 			baseURL+OverseerEnlistProcedure,
@@ -138,14 +149,15 @@
 
 // overseerClient implements OverseerClient.
 type overseerClient struct {
-	withdraw *connect.Client[peer.WithdrawRequest, peer.WithdrawResponse]
-	vouch    *connect.Client[peer.VouchRequest, peer.VouchResponse]
-	witness  *connect.Client[peer.WitnessRequest, peer.WitnessResponse]
-	announce *connect.Client[peer.AnnounceRequest, peer.AnnounceResponse]
-	relay    *connect.Client[peer.RelayRequest, peer.RelayResponse]
-	fetch    *connect.Client[peer.FetchRequest, peer.FetchResponse]
-	enlist   *connect.Client[peer.EnlistRequest, peer.EnlistResponse]
-	recall   *connect.Client[peer.RecallRequest, peer.RecallResponse]
+	withdraw   *connect.Client[peer.WithdrawRequest, peer.WithdrawResponse]
+	vouch      *connect.Client[peer.VouchRequest, peer.VouchResponse]
+	witness    *connect.Client[peer.WitnessRequest, peer.WitnessResponse]
+	announce   *connect.Client[peer.AnnounceRequest, peer.AnnounceResponse]
+	relay      *connect.Client[peer.RelayRequest, peer.RelayResponse]
+	fetch      *connect.Client[peer.FetchRequest, peer.FetchResponse]
+	fetchParts *connect.Client[peer.FetchPartsRequest, peer.FetchPartsResponse]
+	enlist     *connect.Client[peer.EnlistRequest, peer.EnlistResponse]
+	recall     *connect.Client[peer.RecallRequest, peer.RecallResponse]
 }
 
 // Withdraw calls tarragonshed.peer.v1.Overseer.Withdraw.
@@ -178,6 +190,11 @@
 	return c.fetch.CallUnary(ctx, req)
 }
 
+// FetchParts calls tarragonshed.peer.v1.Overseer.FetchParts.
+func (c *overseerClient) FetchParts(ctx context.Context, req *connect.Request[peer.FetchPartsRequest]) (*connect.Response[peer.FetchPartsResponse], error) {
+	return c.fetchParts.CallUnary(ctx, req)
+}
+
 // Enlist calls tarragonshed.peer.v1.Overseer.Enlist.
 func (c *overseerClient) Enlist(ctx context.Context, req *connect.Request[peer.EnlistRequest]) (*connect.Response[peer.EnlistResponse], error) {
 	return c.enlist.CallUnary(ctx, req)
@@ -203,6 +220,9 @@
 	// Fetch returns the documents of the platform that are in force on the
 	// receiver.
 	Fetch(context.Context, *connect.Request[peer.FetchRequest]) (*connect.Response[peer.FetchResponse], error)
+	// FetchParts returns parts of a document that the receiver has named in a
+	// FetchResponse.
+	FetchParts(context.Context, *connect.Request[peer.FetchPartsRequest]) (*connect.Response[peer.FetchPartsResponse], error)
 	// Enlist asks the receiver to write the sender's row of the member list, because
 	// the store refuses the sender's own requests.
 	Enlist(context.Context, *connect.Request[peer.EnlistRequest]) (*connect.Response[peer.EnlistResponse], error)
@@ -254,6 +274,12 @@
 		connect.WithSchema(overseerMethods.ByName("Fetch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	overseerFetchPartsHandler := connect.NewUnaryHandler(
+		OverseerFetchPartsProcedure,
+		svc.FetchParts,
+		connect.WithSchema(overseerMethods.ByName("FetchParts")),
+		connect.WithHandlerOptions(opts...),
+	)
 	overseerEnlistHandler := connect.NewUnaryHandler(
 		OverseerEnlistProcedure,
 		svc.Enlist,
@@ -280,6 +306,8 @@
 			overseerRelayHandler.ServeHTTP(w, r)
 		case OverseerFetchProcedure:
 			overseerFetchHandler.ServeHTTP(w, r)
+		case OverseerFetchPartsProcedure:
+			overseerFetchPartsHandler.ServeHTTP(w, r)
 		case OverseerEnlistProcedure:
 			overseerEnlistHandler.ServeHTTP(w, r)
 		case OverseerRecallProcedure:
@@ -317,6 +345,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonshed.peer.v1.Overseer.Fetch is not implemented"))
 }
 
+func (UnimplementedOverseerHandler) FetchParts(context.Context, *connect.Request[peer.FetchPartsRequest]) (*connect.Response[peer.FetchPartsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonshed.peer.v1.Overseer.FetchParts is not implemented"))
+}
+
 func (UnimplementedOverseerHandler) Enlist(context.Context, *connect.Request[peer.EnlistRequest]) (*connect.Response[peer.EnlistResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("tarragonshed.peer.v1.Overseer.Enlist is not implemented"))
 }
