overseer: let VMs with fast links read the store for the others

Cause: the readers of a region were picked without regard to their links. Where most VMs have 10 Mbit/s and some 200, a slow one needs 0.9 s to receive a configuration of 4,270 routes from the store (1 MB) and sends its parts to up to 26 others over the same link; its confirmations are late meanwhile, and those who wait for them read the store themselves, over slow links, too.

A daemon's row and enlistment name the bandwidth of its link (Limits.LinkMbps), and readers are picked among those with at least half of the region's fastest link as long as there are enough.

TestVMWithASlowLinkIsNoReaderBesideFastOnes failed before.

--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -137,6 +137,8 @@
 	Address string `json:"address"`
 	// Speed is the speed of the daemon's VM in processor cores, or zero if it is unknown.
 	Speed float64 `json:"speed,omitempty"`
+	// Bandwidth is the bandwidth of the VM's link in Mbit/s, or zero if it is unknown.
+	Bandwidth float64 `json:"bandwidth,omitempty"`
 	// Listed is the store's clock when the daemon was added to the list. A restart of the
 	// daemon does not change it.
 	Listed time.Duration `json:"listed"`
--- a/tarragonshed/overseer/confirm_test.go
+++ b/tarragonshed/overseer/confirm_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"tarragonshed.example/authorizer"
 	"tarragonshed.example/unit"
 )
 
@@ -87,3 +89,39 @@
 		is.New(t).True(readers(nil).mustRead("z"))
 	})
 }
+
+func TestVMWithASlowLinkIsNoReaderBesideFastOnes(t *testing.T) {
+	const domain, slow, fast = "shed", 10, 200
+	o := New(Self{Daemon: "a", Domain: domain}, &memoryStore{}, nil, (&clock{}).now)
+	t.Cleanup(o.Close)
+	// readersAmong returns the readers of daemons whose VMs have the bandwidths.
+	readersAmong := func(bandwidths ...float64) readers {
+		view := authorizer.View{Members: make(map[unit.DaemonID]authorizer.Member)}
+		for n, b := range bandwidths {
+			id := unit.DaemonID(fmt.Sprint("daemon-", n))
+			view.Members[id] = authorizer.Member{Daemon: id, Domain: domain, Bandwidth: b}
+		}
+		return o.readersOf(view)
+	}
+	t.Run("one fast among many", func(t *testing.T) {
+		for at := range 20 {
+			bandwidths := slices.Repeat([]float64{slow}, 20)
+			bandwidths[at] = fast
+			chosen := readersAmong(bandwidths...)
+			is := is.New(t)
+			is.Equal(len(chosen), 1)
+			is.Equal(chosen[0].ID, unit.DaemonID(fmt.Sprint("daemon-", at)))
+		}
+	})
+	t.Run("fewer fast ones than readers", func(t *testing.T) {
+		bandwidths := slices.Repeat([]float64{slow}, 2*daemonsPerReader)
+		bandwidths[7] = fast
+		chosen := readersAmong(bandwidths...)
+		is := is.New(t)
+		is.Equal(len(chosen), 3)
+		is.Equal(chosen[0].ID, unit.DaemonID("daemon-7"))
+	})
+	t.Run("unknown bandwidths", func(t *testing.T) {
+		is.New(t).Equal(len(readersAmong(0, 0, 0)), 1)
+	})
+}
--- a/tarragonshed/overseer/decoder.go
+++ b/tarragonshed/overseer/decoder.go
@@ -100,14 +100,21 @@
 	if json.Unmarshal(value, &m) != nil || m.Daemon != d || m.Listed < 0 || m.Removed < 0 {
 		return authorizer.Member{Daemon: d}, false
 	}
-	if !isSpeed(m.Speed) {
-		m.Speed = 0
-	}
+	m.Speed, m.Bandwidth = plausible(m.Speed, maxSpeed), plausible(m.Bandwidth, maxBandwidth)
 	return m, true
 }
 
-// maxSpeed bounds the speed of a VM in processor cores. No VM has so many.
-const maxSpeed = 4096
+const (
+	// maxSpeed bounds the speed of a VM in processor cores. No VM has so many.
+	maxSpeed = 4096
+	// maxBandwidth bounds the bandwidth of a VM in Mbit/s. No VM has so much.
+	maxBandwidth = 10_000_000
+)
 
-// isSpeed reports whether a VM may have the speed.
-func isSpeed(cores float64) bool { return cores >= 0 && cores <= maxSpeed }
+// plausible returns the property of a VM, or zero, which means unknown, if no VM can have it.
+func plausible(property, limit float64) float64 {
+	if property >= 0 && property <= limit {
+		return property
+	}
+	return 0
+}
--- a/tarragonshed/overseer/enlist.go
+++ b/tarragonshed/overseer/enlist.go
@@ -16,7 +16,7 @@
 func (o *Overseer) enlist(ctx context.Context) error {
 	return o.enlistMember(ctx, authorizer.Member{
 		Daemon: o.self.Daemon, Incarnation: o.self.Incarnation, Domain: o.self.Domain, Address: o.self.Address,
-		Speed: o.self.Speed,
+		Speed: o.self.Speed, Bandwidth: o.self.Bandwidth,
 	})
 }
 
@@ -64,7 +64,7 @@
 	defer stop()
 	_, err := o.peer(address).Enlist(ctx, connect.NewRequest(&peer.EnlistRequest{
 		Daemon: string(o.self.Daemon), Incarnation: uint64(o.self.Incarnation),
-		Domain: string(o.self.Domain), Address: o.self.Address, Speed: o.self.Speed,
+		Domain: string(o.self.Domain), Address: o.self.Address, Speed: o.self.Speed, Bandwidth: o.self.Bandwidth,
 	}))
 	o.logger.Info("enlistment through another daemon", "through", address, "cause", err)
 	if err != nil {
@@ -82,10 +82,8 @@
 	o := s.overseer
 	m := authorizer.Member{
 		Daemon: unit.DaemonID(r.Msg.Daemon), Incarnation: unit.Incarnation(r.Msg.Incarnation),
-		Domain: unit.DomainName(r.Msg.Domain), Address: r.Msg.Address, Speed: r.Msg.Speed,
-	}
-	if !isSpeed(m.Speed) {
-		m.Speed = 0
+		Domain: unit.DomainName(r.Msg.Domain), Address: r.Msg.Address,
+		Speed: plausible(r.Msg.Speed, maxSpeed), Bandwidth: plausible(r.Msg.Bandwidth, maxBandwidth),
 	}
 	if m.Daemon == "" || m.Incarnation == 0 || m.Address == "" {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errIncomplete)
--- a/tarragonshed/overseer/membership_test.go
+++ b/tarragonshed/overseer/membership_test.go
@@ -33,12 +33,13 @@
 		view, _, _ = a.Membership()
 		is.True(!view.Members["b"].Left)
 	})
-	t.Run("an odd speed counts as unknown", func(t *testing.T) {
+	t.Run("an odd speed or bandwidth counts as unknown", func(t *testing.T) {
 		is := is.New(t)
 		store := &memoryStore{}
 		is.NoErr(served(t, "b", store).read())
-		for _, speed := range []float64{-1, maxSpeed + 1, math.Inf(1), math.NaN()} {
-			o := New(Self{Daemon: "a", Incarnation: 1, Address: "a:1", Speed: speed}, store, nil, func() unit.Instant { return 1 })
+		for _, odd := range []float64{-1, maxSpeed + 1, maxBandwidth + 1, math.Inf(1), math.NaN()} {
+			self := Self{Daemon: "a", Incarnation: 1, Address: "a:1", Speed: odd, Bandwidth: odd}
+			o := New(self, store, nil, func() unit.Instant { return 1 })
 			t.Cleanup(o.Close)
 			is.NoErr(o.read())
 			before := store.commits
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -100,6 +100,8 @@
 	Address string
 	// Speed is the speed of its VM in processor cores, or zero if it is unknown.
 	Speed float64
+	// Bandwidth is the bandwidth of its VM's link in Mbit/s, or zero if it is unknown.
+	Bandwidth float64
 }
 
 // Instances is the part of the engine that the overseer uses.
@@ -240,9 +242,8 @@
 
 // New returns an Overseer that is not yet on the member list. Call Start to start it.
 func New(self Self, store Store, platform Platform, now func() unit.Instant, options ...Option) *Overseer {
-	if !isSpeed(self.Speed) {
-		self.Speed = 0 // The row would never be as wanted, and be written again and again.
-	}
+	// With an odd number the row would never be as wanted, and be written again and again.
+	self.Speed, self.Bandwidth = plausible(self.Speed, maxSpeed), plausible(self.Bandwidth, maxBandwidth)
 	o := &Overseer{
 		self: self, store: store, platform: platform, now: now,
 		logger: log.New(io.Discard), meters: newMeters(metrics.NewRegistry()), dial: dialer.Default,
--- a/tarragonshed/overseer/reader.go
+++ b/tarragonshed/overseer/reader.go
@@ -15,6 +15,8 @@
 	// costs more than relaying its result within the region, but each daemon served costs
 	// the reader about 1 kB/s.
 	daemonsPerReader = 40
+	// fastLinkShare is the bandwidth of a fast link as a share of the fastest one in the region.
+	fastLinkShare = 0.5
 	// readerRetryInterval is how long a daemon reads the store itself after a reader has
 	// failed.
 	readerRetryInterval = 3 * time.Second
@@ -24,17 +26,30 @@
 // empty while the member list is unknown.
 type readers []member.Daemon
 
-// readersOf returns the readers of this daemon's region.
+// readersOf returns the readers of this daemon's region. Those with fast links come first, because a
+// reader sends what it reads to many others.
 func (o *Overseer) readersOf(v authorizer.View) readers {
-	view := member.View{Self: o.self.Daemon}
+	var listed []authorizer.Member
+	fastest := 0.0
 	for _, m := range v.Listed() {
 		if slices.Contains(o.domains, m.Domain) {
-			view.Daemons = append(view.Daemons, member.Daemon{
-				ID: m.Daemon, Incarnation: m.Incarnation, Domain: m.Domain, State: member.Live, PeerAddress: m.Address,
-			})
+			listed = append(listed, m)
+			fastest = max(fastest, m.Bandwidth)
 		}
 	}
-	return placer.RegionRelays(view, o.region, o.domains, 1+len(view.Daemons)/daemonsPerReader)
+	fast, slow := member.View{Self: o.self.Daemon}, member.View{Self: o.self.Daemon}
+	for _, m := range listed {
+		view := &slow
+		if m.Bandwidth >= fastLinkShare*fastest {
+			view = &fast
+		}
+		view.Daemons = append(view.Daemons, member.Daemon{
+			ID: m.Daemon, Incarnation: m.Incarnation, Domain: m.Domain, State: member.Live, PeerAddress: m.Address,
+		})
+	}
+	n := 1 + len(listed)/daemonsPerReader
+	chosen := placer.RegionRelays(fast, o.region, o.domains, n)
+	return append(chosen, placer.RegionRelays(slow, o.region, o.domains, n-len(chosen))...)
 }
 
 // mustRead reports whether the daemon is a reader, or has to read the store because no
