overseer: confirm the rows while documents are being received

Cause: a daemon fetched documents in the loop that obtains its confirmations. As long as a transfer lasted there was no confirmation, so its authority to use primaries aged, and the next relay request was late. With transfers that last as long as they make progress this would have become worse.

Documents are now received in the background, one transfer at a time; the next confirmation that offers a newer version begins the next one.

TestConfirmationIsNotDelayedByADocumentThatIsBeingReceived failed before: no confirmation within 20 s. The test link's count of bytes is read under its lock.

--- a/tarragonshed/overseer/documents.go
+++ b/tarragonshed/overseer/documents.go
@@ -54,16 +54,28 @@
 	return all
 }
 
-// receiveDocuments fetches the documents that the daemon at the address has in a newer
-// version than this one, and records how current the documents are. The daemon offered them
-// no earlier than responded.
+// receiveDocuments fetches, in the background, the documents that the daemon at the address has in
+// a newer version than this one, and records how current the documents are. The daemon offered
+// them no earlier than responded.
 func (o *Overseer) receiveDocuments(address string, offered []*peer.Document, responded unit.Instant) {
 	if o.documents == nil {
 		return
 	}
-	if o.lacks(offered) {
-		o.fetchFrom(address)
+	o.confirmDocuments(offered, responded)
+	if !o.lacks(offered) || !o.transfers.receiving.TryLock() {
+		return
 	}
+	go func() {
+		defer o.transfers.receiving.Unlock()
+		if o.transferFrom(address) {
+			o.confirmDocuments(offered, responded)
+		}
+	}()
+}
+
+// confirmDocuments records how current the documents are that another daemon offered no earlier than
+// responded.
+func (o *Overseer) confirmDocuments(offered []*peer.Document, responded unit.Instant) {
 	for _, d := range offered {
 		if d.Age != nil {
 			o.documents.Confirm(d.Name, revisionOf(d), responded.Add(-time.Duration(*d.Age)))
--- a/tarragonshed/overseer/transfer.go
+++ b/tarragonshed/overseer/transfer.go
@@ -202,21 +202,28 @@
 // fetchFrom requests newer documents from the daemon at the address, unless documents are being
 // fetched already.
 func (o *Overseer) fetchFrom(address string) {
-	if !o.transfers.receiving.TryLock() {
-		return
+	if o.transfers.receiving.TryLock() {
+		defer o.transfers.receiving.Unlock()
+		o.transferFrom(address)
 	}
-	defer o.transfers.receiving.Unlock()
+}
+
+// transferFrom fetches the documents that the daemon at the address has in a newer version, and
+// reports whether it received them all. The caller holds transfers.receiving.
+func (o *Overseer) transferFrom(address string) bool {
 	ctx, call := o.beginTransfer()
 	defer call.End()
 	request := &peer.FetchRequest{Known: versionsOf(o.documents), AcceptsParts: true}
 	response, err := o.peer(address).Fetch(ctx, connect.NewRequest(request))
 	if err != nil {
 		o.logger.Info("documents not received from another daemon", "from", address, "bytes", call.Received(), "took", call.Took(), "cause", err)
-		return // The next call contacts the next daemon.
+		return false // The next call contacts the next daemon.
 	}
+	complete := true
 	for _, d := range response.Msg.Documents {
-		o.receive(address, d)
+		complete = o.receive(address, d) && complete
 	}
+	return complete
 }
 
 // beginTransfer begins a call of a transfer.
@@ -225,20 +232,21 @@
 }
 
 // receive passes in a document that the daemon at the address offers, after it has fetched the missing
-// parts.
-func (o *Overseer) receive(address string, d *peer.Document) {
+// parts. It reports whether it received them.
+func (o *Overseer) receive(address string, d *peer.Document) bool {
 	began, body, fetched := o.now(), d.Body, len(d.Body)
 	if len(d.Parts) > 0 {
 		var err error
 		if body, fetched, err = o.fetchBody(address, d); err != nil {
 			o.logger.Info("document not received from another daemon", "document", d.Name, "version", d.Version,
 				"from", address, "bytes", fetched, "took", o.now().Sub(began), "cause", err)
-			return
+			return false
 		}
 	}
 	o.logger.Info("document received from another daemon", "document", d.Name, "era", d.Era, "version", d.Version,
 		"from", address, "size", len(body), "bytes", fetched, "took", o.now().Sub(began))
 	o.documents.Offer(Document{Name: d.Name, Revision: revisionOf(d), Body: body})
+	return true
 }
 
 // fetchBody returns the body of a document in parts, and how many bytes of it were fetched. What
--- a/tarragonshed/overseer/transfer_test.go
+++ b/tarragonshed/overseer/transfer_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -80,6 +81,13 @@
 	return &linkConn{Conn: c, link: l}, err
 }
 
+// total returns how many bytes have arrived.
+func (l *link) total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.received
+}
+
 // linkConn is a connection over a link.
 type linkConn struct {
 	net.Conn
@@ -132,5 +140,35 @@
 	sender, receiver := senderAndReceiver(t, document, known, l)
 	receiver.fetchFrom(sender.self.Address)
 	is.True(bytes.Equal(receiver.documents.(*bodies).get().Body, document.Body))
-	is.True(l.received < len(document.Body)/10)
+	is.True(l.total() < len(document.Body)/10)
+}
+
+// heldDocuments receives a document only when it is released.
+type heldDocuments struct {
+	bodies
+	release chan struct{}
+}
+
+// Offer implements Documents.
+func (h *heldDocuments) Offer(d Document) {
+	<-h.release
+	h.bodies.Offer(d)
+}
+
+func TestConfirmationIsNotDelayedByADocumentThatIsBeingReceived(t *testing.T) {
+	is := is.New(t)
+	const patience = 20 * time.Second // It is spent only if the confirmation is delayed.
+	sender, receiver := senderAndReceiver(t, largeDocument(2), Document{Name: "config"}, &link{})
+	held := &heldDocuments{bodies: bodies{document: Document{Name: "config"}}, release: make(chan struct{})}
+	receiver.documents = held
+	is.NoErr(sender.read())
+	confirmed := make(chan error, 1)
+	go func() { confirmed <- relay(receiver, sender) }()
+	select {
+	case err := <-confirmed:
+		is.NoErr(err)
+	case <-time.After(patience):
+		t.Error("not confirmed while a document is being received")
+	}
+	close(held.release)
 }
