overseer: keep a reader whose documents are arriving

Cause: a daemon that had an old configuration for 2.3 s stopped relying on its reader, although the new one was on its way, and read the whole of it from the store over the same slow link.

Parts that arrive begin the time anew.

TestReaderIsKeptWhileItsDocumentsArrive failed before.

--- a/tarragonshed/overseer/documents.go
+++ b/tarragonshed/overseer/documents.go
@@ -99,7 +99,7 @@
 }
 
 // checkDocuments returns an error if the documents have been outdated for longer than
-// maxOutdated although the reader confirms the rows.
+// maxOutdated although the reader confirms the rows, and no part of them has arrived meanwhile.
 func (o *Overseer) checkDocuments(reader unit.DaemonID) error {
 	names := o.outdated()
 	now := o.now()
@@ -114,7 +114,7 @@
 	case o.outdatedSince == 0:
 		o.outdatedSince = now
 		o.logger.Warn("documents from the reader are outdated", "reader", reader, "documents", names, "limit", maxDocumentAge)
-	case now.Sub(o.outdatedSince) >= maxOutdated:
+	case now.Sub(max(o.outdatedSince, o.transfers.progressed())) >= maxOutdated:
 		o.outdatedSince = 0
 		return errOutdatedDocuments
 	}
--- a/tarragonshed/overseer/documents_test.go
+++ b/tarragonshed/overseer/documents_test.go
@@ -70,3 +70,16 @@
 		is.True(!other.ReadsStore())
 	})
 }
+
+func TestReaderIsKeptWhileItsDocumentsArrive(t *testing.T) {
+	is := is.New(t)
+	other, clock := readerWithDocuments(t, 2*maxDocumentAge)
+	other.confirmOnce()
+	clock.Add(int64(maxOutdated))
+	other.transfers.recordProgress(other.now())
+	other.confirmOnce()
+	is.True(!other.ReadsStore())
+	clock.Add(int64(maxOutdated))
+	other.confirmOnce()
+	is.True(other.ReadsStore())
+}
--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -259,7 +259,7 @@
 		readerFailedAt: make(map[unit.DaemonID]time.Time),
 		peers:          make(map[string]peerconnect.OverseerClient),
 		domains:        []unit.DomainName{self.Domain},
-		transfers:      newTransfers(),
+		transfers:      transfers{offers: make(map[string]*offer), assemblers: make(map[string]*assembler)},
 	}
 	for _, option := range options {
 		option(o)
--- a/tarragonshed/overseer/transfer.go
+++ b/tarragonshed/overseer/transfer.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -46,12 +47,16 @@
 
 	receiving  sync.Mutex // Held while documents are being fetched.
 	assemblers map[string]*assembler
-}
 
-func newTransfers() transfers {
-	return transfers{offers: make(map[string]*offer), assemblers: make(map[string]*assembler)}
+	progressedAt atomic.Int64 // When a part was last received, as a unit.Instant, or zero.
 }
 
+// recordProgress records that a part was received.
+func (t *transfers) recordProgress(now unit.Instant) { t.progressedAt.Store(int64(now)) }
+
+// progressed returns when a part was last received, or zero.
+func (t *transfers) progressed() unit.Instant { return unit.Instant(t.progressedAt.Load()) }
+
 // offer is a large document as it is sent.
 type offer struct {
 	revision unit.Revision
@@ -311,6 +316,7 @@
 		}
 		fetched += len(part.Deflated)
 	}
+	o.transfers.recordProgress(o.now())
 	return fetched, nil
 }
 
