--- a/tarragonshed/overseer/transfer.go
+++ b/tarragonshed/overseer/transfer.go
@@ -221,7 +221,7 @@
 	request := &peer.FetchRequest{Known: versionsOf(o.documents), AcceptsParts: true}
 	response, err := o.peer(address).Fetch(ctx, connect.NewRequest(request))
 	if err != nil {
-		o.logger.Info("documents not received from another daemon", "from", address, "bytes", call.Received(), "took", call.Took(), "cause", err)
+		o.logger.Info("documents not received from another daemon", "from", address, "bytes", call.Received(), "took", call.Took(), "cause", call.Err(err))
 		return false // The next call contacts the next daemon.
 	}
 	complete := true
@@ -305,7 +305,7 @@
 	}
 	response, err := o.peer(address).FetchParts(ctx, connect.NewRequest(request))
 	if err != nil {
-		return 0, err
+		return 0, call.Err(err)
 	}
 	if len(response.Msg.Parts) == 0 {
 		return 0, errNoPart
--- a/tarragonshed/pacer/pacer.go
+++ b/tarragonshed/pacer/pacer.go
@@ -16,20 +16,23 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 )
 
-// ErrStalled is the cause with which a call is cancelled whose response does not arrive.
-var ErrStalled = errors.New("pacer: the response stalled")
+// ErrStalled is the cause with which a call is cancelled whose response does not arrive. It is a
+// [context.DeadlineExceeded].
+var ErrStalled = fmt.Errorf("pacer: the response stalled: %w", context.DeadlineExceeded)
 
 // Call is the progress of one call. It is safe for concurrent use.
 type Call struct {
 	began    time.Time
 	patience time.Duration
 	stalled  *time.Timer // Cancels the call.
+	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	limit    time.Duration      // How long the whole call may take, or zero.
 	release  context.CancelFunc // Releases the timer of the limit, if there is one.
@@ -57,6 +60,7 @@
 	if c.limit > 0 {
 		ctx, c.release = context.WithTimeout(ctx, c.limit)
 	}
+	c.ctx = ctx
 	c.stalled = time.AfterFunc(patience, func() { c.cancel(ErrStalled) })
 	return context.WithValue(ctx, callKey{}, c), c
 }
@@ -76,6 +80,22 @@
 // Took returns the time since the call began.
 func (c *Call) Took() time.Duration { return time.Since(c.began) }
 
+// Record records that n bytes of the response to the call of the context have arrived. [Transport]
+// calls it for HTTP.
+func Record(ctx context.Context, n int) {
+	if c, ok := ctx.Value(callKey{}).(*Call); ok {
+		c.progress(n)
+	}
+}
+
+// Err returns [ErrStalled] in place of err if the call was cancelled because of it.
+func (c *Call) Err(err error) error {
+	if err != nil && errors.Is(context.Cause(c.ctx), ErrStalled) {
+		return ErrStalled
+	}
+	return err
+}
+
 // progress records that some bytes have arrived.
 func (c *Call) progress(n int) {
 	c.received.Add(int64(n))
@@ -91,9 +111,9 @@
 // RoundTrip implements [http.RoundTripper].
 func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.RoundTripper.RoundTrip(request)
-	if c, ok := request.Context().Value(callKey{}).(*Call); ok && err == nil {
-		c.progress(0)
-		response.Body = &body{ReadCloser: response.Body, call: c}
+	if err == nil {
+		Record(request.Context(), 0)
+		response.Body = &body{ReadCloser: response.Body, ctx: request.Context()}
 	}
 	return response, err
 }
@@ -101,14 +121,14 @@
 // body is the body of a response whose progress is recorded.
 type body struct {
 	io.ReadCloser
-	call *Call
+	ctx context.Context
 }
 
 // Read implements [io.Reader].
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.call.progress(n)
+		Record(b.ctx, n)
 	}
 	return n, err
 }
