--- a/tarragonshed/pacer/pacer.go
+++ b/tarragonshed/pacer/pacer.go
@@ -30,6 +30,7 @@
 // Call is the progress of one call. It is safe for concurrent use.
 type Call struct {
 	began    time.Time
+	first    time.Duration
 	patience time.Duration
 	stalled  *time.Timer // Cancels the call.
 	ctx      context.Context
@@ -37,6 +38,8 @@
 	limit    time.Duration      // How long the whole call may take, or zero.
 	release  context.CancelFunc // Releases the timer of the limit, if there is one.
 	received atomic.Int64
+	// progressed is the duration from the beginning of the call to its last progress.
+	progressed atomic.Int64
 }
 
 // callKey is the key of the [Call] in a context.
@@ -45,6 +48,9 @@
 // Option configures a Call under construction.
 type Option func(*Call)
 
+// WithFirst sets how long the response may take to begin, if that is not the patience.
+func WithFirst(d time.Duration) Option { return func(c *Call) { c.first = d } }
+
 // WithLimit sets the time that the whole call may take.
 func WithLimit(d time.Duration) Option { return func(c *Call) { c.limit = d } }
 
@@ -52,7 +58,7 @@
 // is cancelled with [ErrStalled] when no part of the response has arrived for the time of the
 // patience. The caller must call End when it has read the response.
 func Begin(ctx context.Context, patience time.Duration, options ...Option) (context.Context, *Call) {
-	c := &Call{began: time.Now(), patience: patience}
+	c := &Call{began: time.Now(), first: patience, patience: patience}
 	for _, option := range options {
 		option(c)
 	}
@@ -61,7 +67,7 @@
 		ctx, c.release = context.WithTimeout(ctx, c.limit)
 	}
 	c.ctx = ctx
-	c.stalled = time.AfterFunc(patience, func() { c.cancel(ErrStalled) })
+	c.stalled = time.AfterFunc(c.first, func() { c.cancel(ErrStalled) })
 	return context.WithValue(ctx, callKey{}, c), c
 }
 
@@ -77,6 +83,11 @@
 // Received returns how many bytes of the response's body have been read.
 func (c *Call) Received() int64 { return c.received.Load() }
 
+// Arriving reports whether bytes of the response have arrived, the last ones less than d ago.
+func (c *Call) Arriving(d time.Duration) bool {
+	return c.Received() > 0 && c.Took()-time.Duration(c.progressed.Load()) < d
+}
+
 // Took returns the time since the call began.
 func (c *Call) Took() time.Duration { return time.Since(c.began) }
 
@@ -99,6 +110,7 @@
 // progress records that some bytes have arrived.
 func (c *Call) progress(n int) {
 	c.received.Add(int64(n))
+	c.progressed.Store(int64(c.Took()))
 	c.stalled.Reset(c.patience)
 }
 
