overseer: bound transfers of rows by their progress

The same cause as with documents: the rows grow with the deployment, and their transfers had fixed times: 400 ms for all rows from the store, 300 ms for a relayed confirmation with the rows that changed, 400 ms for a recollection after a restore. With 2,000 groups (about 0.2 MB) over a slow link none of them ever ended, and each began from nothing. A daemon that starts, or whose history was dropped, would have had no authority; a restored store would not have been opened by the daemons' recollections.

They may now take as long as rows arrive, up to 10 s, and 1.5 s for a recollection, which is not needed after a lease. The small calls beside them (the epoch, the row of a daemon, calls to all daemons) keep their times. The age of a confirmation still counts from when its request was sent, so a long transfer gives no longer authority.

--- a/tarragonshed/overseer/confirm.go
+++ b/tarragonshed/overseer/confirm.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tarragonshed.example/member"
+	"tarragonshed.example/tarragonshed/pacer"
 	"tarragonshed.example/unit"
 )
 
@@ -105,25 +106,33 @@
 
 // read confirms the rows with a read of the store, and adds this daemon to the member list.
 func (o *Overseer) read() error {
-	ctx, stop := context.WithTimeout(o.ctx, confirmTimeout)
-	defer stop()
-	if pending, ok := o.pendingEra(); ok {
-		if err := o.enterEra(ctx, pending); err != nil {
-			return err
-		}
-	}
-	unchanged, err := o.reconfirm(ctx)
+	unchanged, err := o.readEpoch()
 	if err != nil {
 		return err
 	}
 	if !unchanged {
-		if err := o.refresh(ctx); err != nil {
+		if err := o.refresh(o.ctx); err != nil {
 			return err
 		}
 	}
+	ctx, stop := context.WithTimeout(o.ctx, confirmTimeout)
+	defer stop()
 	return o.enlist(ctx)
 }
 
+// readEpoch reads the rows that tell whether the known ones are current, and reports whether it
+// confirmed them.
+func (o *Overseer) readEpoch() (confirmed bool, err error) {
+	ctx, stop := context.WithTimeout(o.ctx, confirmTimeout)
+	defer stop()
+	if pending, ok := o.pendingEra(); ok {
+		if err := o.enterEra(ctx, pending); err != nil {
+			return false, err
+		}
+	}
+	return o.reconfirm(ctx)
+}
+
 // reconfirm reads the epoch and reports whether it confirms the known rows.
 func (o *Overseer) reconfirm(ctx context.Context) (bool, error) {
 	o.mu.Lock()
@@ -166,8 +175,15 @@
 }
 
 // refresh reads the rows that have changed, or all rows if the store no longer has the
-// history of changes or was restored.
+// history of changes or was restored. It takes as long as they arrive.
 func (o *Overseer) refresh(ctx context.Context) error {
+	ctx, call := pacer.Begin(ctx, confirmTimeout, pacer.WithLimit(transferTimeout))
+	defer call.End()
+	return call.Err(o.readRows(ctx))
+}
+
+// readRows reads the rows for refresh.
+func (o *Overseer) readRows(ctx context.Context) error {
 	o.mu.Lock()
 	known := o.table
 	o.mu.Unlock()
--- a/tarragonshed/overseer/peers.go
+++ b/tarragonshed/overseer/peers.go
@@ -39,8 +39,8 @@
 	// long enough for two requests.
 	extendConfirmationAge = 750 * time.Millisecond
 
-	// relayTimeout bounds a relay request, in addition to the time for which it may be
-	// held.
+	// relayTimeout is how long nothing of the response to a relay request may arrive, in addition
+	// to the time for which it may be held.
 	relayTimeout = 300 * time.Millisecond
 	// maxRelayedAge is the maximum age of a confirmation from a reader.
 	maxRelayedAge = Lease * 2 / 3
@@ -76,13 +76,21 @@
 	return c
 }
 
-// callAll calls f concurrently for each daemon and returns when all calls have returned.
+// callAll calls f concurrently for each daemon and returns when all calls have returned. A call may
+// take peerTimeout.
 func (o *Overseer) callAll(members []authorizer.Member, f func(context.Context, authorizer.Member, peerconnect.OverseerClient)) {
-	ctx, stop := context.WithTimeout(o.ctx, peerTimeout)
-	defer stop()
+	o.callEach(members, peerTimeout, f)
+}
+
+// callEach is like callAll. A call may take as long as its response arrives, up to the limit.
+func (o *Overseer) callEach(members []authorizer.Member, limit time.Duration, f func(context.Context, authorizer.Member, peerconnect.OverseerClient)) {
 	var wg sync.WaitGroup
 	for _, m := range members {
-		wg.Go(func() { f(ctx, m, o.peer(m.Address)) })
+		wg.Go(func() {
+			ctx, call := pacer.Begin(o.ctx, peerTimeout, pacer.WithLimit(limit))
+			defer call.End()
+			f(ctx, m, o.peer(m.Address))
+		})
 	}
 	wg.Wait()
 }
@@ -243,12 +251,13 @@
 // address, which may hold the request for up to maxHold. It returns for how long the
 // request was held.
 func (o *Overseer) relayFrom(address string, maxHold, maxAge time.Duration) (time.Duration, error) {
-	ctx, stop := context.WithTimeout(o.ctx, maxHold+relayTimeout)
-	defer stop()
+	ctx, call := pacer.Begin(o.ctx, relayTimeout, pacer.WithFirst(maxHold+relayTimeout), pacer.WithLimit(maxHold+transferTimeout))
+	defer call.End()
 	o.mu.Lock()
 	known := o.table
 	o.mu.Unlock()
-	return o.relaySince(ctx, address, known, maxHold, maxAge)
+	held, err := o.relaySince(ctx, address, known, maxHold, maxAge)
+	return held, call.Err(err)
 }
 
 // relaySince obtains a confirmation from the daemon at the address, with the rows that have
--- a/tarragonshed/overseer/restore.go
+++ b/tarragonshed/overseer/restore.go
@@ -23,6 +23,9 @@
 	openDelay = 300 * time.Millisecond
 	// openInterval is the time between two attempts to open an era.
 	openInterval = 200 * time.Millisecond
+	// recallLimit bounds the time that a daemon's recollection takes to arrive. One that takes
+	// longer than a lease is not needed any more.
+	recallLimit = Lease
 	// maxBatch bounds the rows in one transaction.
 	maxBatch = 90
 )
@@ -182,7 +185,7 @@
 			return
 		}
 		responses := make(chan authorizer.Recollection, len(members))
-		o.callAll(members, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
+		o.callEach(members, recallLimit, func(ctx context.Context, m authorizer.Member, c peerconnect.OverseerClient) {
 			response, err := c.Recall(ctx, connect.NewRequest(request))
 			if err != nil || response.Msg.Daemon != string(m.Daemon) {
 				o.logger.Info("no recollection from a daemon", "daemon", m.Daemon, "cause", err)
--- a/tarragonshed/overseer/transfer_test.go
+++ b/tarragonshed/overseer/transfer_test.go
@@ -65,9 +65,11 @@
 	return Document{Name: "config", Revision: unit.Revision{Version: version}, Body: body.Bytes()}
 }
 
-// link counts the bytes that arrive, and cuts each connection after some.
+// link counts the bytes that arrive. It may cut each connection after some, and be slow.
 type link struct {
-	perConnection int // Zero if connections are not cut.
+	perConnection int           // Zero if connections are not cut.
+	perRead       int           // Zero if reads are not limited.
+	pause         time.Duration // Before each read.
 	mu            sync.Mutex
 	received      int
 }
@@ -103,6 +105,10 @@
 		}
 		p = p[:min(len(p), limit-c.read)]
 	}
+	if limit := c.link.perRead; limit > 0 {
+		p = p[:min(len(p), limit)]
+	}
+	time.Sleep(c.link.pause)
 	n, err := c.Conn.Read(p)
 	c.read += n
 	c.link.mu.Lock()
