--- a/tarragonshed/overseer/transfer.go
+++ b/tarragonshed/overseer/transfer.go
@@ -71,13 +71,19 @@
 	base unit.Revision // The revision in force whose parts are known.
 }
 
-// offerOf returns the document in parts. They are computed once for each revision.
-func (t *transfers) offerOf(d Document) *offer {
+// offered returns the document in parts if they have been computed for the revision.
+func (t *transfers) offered(name string, revision unit.Revision) (*offer, bool) {
+	t.offersMu.Lock()
+	defer t.offersMu.Unlock()
+	o, ok := t.offers[name]
+	return o, ok && o.revision == revision
+}
+
+// offer computes the parts of the whole document. Parts that were sent in the last revision are not
+// compressed again.
+func (t *transfers) offer(d Document) *offer {
 	t.offersMu.Lock()
 	defer t.offersMu.Unlock()
-	if known, ok := t.offers[d.Name]; ok && known.revision == d.Revision {
-		return known
-	}
 	o := &offer{revision: d.Revision, parts: make(map[splitter.Digest][]byte), deflated: make(map[splitter.Digest][]byte)}
 	earlier := t.offers[d.Name]
 	for _, p := range splitter.Split(d.Body) {
@@ -174,11 +180,14 @@
 // digestsOf returns the digests of the parts of the whole document, of which d may be the changes
 // only. It returns none if the document has changed meanwhile.
 func (o *Overseer) digestsOf(d Document) [][]byte {
+	if offered, ok := o.transfers.offered(d.Name, d.Revision); ok {
+		return offered.digests
+	}
 	whole := o.wholeDocument(d.Name)
 	if whole.Revision != d.Revision {
 		return nil
 	}
-	return o.transfers.offerOf(whole).digests
+	return o.transfers.offer(whole).digests
 }
 
 // wholeDocument returns the document in force, or an empty one. Its body does not depend on what
