--- a/tarragonshed/overseer/transfer.go
+++ b/tarragonshed/overseer/transfer.go
@@ -49,6 +49,15 @@
 	assemblers map[string]*assembler
 
 	progressedAt atomic.Int64 // When a part was last received, as a unit.Instant, or zero.
+
+	arrival atomic.Pointer[arrival] // The document whose parts are being received, or nil.
+}
+
+// arrival is a document whose parts are being received.
+type arrival struct {
+	document *peer.Document
+	from     string
+	missing  int // The number of parts.
 }
 
 // recordProgress records that a part was received.
@@ -240,6 +249,15 @@
 	return complete
 }
 
+// Receiving describes the document that this daemon is receiving from another one, for a log.
+func (o *Overseer) Receiving() string {
+	a := o.transfers.arrival.Load()
+	if a == nil {
+		return "nothing"
+	}
+	return fmt.Sprintf("%s version %d from %s, %d of %d parts missing", a.document.Name, a.document.Version, a.from, a.missing, len(a.document.Parts))
+}
+
 // beginTransfer begins a call of a transfer.
 func (o *Overseer) beginTransfer() (context.Context, *pacer.Call) {
 	return pacer.Begin(o.ctx, peerTimeout, pacer.WithLimit(transferTimeout))
@@ -275,7 +293,9 @@
 		document = append(document, digest)
 	}
 	a := o.assemblerOf(d.Name)
+	defer o.transfers.arrival.Store(nil)
 	for missing := a.Missing(document); len(missing) > 0; missing = a.Missing(document) {
+		o.transfers.arrival.Store(&arrival{document: d, from: address, missing: len(missing)})
 		n, err := o.fetchParts(address, d.Name, a, missing[:min(len(missing), partsPerCall)])
 		fetched += n
 		if err != nil {
