--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -31,8 +31,9 @@
 )
 
 const (
-	// minPart and MaxPart bound the size of a part in bytes. The last part may be smaller.
+	// minPart is the minimum size of a part in bytes. The last part may be smaller.
 	minPart = 1 << 10
+	// MaxPart is the maximum size of a part in bytes.
 	MaxPart = 16 << 10
 	// boundaryBits is the number of bits of the rolling hash that are zero at a boundary. A
 	// part has minPart + 2^boundaryBits bytes on average.
--- a/tarragonshed/overseer/transfer.go
+++ b/tarragonshed/overseer/transfer.go
@@ -33,7 +33,7 @@
 	transferTimeout = 10 * time.Second
 )
 
-// errNoPart means that a daemon has sent none of the requested parts. It has a newer version
+// errNoPart means that a daemon has sent none of the missing parts. It has a newer version
 // of the document, which the next attempt fetches.
 var errNoPart = errors.New("overseer: the daemon has none of the missing parts")
 
@@ -294,18 +294,23 @@
 	}
 	a := o.assemblerOf(d.Name)
 	defer o.transfers.arrival.Store(nil)
-	for missing := a.Missing(document); len(missing) > 0; missing = a.Missing(document) {
+	for missing := a.Missing(document); len(missing) > 0; {
 		o.transfers.arrival.Store(&arrival{document: d, from: address, missing: len(missing)})
 		n, err := o.fetchParts(address, d.Name, a, missing[:min(len(missing), partsPerCall)])
 		fetched += n
 		if err != nil {
 			return nil, fetched, err
 		}
+		before := len(missing)
+		if missing = a.Missing(document); len(missing) >= before {
+			return nil, fetched, errNoPart
+		}
 	}
 	body, complete := a.Join(document)
 	if !complete {
 		return nil, fetched, errIncompleteDocument
 	}
+	delete(o.transfers.assemblers, d.Name) // It holds the earlier version in memory.
 	return body, fetched, nil
 }
 
@@ -336,9 +341,6 @@
 	if err != nil {
 		return 0, call.Err(err)
 	}
-	if len(response.Msg.Parts) == 0 {
-		return 0, errNoPart
-	}
 	for _, part := range response.Msg.Parts {
 		if err := addPart(a, part); err != nil {
 			return fetched, err
--- a/tarragonshed/overseer/transfer_test.go
+++ b/tarragonshed/overseer/transfer_test.go
@@ -178,3 +178,22 @@
 	}
 	close(held.release)
 }
+
+func TestAssembledDocumentIsNotHeldTwice(t *testing.T) {
+	is := is.New(t)
+	sender, receiver := senderAndReceiver(t, largeDocument(2), largeDocument(1), &link{})
+	receiver.fetchFrom(sender.self.Address)
+	is.Equal(receiver.documents.(*bodies).get().Revision.Version, uint64(2))
+	is.Equal(len(receiver.transfers.assemblers), 0)
+}
+
+func TestSenderWithoutTheMissingPartsEndsTheTransfer(t *testing.T) {
+	is := is.New(t)
+	document := largeDocument(2)
+	sender, receiver := senderAndReceiver(t, document, Document{Name: "config"}, &link{})
+	offered := sender.offeredDocuments(nil, true)
+	is.Equal(len(offered), 1)
+	sender.transfers.offer(largeDocument(3)) // It has a newer version by now.
+	_, _, err := receiver.fetchBody(sender.self.Address, offered[0])
+	is.Equal(err, errNoPart)
+}
