overseer: divide sending and receiving of documents; docs: large documents

offer.go holds what a sender does and transfer.go what a receiver does; only the place of the code has changed.

--- a/tarragonshed/overseer/overseer.go
+++ b/tarragonshed/overseer/overseer.go
@@ -24,7 +24,15 @@
 // request confirmations from it, and it responds when the store has confirmed the rows
 // again. If the reader fails, or does not keep its documents current, a daemon reads the
 // store itself for a while. If the store is unavailable, the daemons extend each other's
-// authority, see [authorizer.Authorizer.BeginExtension].
+// authority, see [authorizer.Authorizer.BeginExtension]. VMs with fast links are the first to
+// be readers.
+//
+// # Documents
+//
+// With each confirmation a reader names the versions of the platform's documents that it has.
+// A daemon that lacks one fetches it in the background, beside its confirmations. Large
+// documents are fetched in parts, see [splitter]: only those that differ from the version in
+// force, and those that an attempt brought are kept when it fails.
 //
 // # Replacing a primary
 //
--- a/tarragonshed/overseer/transfer.go
+++ b/tarragonshed/overseer/transfer.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// maxWholeBytes is the size up to which a document is sent as a whole. Splitting it would
-	// cost a further call.
-	maxWholeBytes = 64 << 10
 	// partsPerCall is the number of parts that are requested with one call. All of them
 	// together are about as large as a document that is sent as a whole.
 	partsPerCall = 32
@@ -43,7 +40,7 @@
 // transfers holds the parts of documents that are sent to and received from other daemons.
 type transfers struct {
 	offersMu sync.Mutex
-	offers   map[string]*offer
+	offers   map[string]*offer // The documents that are sent, by name.
 
 	receiving  sync.Mutex // Held while documents are being fetched.
 	assemblers map[string]*assembler
@@ -66,162 +63,12 @@
 // progressed returns when a part was last received, or zero.
 func (t *transfers) progressed() unit.Instant { return unit.Instant(t.progressedAt.Load()) }
 
-// offer is a large document as it is sent.
-type offer struct {
-	revision unit.Revision
-	digests  [][]byte
-	parts    map[splitter.Digest][]byte
-	deflated map[splitter.Digest][]byte // The parts that have been requested.
-}
-
 // assembler joins the parts of one document that are received.
 type assembler struct {
 	splitter.Assembler
 	base unit.Revision // The revision in force whose parts are known.
 }
 
-// offered returns the document in parts if they have been computed for the revision.
-func (t *transfers) offered(name string, revision unit.Revision) (*offer, bool) {
-	t.offersMu.Lock()
-	defer t.offersMu.Unlock()
-	o, ok := t.offers[name]
-	return o, ok && o.revision == revision
-}
-
-// offer computes the parts of the whole document. Parts that were sent in the last revision are not
-// compressed again.
-func (t *transfers) offer(d Document) *offer {
-	t.offersMu.Lock()
-	defer t.offersMu.Unlock()
-	o := &offer{revision: d.Revision, parts: make(map[splitter.Digest][]byte), deflated: make(map[splitter.Digest][]byte)}
-	earlier := t.offers[d.Name]
-	for _, p := range splitter.Split(d.Body) {
-		o.digests = append(o.digests, p.Digest[:])
-		o.parts[p.Digest] = p.Body
-		if earlier != nil && earlier.deflated[p.Digest] != nil {
-			o.deflated[p.Digest] = earlier.deflated[p.Digest]
-		}
-	}
-	t.offers[d.Name] = o
-	return o
-}
-
-// deflatedParts returns those of the parts that the document with the name has.
-func (t *transfers) deflatedParts(name string, digests [][]byte) []*peer.Part {
-	t.offersMu.Lock()
-	defer t.offersMu.Unlock()
-	o, ok := t.offers[name]
-	if !ok {
-		return nil
-	}
-	var parts []*peer.Part
-	var d deflater
-	for _, digest := range digests {
-		if body, ok := o.deflate(digest, &d); ok {
-			parts = append(parts, &peer.Part{Digest: digest, Deflated: body})
-		}
-	}
-	return parts
-}
-
-// deflate returns the part in its compressed form, which is kept for other daemons.
-func (o *offer) deflate(digest []byte, d *deflater) ([]byte, bool) {
-	id, ok := digestIn(digest)
-	if !ok {
-		return nil, false
-	}
-	if body, ok := o.deflated[id]; ok {
-		return body, true
-	}
-	part, ok := o.parts[id]
-	if ok {
-		o.deflated[id] = d.deflate(part)
-	}
-	return o.deflated[id], ok
-}
-
-// digestIn returns the digest in a message.
-func digestIn(digest []byte) (splitter.Digest, bool) {
-	if len(digest) != len(splitter.Digest{}) {
-		return splitter.Digest{}, false
-	}
-	return splitter.Digest(digest), true
-}
-
-// deflater compresses parts. Its writer is large and made when it is first needed.
-type deflater struct{ writer *flate.Writer }
-
-func (d *deflater) deflate(part []byte) []byte {
-	var compressed bytes.Buffer
-	if d.writer == nil {
-		d.writer, _ = flate.NewWriter(nil, flate.BestSpeed) // The level is valid.
-	}
-	d.writer.Reset(&compressed)
-	_, _ = d.writer.Write(part) // A buffer accepts all data.
-	_ = d.writer.Close()
-	return bytes.Clone(compressed.Bytes())
-}
-
-// inflate returns the part in its original form.
-func inflate(deflated []byte) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(deflated)), maxPartBytes))
-}
-
-// offeredDocuments returns the messages with the documents that a daemon with the known ones lacks.
-func (o *Overseer) offeredDocuments(known map[string]unit.Revision, acceptsParts bool) []*peer.Document {
-	if o.documents == nil {
-		return nil
-	}
-	var all []*peer.Document
-	for _, d := range o.documents.Newer(known) {
-		message := messageOf(d.Name, d.Revision)
-		if acceptsParts && len(d.Body) > maxWholeBytes {
-			message.Parts = o.digestsOf(d)
-		}
-		if len(message.Parts) == 0 {
-			message.Body = d.Body
-		}
-		all = append(all, message)
-	}
-	return all
-}
-
-// digestsOf returns the digests of the parts of the whole document, of which d may be the changes
-// only. It returns none if the document has changed meanwhile.
-func (o *Overseer) digestsOf(d Document) [][]byte {
-	if offered, ok := o.transfers.offered(d.Name, d.Revision); ok {
-		return offered.digests
-	}
-	whole := o.wholeDocument(d.Name)
-	if whole.Revision != d.Revision {
-		return nil
-	}
-	return o.transfers.offer(whole).digests
-}
-
-// wholeDocument returns the document in force, or an empty one. Its body does not depend on what
-// another daemon knows.
-func (o *Overseer) wholeDocument(name string) Document {
-	known := make(map[string]unit.Revision)
-	for other, state := range o.documents.States() {
-		if other != name {
-			known[other] = state.Revision
-		}
-	}
-	for _, d := range o.documents.Newer(known) {
-		if d.Name == name {
-			return d
-		}
-	}
-	return Document{Name: name}
-}
-
-// FetchParts implements [peerconnect.OverseerHandler].
-func (s service) FetchParts(_ context.Context, r *connect.Request[peer.FetchPartsRequest]) (*connect.Response[peer.FetchPartsResponse], error) {
-	parts := s.overseer.transfers.deflatedParts(r.Msg.Document, r.Msg.Digests)
-	return connect.NewResponse(&peer.FetchPartsResponse{Parts: parts}), nil
-}
-
 // fetchFrom requests newer documents from the daemon at the address, unless documents are being
 // fetched already.
 func (o *Overseer) fetchFrom(address string) {
@@ -363,3 +210,33 @@
 	}
 	return a.Add(digest, body)
 }
+
+// inflate returns the part in its original form.
+func inflate(deflated []byte) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(deflated)), maxPartBytes))
+}
+
+// digestIn returns the digest in a message.
+func digestIn(digest []byte) (splitter.Digest, bool) {
+	if len(digest) != len(splitter.Digest{}) {
+		return splitter.Digest{}, false
+	}
+	return splitter.Digest(digest), true
+}
+
+// wholeDocument returns the document in force, or an empty one. Its body does not depend on what
+// another daemon knows.
+func (o *Overseer) wholeDocument(name string) Document {
+	known := make(map[string]unit.Revision)
+	for other, state := range o.documents.States() {
+		if other != name {
+			known[other] = state.Revision
+		}
+	}
+	for _, d := range o.documents.Newer(known) {
+		if d.Name == name {
+			return d
+		}
+	}
+	return Document{Name: name}
+}
